--- /dev/null
+++ b/src/configs/dispatch.rs
@@ -0,0 +1,30 @@
+//! Settings of the dispatch system.
+
+use schemars::JsonSchema;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Settings of `core::systems::dispatch`.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(default, deny_unknown_fields)]
+pub struct DispatchConfig {
+    /// Service units by which an interactive request may go before its team's turn.
+    pub express_units: u64,
+    /// Service units that a request is taken to cost before anything is known of its kind.
+    pub first_estimate: u64,
+    /// Milliseconds within which the first byte of an attempt must be written.
+    pub write_within_ms: u64,
+    /// Prefixes whose last endpoint is remembered, per pool.
+    pub prefix_memory: u32,
+}
+
+impl Default for DispatchConfig {
+    fn default() -> Self {
+        Self {
+            express_units: 2_000,
+            first_estimate: 500,
+            write_within_ms: 250,
+            prefix_memory: 1_024,
+        }
+    }
+}
--- /dev/null
+++ b/src/configs/mod.rs
@@ -0,0 +1,33 @@
+//! Settings of each system, one small file a system with its defaults in one place.
+
+pub mod admission;
+pub mod attempts;
+pub mod dispatch;
+pub mod ownership;
+pub mod reporting;
+
+use schemars::JsonSchema;
+use serde::Deserialize;
+use serde::Serialize;
+
+use self::admission::AdmissionConfig;
+use self::attempts::AttemptsConfig;
+use self::dispatch::DispatchConfig;
+use self::ownership::OwnershipConfig;
+use self::reporting::ReportingConfig;
+
+/// Settings of the decision core, one field a system.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(default, deny_unknown_fields)]
+pub struct CoreConfig {
+    /// Bounded queues.
+    pub admission: AdmissionConfig,
+    /// Retries.
+    pub attempts: AttemptsConfig,
+    /// Picking the next request.
+    pub dispatch: DispatchConfig,
+    /// Sharing out a pool's slots.
+    pub ownership: OwnershipConfig,
+    /// Telling owners of demand.
+    pub reporting: ReportingConfig,
+}
--- /dev/null
+++ b/src/core/state.rs
@@ -0,0 +1,135 @@
+//! Everything that a decision core knows, in tables.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::mem;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use crate::catalog::FleetCatalog;
+use crate::configs::CoreConfig;
+use crate::units::HostName;
+use crate::units::Moment;
+use crate::units::PoolId;
+use crate::units::RequestId;
+use crate::wire::PeerBody;
+use crate::wire::PeerMessage;
+
+use super::RouterIdentity;
+use super::action::CoreAction;
+use super::event::CoreEvent;
+use super::tables::endpoints::EndpointTable;
+use super::tables::entry_pool::EntryPool;
+use super::tables::estimates::CostEstimates;
+use super::tables::members::MemberTable;
+use super::tables::owned_pool::OwnedPool;
+use super::tables::requests::RequestTable;
+use super::tables::retry_budgets::RetryBudgets;
+
+/// The tables of one router's core, and what its systems want done.
+#[derive(Debug)]
+pub struct CoreState {
+    /// Who this router is.
+    pub identity: RouterIdentity,
+    /// Settings of the systems.
+    pub config: CoreConfig,
+    /// The time of the event being handled.
+    pub now: Moment,
+    /// The only source of randomness.
+    pub random: StdRng,
+    /// The publication in force.
+    pub catalog: Arc<FleetCatalog>,
+    /// Its text, to pass on to peers.
+    pub publication_text: Bytes,
+    /// Routers.
+    pub members: MemberTable,
+    /// Endpoints.
+    pub endpoints: EndpointTable,
+    /// Requests that entered the fleet here.
+    pub requests: RequestTable,
+    /// Pools as this router uses them.
+    pub entries: BTreeMap<PoolId, EntryPool>,
+    /// Pools that this router owns.
+    pub owned: BTreeMap<PoolId, OwnedPool>,
+    /// What requests cost, per team and kind.
+    pub estimates: CostEstimates,
+    /// Retries that teams have earned.
+    pub retry_budgets: RetryBudgets,
+    /// Requests that wait before a retry, by the end of their wait.
+    pub backoffs: BTreeSet<(Moment, RequestId)>,
+    /// Pools that something happened to in this event.
+    pub woken: BTreeSet<PoolId>,
+    /// Bytes that urgent reports may still use.
+    pub urgent_bytes: u64,
+    /// When `urgent_bytes` was last topped up.
+    pub urgent_refilled: Moment,
+    /// True once operators asked for a drain.
+    pub draining: bool,
+    actions: Vec<CoreAction>,
+    loopback: Vec<PeerMessage>,
+}
+
+impl CoreState {
+    /// Empty tables.
+    #[must_use]
+    pub fn new(identity: RouterIdentity, config: CoreConfig, seed: u64) -> Self {
+        Self {
+            members: MemberTable::new(&identity),
+            identity,
+            config,
+            now: Moment(0),
+            random: StdRng::seed_from_u64(seed),
+            catalog: Arc::default(),
+            publication_text: Bytes::new(),
+            endpoints: EndpointTable::default(),
+            requests: RequestTable::default(),
+            entries: BTreeMap::new(),
+            owned: BTreeMap::new(),
+            estimates: CostEstimates::default(),
+            retry_budgets: RetryBudgets::default(),
+            backoffs: BTreeSet::new(),
+            woken: BTreeSet::new(),
+            urgent_bytes: 0,
+            urgent_refilled: Moment(0),
+            draining: false,
+            actions: Vec::new(),
+            loopback: Vec::new(),
+        }
+    }
+
+    /// Asks the driver for an action.
+    pub fn act(&mut self, action: CoreAction) {
+        self.actions.push(action);
+    }
+
+    /// Sends a message to a router; one to itself is handled after the current event.
+    pub fn send(&mut self, host: &HostName, body: PeerBody) {
+        let message = PeerMessage::new(body);
+        if *host == self.identity.host {
+            self.loopback.push(message);
+        } else {
+            self.act(CoreAction::Send {
+                host: host.clone(),
+                message,
+            });
+        }
+    }
+
+    pub(super) fn take_actions(&mut self) -> Vec<CoreAction> {
+        mem::take(&mut self.actions)
+    }
+
+    pub(super) fn take_loopback(&mut self) -> Vec<CoreEvent> {
+        mem::take(&mut self.loopback)
+            .into_iter()
+            .map(|message| CoreEvent::Message {
+                from: self.identity.host.clone(),
+                incarnation: self.identity.incarnation,
+                message,
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/src/core/systems/admission.rs
@@ -0,0 +1,158 @@
+//! New requests: bounded queues, deadlines, callers that leave.
+
+use crate::catalog::UrgencyClass;
+use crate::core::action::CoreAction;
+use crate::core::action::RefusalReason;
+use crate::core::action::RunOutcome;
+use crate::core::event::CoreEvent;
+use crate::core::event::RequestFacts;
+use crate::core::finish;
+use crate::core::state::CoreState;
+use crate::core::systems::attempts;
+use crate::core::systems::dispatch;
+use crate::core::tables::requests::RequestEntry;
+use crate::core::tables::requests::RequestStage;
+use crate::units::RequestId;
+use crate::units::TimeSpan;
+
+/// Takes in arrivals, callers that leave, and deadlines.
+pub fn run(state: &mut CoreState, event: &CoreEvent) {
+    match event {
+        CoreEvent::Arrived(facts) => arrived(state, facts),
+        CoreEvent::CallerLeft(request) => caller_left(state, *request),
+        CoreEvent::Tick => drop_overdue(state),
+        _ => {}
+    }
+}
+
+fn arrived(state: &mut CoreState, facts: &RequestFacts) {
+    let urgency = urgency_of(state, facts);
+    let entry = RequestEntry::new(facts.clone(), urgency, state.now);
+    state.requests.insert(entry);
+    if let Some(reason) = reason_to_refuse(state, facts) {
+        let retry_after = TimeSpan::from_millis(state.config.admission.retry_after_ms);
+        finish::refuse(
+            state,
+            facts.request,
+            reason,
+            RunOutcome::NotRun,
+            retry_after,
+        );
+        return;
+    }
+    state.retry_budgets.earn(facts.team, &state.config.attempts);
+    enqueue(state, facts.request);
+}
+
+fn urgency_of(state: &CoreState, facts: &RequestFacts) -> UrgencyClass {
+    state
+        .catalog
+        .teams
+        .get(&facts.team)
+        .and_then(|team| team.kinds.get(&facts.kind))
+        .map_or(UrgencyClass::Batch, |kind| kind.urgency)
+}
+
+fn reason_to_refuse(state: &CoreState, facts: &RequestFacts) -> Option<RefusalReason> {
+    let Some(pool) = state.entries.get(&facts.pool) else {
+        return Some(RefusalReason::NoEndpoint);
+    };
+    let Some(team) = state.catalog.teams.get(&facts.team) else {
+        return Some(RefusalReason::NotReady);
+    };
+    // A flood fills only its own team's queue: the limit is per team. The limit over all teams
+    // bounds memory when very many teams flood at once.
+    let waiting = pool
+        .teams
+        .get(&facts.team)
+        .map_or(0, |usage| usage.queue.len());
+    let full = waiting >= team.queue_limit as usize;
+    let crowded = state.requests.len() > state.config.admission.queue_limit as usize;
+    (full || crowded).then_some(RefusalReason::QueueFull)
+}
+
+/// Puts a request at the back of its team's queue.
+pub fn enqueue(state: &mut CoreState, request: RequestId) {
+    put_in_queue(state, request, false);
+}
+
+/// Puts a request that comes back from an attempt at the front of its team's queue.
+pub fn enqueue_first(state: &mut CoreState, request: RequestId) {
+    put_in_queue(state, request, true);
+}
+
+fn put_in_queue(state: &mut CoreState, request: RequestId, first: bool) {
+    let Some(entry) = state.requests.get_mut(request) else {
+        return;
+    };
+    entry.stage = RequestStage::Waiting;
+    let (team, pool_id, urgency) = (entry.facts.team, entry.facts.pool, entry.urgency);
+    let Some(pool) = state.entries.get_mut(&pool_id) else {
+        return;
+    };
+    let usage = pool.teams.entry(team).or_default();
+    let begins = usage.queue.is_empty();
+    if first {
+        usage.queue.push_front(request, urgency);
+    } else {
+        usage.queue.push(request, urgency);
+    }
+    pool.waiting += 1;
+    pool.touch(team);
+    if begins {
+        pool.wants = true;
+    }
+    dispatch::rank_team(state, pool_id, team);
+    state.woken.insert(pool_id);
+}
+
+/// Takes a waiting request out of its queue.
+pub fn dequeue(state: &mut CoreState, request: RequestId) {
+    let Some(entry) = state.requests.get(request) else {
+        return;
+    };
+    let (team, pool_id, urgency) = (entry.facts.team, entry.facts.pool, entry.urgency);
+    let Some(pool) = state.entries.get_mut(&pool_id) else {
+        return;
+    };
+    let Some(usage) = pool.teams.get_mut(&team) else {
+        return;
+    };
+    if usage.queue.remove(request, urgency) {
+        pool.waiting -= 1;
+        pool.touch(team);
+        dispatch::rank_team(state, pool_id, team);
+    }
+}
+
+fn caller_left(state: &mut CoreState, request: RequestId) {
+    let Some(entry) = state.requests.get(request) else {
+        return;
+    };
+    match entry.stage {
+        RequestStage::New | RequestStage::Backoff(_) => {}
+        RequestStage::Waiting => dequeue(state, request),
+        RequestStage::Running { attempt, .. } => {
+            state.act(CoreAction::Cancel { request, attempt });
+            attempts::release(state, request);
+        }
+    }
+    state.requests.remove(request);
+}
+
+fn drop_overdue(state: &mut CoreState) {
+    for request in state.requests.overdue(state.now) {
+        let Some(entry) = state.requests.get(request) else {
+            continue;
+        };
+        // A running attempt is left to finish: cutting an answer that a caller still reads
+        // would break the promise that no answer is cut.
+        if matches!(entry.stage, RequestStage::Running { .. }) {
+            continue;
+        }
+        let outcome = attempts::outcome_so_far(entry);
+        dequeue(state, request);
+        let reason = RefusalReason::DeadlinePassed;
+        finish::refuse(state, request, reason, outcome, TimeSpan(0));
+    }
+}
--- /dev/null
+++ b/src/core/systems/attempts.rs
@@ -0,0 +1,220 @@
+//! What becomes of attempts: charges as the answer streams, ends, retries within budgets.
+
+use rand::RngExt;
+
+use crate::core::action::RefusalReason;
+use crate::core::action::RunOutcome;
+use crate::core::event::AttemptOutcome;
+use crate::core::event::CoreEvent;
+use crate::core::finish;
+use crate::core::state::CoreState;
+use crate::core::systems::admission;
+use crate::core::systems::dispatch;
+use crate::core::tables::requests::RequestEntry;
+use crate::core::tables::requests::RequestStage;
+use crate::units::AttemptNumber;
+use crate::units::EndpointId;
+use crate::units::Moment;
+use crate::units::RequestId;
+use crate::units::ServiceUnits;
+use crate::units::TimeSpan;
+
+/// Longest rest of an endpoint after failures, as a doubling of the first backoff.
+const MOST_DOUBLINGS: u32 = 6;
+
+/// Takes in progress and ends of attempts.
+pub fn run(state: &mut CoreState, event: &CoreEvent) {
+    match event {
+        CoreEvent::Progress {
+            request,
+            attempt,
+            service,
+        } => progress(state, *request, *attempt, *service),
+        CoreEvent::AttemptEnded {
+            request,
+            attempt,
+            outcome,
+            service,
+        } => ended(state, *request, *attempt, *outcome, *service),
+        CoreEvent::Tick => end_backoffs(state),
+        _ => {}
+    }
+}
+
+fn units(service: ServiceUnits) -> i64 {
+    i64::try_from(service.0).unwrap_or(i64::MAX)
+}
+
+fn progress(
+    state: &mut CoreState,
+    request: RequestId,
+    attempt: AttemptNumber,
+    service: ServiceUnits,
+) {
+    let Some(entry) = state.requests.get(request) else {
+        return;
+    };
+    if !entry.runs_attempt(attempt) || units(service) <= entry.charged {
+        return;
+    }
+    settle(state, request, units(service));
+}
+
+/// Sets what the running attempt of a request has been charged.
+fn settle(state: &mut CoreState, request: RequestId, service: i64) {
+    let Some(entry) = state.requests.get_mut(request) else {
+        return;
+    };
+    let difference = service - entry.charged;
+    entry.charged = service;
+    let (team, pool_id) = (entry.facts.team, entry.facts.pool);
+    if difference == 0 {
+        return;
+    }
+    if let Some(pool) = state.entries.get_mut(&pool_id) {
+        pool.charge(team, difference);
+        dispatch::rank_team(state, pool_id, team);
+    }
+}
+
+fn ended(
+    state: &mut CoreState,
+    request: RequestId,
+    attempt: AttemptNumber,
+    outcome: AttemptOutcome,
+    service: ServiceUnits,
+) {
+    let Some(entry) = state.requests.get(request) else {
+        return;
+    };
+    // An answer of an older attempt that comes late must not end the newer attempt: the caller
+    // would get it twice or mixed. Attempts are numbered and only the running one counts.
+    let RequestStage::Running { endpoint, .. } = entry.stage else {
+        return;
+    };
+    if !entry.runs_attempt(attempt) {
+        return;
+    }
+    let (team, kind) = (entry.facts.team, entry.facts.kind.clone());
+    settle(state, request, units(service));
+    release(state, request);
+    note_endpoint(state, endpoint, outcome);
+    if outcome == AttemptOutcome::Whole {
+        state.estimates.learn(team, &kind, units(service));
+        finish::complete(state, request);
+        return;
+    }
+    retry_or_refuse(state, request, outcome);
+}
+
+/// Frees the slot of a request whose attempt ended or was cancelled.
+pub fn release(state: &mut CoreState, request: RequestId) {
+    let Some(entry) = state.requests.get_mut(request) else {
+        return;
+    };
+    let RequestStage::Running { endpoint, .. } = entry.stage else {
+        return;
+    };
+    entry.stage = RequestStage::New;
+    entry.charged = 0;
+    let (team, pool_id) = (entry.facts.team, entry.facts.pool);
+    let Some(pool) = state.entries.get_mut(&pool_id) else {
+        return;
+    };
+    if let Some(usage) = pool.teams.get_mut(&team) {
+        usage.running -= 1;
+    }
+    pool.touch(team);
+    pool.change_slots(endpoint, |hold| hold.busy = hold.busy.saturating_sub(1));
+    state.woken.insert(pool_id);
+}
+
+fn note_endpoint(state: &mut CoreState, endpoint: EndpointId, outcome: AttemptOutcome) {
+    let rest = match outcome {
+        AttemptOutcome::Whole | AttemptOutcome::Cancelled => {
+            state.endpoints.row(endpoint).failures = 0;
+            return;
+        }
+        _ => TimeSpan::from_millis(state.config.attempts.backoff_ms),
+    };
+    let now = state.now;
+    let row = state.endpoints.row(endpoint);
+    // An endpoint that refuses connections would otherwise draw all traffic, since it frees its
+    // slots at once; seen as a burst of failures. It rests, twice as long each time.
+    row.rest_until = now + TimeSpan(rest.0 << row.failures.min(MOST_DOUBLINGS));
+    row.failures += 1;
+}
+
+/// What may be said of a request's execution if it ended now.
+#[must_use]
+pub fn outcome_so_far(entry: &RequestEntry) -> RunOutcome {
+    if entry.may_have_run {
+        RunOutcome::Unknown
+    } else {
+        RunOutcome::NotRun
+    }
+}
+
+fn retry_or_refuse(state: &mut CoreState, request: RequestId, outcome: AttemptOutcome) {
+    let Some(entry) = state.requests.get_mut(request) else {
+        return;
+    };
+    let proved_not_run = matches!(outcome, AttemptOutcome::NotSent | AttemptOutcome::Refused);
+    if !proved_not_run {
+        entry.may_have_run = true;
+    }
+    if let AttemptOutcome::CutAt(offset) = outcome {
+        entry.passed_on = entry.passed_on.max(offset);
+    }
+    let resumable = entry.passed_on == 0 || entry.facts.resumable;
+    // An unrepeatable request whose bytes may have reached an endpoint is never tried again: a
+    // second execution is the doubled tag that the users forbid.
+    let allowed = (proved_not_run && !entry.may_have_run) || entry.is_repeatable();
+    let tries_left = entry.attempts < state.config.attempts.max_attempts;
+    let so_far = outcome_so_far(entry);
+    let (team, retries) = (entry.facts.team, entry.attempts.saturating_sub(1));
+    if !allowed || !resumable {
+        finish::refuse(state, request, RefusalReason::LinkLost, so_far, TimeSpan(0));
+        return;
+    }
+    if !tries_left || !state.retry_budgets.spend(team, &state.config.attempts) {
+        let later = TimeSpan::from_millis(state.config.admission.retry_after_ms);
+        finish::refuse(state, request, RefusalReason::RetryBudget, so_far, later);
+        return;
+    }
+    back_off(state, request, retries);
+}
+
+fn back_off(state: &mut CoreState, request: RequestId, retries: u32) {
+    let base = TimeSpan::from_millis(state.config.attempts.backoff_ms);
+    let longest = (base.0 << retries.min(MOST_DOUBLINGS)).max(1);
+    let wait = TimeSpan(state.random.random_range(longest / 2..=longest));
+    let until = state.now + wait;
+    if let Some(entry) = state.requests.get_mut(request) {
+        entry.stage = RequestStage::Backoff(until);
+        state.backoffs.insert((until, request));
+    }
+}
+
+fn end_backoffs(state: &mut CoreState) {
+    while let Some((until, request)) = state.backoffs.first().copied() {
+        if until > state.now {
+            return;
+        }
+        state.backoffs.pop_first();
+        let waits = state
+            .requests
+            .get(request)
+            .is_some_and(|entry| entry.stage == RequestStage::Backoff(until));
+        if waits {
+            admission::enqueue_first(state, request);
+        }
+    }
+}
+
+/// Last moment at which the first byte of an attempt may be written.
+#[must_use]
+pub fn write_limit(state: &CoreState, deadline: Moment) -> Moment {
+    let span = TimeSpan::from_millis(state.config.dispatch.write_within_ms);
+    (state.now + span).min(deadline)
+}
--- /dev/null
+++ b/src/core/systems/dispatch.rs
@@ -0,0 +1,227 @@
+//! Picking who runs next: the waiting team of least virtual time, on a slot that this router
+//! holds. Nothing is asked of another router on the way.
+
+use crate::core::action::CoreAction;
+use crate::core::event::CoreEvent;
+use crate::core::state::CoreState;
+use crate::core::systems::attempts;
+use crate::core::tables::entry_pool::EntryPool;
+use crate::core::tables::entry_pool::NextRequest;
+use crate::core::tables::entry_pool::epoch_of;
+use crate::core::tables::entry_pool::virtual_time;
+use crate::core::tables::requests::RequestStage;
+use crate::units::AttemptNumber;
+use crate::units::EndpointId;
+use crate::units::HostName;
+use crate::units::PoolId;
+use crate::units::RouterIncarnation;
+use crate::units::ServiceUnits;
+use crate::units::TeamId;
+use crate::wire::PeerBody;
+use crate::wire::allotment::SlotAllotment;
+
+/// Virtual time in one step of the `lead` and `floor` fields of an allotment.
+pub const LEAD_STEP: i64 = 10_000;
+
+/// Takes in allotments, then runs what can run in every pool that something happened to.
+pub fn run(state: &mut CoreState, event: &CoreEvent) {
+    if let CoreEvent::Message {
+        from,
+        incarnation,
+        message,
+    } = event
+        && let Some(PeerBody::Allotment(allotment)) = &message.body
+    {
+        take_allotment(state, from, *incarnation, allotment);
+    }
+    for pool in state.woken.clone() {
+        run_waiting(state, pool);
+        give_back_surplus(state, pool);
+    }
+}
+
+/// Puts a team at its place among those that wait.
+pub fn rank_team(state: &mut CoreState, pool_id: PoolId, team: TeamId) {
+    let share = state.catalog.share_of(team);
+    let credit = i64::try_from(state.config.dispatch.express_units).unwrap_or(i64::MAX);
+    if let Some(pool) = state.entries.get_mut(&pool_id) {
+        pool.rank(team, share, virtual_time(credit, share));
+    }
+}
+
+fn take_allotment(
+    state: &mut CoreState,
+    from: &HostName,
+    incarnation: RouterIncarnation,
+    allotment: &SlotAllotment,
+) {
+    let pool_id = PoolId(allotment.pool);
+    let Some(pool) = state.entries.get_mut(&pool_id) else {
+        return;
+    };
+    // An allotment of an earlier owner or epoch that comes late would bring back slots that the
+    // new owner has given to others. It is known by its host and epoch and dropped.
+    let current = pool
+        .owner
+        .as_ref()
+        .is_some_and(|owner| owner.host == *from && owner.epoch == epoch_of(incarnation));
+    if !current || allotment.epoch != epoch_of(incarnation) {
+        return;
+    }
+    take_grants(pool, allotment);
+    if allotment.sequence > pool.allotment_seen {
+        pool.allotment_seen = allotment.sequence;
+        pool.report_acked = pool.report_acked.max(allotment.acked);
+        pool.target = allotment.target;
+        pool.scarce = allotment.scarce;
+        take_order(pool, allotment);
+        let teams: Vec<TeamId> = pool.order.iter().map(|(_, team)| *team).collect();
+        for team in teams {
+            rank_team(state, pool_id, team);
+        }
+    }
+    state.woken.insert(pool_id);
+}
+
+fn take_grants(pool: &mut EntryPool, allotment: &SlotAllotment) {
+    for (endpoint, granted) in allotment.endpoints.iter().zip(&allotment.granted) {
+        pool.change_slots(EndpointId(*endpoint), |hold| {
+            hold.granted = hold.granted.max(*granted);
+        });
+    }
+}
+
+fn take_order(pool: &mut EntryPool, allotment: &SlotAllotment) {
+    pool.floor = steps_to_time(allotment.floor);
+    for (team, lead) in allotment.teams.iter().zip(&allotment.lead) {
+        let usage = pool.teams.entry(TeamId(*team)).or_default();
+        usage.told = pool.floor + steps_to_time(*lead);
+        let known = usage
+            .sent_charges
+            .iter()
+            .rev()
+            .find(|(sequence, _)| *sequence <= allotment.acked);
+        if let Some((_, charged)) = known {
+            usage.told_charged = *charged;
+        }
+        usage
+            .sent_charges
+            .retain(|(sequence, _)| *sequence >= allotment.acked);
+    }
+}
+
+fn steps_to_time(steps: u64) -> i64 {
+    i64::try_from(steps)
+        .unwrap_or(i64::MAX)
+        .saturating_mul(LEAD_STEP)
+}
+
+fn run_waiting(state: &mut CoreState, pool_id: PoolId) {
+    loop {
+        let Some(pool) = state.entries.get(&pool_id) else {
+            return;
+        };
+        let Some((_, team)) = pool.order.first().copied() else {
+            return;
+        };
+        if pool.open.is_empty() {
+            return;
+        }
+        let Some(next) = take_next(state, pool_id, team) else {
+            return;
+        };
+        let Some(endpoint) = pick_endpoint(state, pool_id, next) else {
+            crate::core::systems::admission::enqueue_first(state, next.request);
+            return;
+        };
+        start(state, pool_id, next, endpoint);
+    }
+}
+
+fn take_next(state: &mut CoreState, pool_id: PoolId, team: TeamId) -> Option<NextRequest> {
+    let pool = state.entries.get_mut(&pool_id)?;
+    let usage = pool.teams.get_mut(&team)?;
+    let request = usage.queue.pop()?;
+    pool.waiting -= 1;
+    Some(NextRequest { request, team })
+}
+
+/// The endpoint that ran this prefix last if it has a free slot, else the one with the most
+/// free slots; not the one that the last attempt failed on while there is another.
+fn pick_endpoint(state: &CoreState, pool_id: PoolId, next: NextRequest) -> Option<EndpointId> {
+    let pool = state.entries.get(&pool_id)?;
+    let entry = state.requests.get(next.request)?;
+    let usable = |endpoint: EndpointId| state.endpoints.is_open(endpoint, state.now);
+    let warm = pool.prefixes.get(&entry.facts.prefix).copied();
+    if let Some(endpoint) = warm
+        && pool
+            .slots
+            .get(&endpoint)
+            .is_some_and(|hold| hold.free() > 0)
+        && usable(endpoint)
+        && entry.last_endpoint != Some(endpoint)
+    {
+        return Some(endpoint);
+    }
+    let mut open = pool
+        .open
+        .iter()
+        .rev()
+        .map(|(_, endpoint)| *endpoint)
+        .filter(|endpoint| usable(*endpoint));
+    let first = open.next()?;
+    if entry.last_endpoint == Some(first) {
+        return open.next().or(Some(first));
+    }
+    Some(first)
+}
+
+fn start(state: &mut CoreState, pool_id: PoolId, next: NextRequest, endpoint: EndpointId) {
+    let NextRequest { request, team } = next;
+    let first = ServiceUnits(state.config.dispatch.first_estimate);
+    let now = state.now;
+    let Some(entry) = state.requests.get_mut(request) else {
+        return;
+    };
+    entry.attempts += 1;
+    let attempt = AttemptNumber(entry.attempts);
+    let estimate = state.estimates.expected(team, &entry.facts.kind, first);
+    entry.charged = estimate;
+    entry.last_endpoint = Some(endpoint);
+    entry.stage = RequestStage::Running {
+        attempt,
+        endpoint,
+        since: now,
+    };
+    let (deadline, resume_at, prefix) = (entry.facts.deadline, entry.passed_on, entry.facts.prefix);
+    if let Some(pool) = state.entries.get_mut(&pool_id) {
+        pool.teams.entry(team).or_default().running += 1;
+        pool.change_slots(endpoint, |hold| hold.busy += 1);
+        pool.charge(team, estimate);
+        let most = state.config.dispatch.prefix_memory as usize;
+        pool.remember_prefix(prefix, endpoint, most);
+    }
+    rank_team(state, pool_id, team);
+    let not_after = attempts::write_limit(state, deadline);
+    state.act(CoreAction::Dispatch {
+        request,
+        attempt,
+        endpoint,
+        resume_at,
+        not_after,
+    });
+}
+
+/// Gives back free slots above the target, and every free slot while others wait for lack of
+/// slots and nothing waits here.
+fn give_back_surplus(state: &mut CoreState, pool_id: PoolId) {
+    let Some(pool) = state.entries.get_mut(&pool_id) else {
+        return;
+    };
+    while pool.held > pool.target || (pool.scarce && pool.waiting == 0) {
+        let Some((_, endpoint)) = pool.open.first().copied() else {
+            return;
+        };
+        pool.give_back(endpoint);
+    }
+}
--- /dev/null
+++ b/src/core/systems/mod.rs
@@ -0,0 +1,58 @@
+//! The systems of the decision core. Each is one file with one job and one settings file of
+//! the same name under `configs/`. Every event goes through all of them in [`CoreSystem::ORDER`].
+
+pub mod admission;
+pub mod attempts;
+pub mod dispatch;
+pub mod membership;
+pub mod ownership;
+pub mod publication;
+pub mod reporting;
+
+use super::event::CoreEvent;
+use super::state::CoreState;
+
+/// All systems.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CoreSystem {
+    /// Who the routers are.
+    Membership,
+    /// Which publication is in force.
+    Publication,
+    /// New requests, bounded queues, deadlines.
+    Admission,
+    /// What becomes of attempts: progress, ends, retries.
+    Attempts,
+    /// Sharing out the slots of owned pools.
+    Ownership,
+    /// Taking in allotments and picking who runs next.
+    Dispatch,
+    /// Telling owners of demand and returned slots.
+    Reporting,
+}
+
+impl CoreSystem {
+    /// The order in which an event passes the systems.
+    pub const ORDER: [Self; 7] = [
+        Self::Membership,
+        Self::Publication,
+        Self::Admission,
+        Self::Attempts,
+        Self::Ownership,
+        Self::Dispatch,
+        Self::Reporting,
+    ];
+
+    /// Runs this system on one event.
+    pub fn run(self, state: &mut CoreState, event: &CoreEvent) {
+        match self {
+            Self::Membership => membership::run(state, event),
+            Self::Publication => publication::run(state, event),
+            Self::Admission => admission::run(state, event),
+            Self::Attempts => attempts::run(state, event),
+            Self::Ownership => ownership::run(state, event),
+            Self::Dispatch => dispatch::run(state, event),
+            Self::Reporting => reporting::run(state, event),
+        }
+    }
+}
--- /dev/null
+++ b/src/core/systems/ownership.rs
@@ -0,0 +1,458 @@
+//! Sharing out the slots of the pools that this router owns.
+//!
+//! Entry routers report demand; the owner works out fair targets (max-min by share, less for
+//! teams that are ahead), grants vacant slots and asks for surplus ones back. Slots and charges
+//! are told as grow-only or absolute numbers, so loss, doubling and reordering do no harm.
+
+use std::collections::BTreeMap;
+
+use crate::core::event::CoreEvent;
+use crate::core::share::ShareClaim;
+use crate::core::share::round_shares;
+use crate::core::share::water_fill;
+use crate::core::state::CoreState;
+use crate::core::systems::dispatch::LEAD_STEP;
+use crate::core::systems::reporting::CHARGE_STEP;
+use crate::core::tables::entry_pool::epoch_of;
+use crate::core::tables::entry_pool::virtual_time;
+use crate::core::tables::members::MemberState;
+use crate::core::tables::owned_pool::MemberClaim;
+use crate::core::tables::owned_pool::OwnedPool;
+use crate::core::tables::owned_pool::TeamDemand;
+use crate::units::EndpointId;
+use crate::units::HostName;
+use crate::units::Moment;
+use crate::units::PoolId;
+use crate::units::RouterIncarnation;
+use crate::units::TeamId;
+use crate::units::TimeSpan;
+use crate::wire::PeerBody;
+use crate::wire::allotment::SlotAllotment;
+use crate::wire::demand::DemandReport;
+
+/// Takes in reports; shares slots out when that is due.
+pub fn run(state: &mut CoreState, event: &CoreEvent) {
+    match event {
+        CoreEvent::Message {
+            from,
+            incarnation,
+            message,
+        } => {
+            if let Some(PeerBody::Demand(report)) = &message.body {
+                take_report(state, from, *incarnation, report);
+                share_out_if_due(state, PoolId(report.pool));
+            }
+        }
+        CoreEvent::Tick => {
+            drop_gone_members(state);
+            let pools: Vec<PoolId> = state.owned.keys().copied().collect();
+            for pool in pools {
+                share_out_if_due(state, pool);
+            }
+        }
+        _ => {}
+    }
+}
+
+fn take_report(
+    state: &mut CoreState,
+    from: &HostName,
+    incarnation: RouterIncarnation,
+    report: &DemandReport,
+) {
+    // A report meant for an earlier life of this router counts slots that this life never
+    // granted. It is dropped; the sender begins a new epoch when it learns of this life.
+    if report.epoch != epoch_of(state.identity.incarnation) {
+        return;
+    }
+    let now = state.now;
+    let settles_at = now + TimeSpan::from_millis(state.config.ownership.settle_ms);
+    let catalog = state.catalog.clone();
+    let pool = state
+        .owned
+        .entry(PoolId(report.pool))
+        .or_insert_with(|| OwnedPool::new(settles_at));
+    if pool
+        .members
+        .get(from)
+        .is_some_and(|member| member.incarnation != incarnation)
+    {
+        pool.drop_member(from);
+    }
+    let member = pool
+        .members
+        .entry(from.clone())
+        .or_insert_with(|| MemberClaim::new(incarnation));
+    let fresh = report.sequence > member.report_seen;
+    if fresh {
+        member.report_seen = report.sequence;
+        member.allotment_acked = member.allotment_acked.max(report.acked);
+        member.heard_at = now;
+    }
+    take_slots(pool, from, report);
+    if fresh {
+        let charges = take_teams(pool, from, report);
+        for (team, charge) in charges {
+            let share = catalog.share_of(team);
+            pool.accounts.entry(team).or_default().time += virtual_time(charge, share);
+        }
+    }
+    note_urgency(pool, from);
+}
+
+/// Returned slots are grow-only, so even an old report may be taken in.
+fn take_slots(pool: &mut OwnedPool, from: &HostName, report: &DemandReport) {
+    let rows = report
+        .endpoints
+        .iter()
+        .zip(&report.carried)
+        .zip(&report.returned);
+    for ((endpoint, carried), returned) in rows {
+        pool.change_claim(from, EndpointId(*endpoint), |claim| {
+            claim.carried = *carried;
+            claim.returned = claim.returned.max(*returned);
+        });
+    }
+}
+
+/// Takes in the demand rows and returns what was newly charged, in service units.
+fn take_teams(pool: &mut OwnedPool, from: &HostName, report: &DemandReport) -> Vec<(TeamId, i64)> {
+    let Some(member) = pool.members.get_mut(from) else {
+        return Vec::new();
+    };
+    let mut charges = Vec::new();
+    let rows = report
+        .teams
+        .iter()
+        .zip(&report.waiting)
+        .zip(&report.running)
+        .zip(&report.charged);
+    for (((team, waiting), running), charged) in rows {
+        let team = TeamId(*team);
+        let demand = TeamDemand {
+            waiting: *waiting,
+            running: *running,
+            charged: *charged,
+        };
+        let before = member.teams.insert(team, demand);
+        // What was charged before this epoch is forgotten: the new owner starts all teams
+        // level, which adds at most one bound to the gap.
+        let known = before.map_or(*charged, |old| old.charged);
+        charges.push((team, (*charged - known) * CHARGE_STEP));
+    }
+    charges
+}
+
+/// Slots are shared out soon if somebody waits who could be helped by it.
+fn note_urgency(pool: &mut OwnedPool, from: &HostName) {
+    let Some(member) = pool.members.get(from) else {
+        return;
+    };
+    let waits = member.waiting() > 0;
+    if pool.scarce && !pool.vacant.is_empty() {
+        pool.urgent = true;
+    }
+    if waits && (member.held <= member.demand() - member.waiting() || !pool.vacant.is_empty()) {
+        pool.urgent = true;
+    }
+}
+
+fn drop_gone_members(state: &mut CoreState) {
+    let silence = TimeSpan::from_millis(state.config.ownership.claim_ms);
+    let now = state.now;
+    for pool in state.owned.values_mut() {
+        let gone: Vec<HostName> = pool
+            .members
+            .iter()
+            .filter(|(host, member)| {
+                let row = state.members.get(host);
+                let dead = row.is_none_or(|row| {
+                    row.state == MemberState::Dead || row.incarnation != Some(member.incarnation)
+                });
+                dead || now.since(member.heard_at) > silence
+            })
+            .map(|(host, _)| host.clone())
+            .collect();
+        for host in gone {
+            pool.drop_member(&host);
+        }
+    }
+    state.owned.retain(|_, pool| !pool.members.is_empty());
+}
+
+fn share_out_if_due(state: &mut CoreState, pool_id: PoolId) {
+    let now = state.now;
+    let config = &state.config.ownership;
+    let Some(pool) = state.owned.get(&pool_id) else {
+        return;
+    };
+    let wait = if pool.urgent {
+        config.share_gap_ms
+    } else {
+        config.share_out_ms
+    };
+    if now < pool.settles_at || now.since(pool.shared_at) < TimeSpan::from_millis(wait) {
+        return;
+    }
+    set_limits(state, pool_id);
+    let Some(mut pool) = state.owned.remove(&pool_id) else {
+        return;
+    };
+    pool.shared_at = now;
+    pool.urgent = false;
+    level_accounts(state, &mut pool);
+    set_targets(state, &mut pool);
+    grant_vacant(&mut pool);
+    tell_members(state, pool_id, &mut pool);
+    state.owned.insert(pool_id, pool);
+}
+
+/// Limits of the endpoints that serve this pool now; 0 for one that leaves or serves another.
+fn set_limits(state: &mut CoreState, pool_id: PoolId) {
+    let Some(entry) = state.catalog.pools.get(&pool_id) else {
+        return;
+    };
+    let mut limits = BTreeMap::new();
+    for endpoint in &entry.endpoints {
+        let Some(row) = state.catalog.endpoints.get(endpoint) else {
+            continue;
+        };
+        let known = state.endpoints.get(*endpoint);
+        let home = row.pools.first().copied();
+        let active = known.and_then(|known| known.active).or(home);
+        let leaving = row.leaving || known.is_some_and(|known| known.leaving);
+        let open = active == Some(pool_id) && !leaving;
+        limits.insert(*endpoint, if open { row.slots.0 } else { 0 });
+    }
+    let Some(pool) = state.owned.get_mut(&pool_id) else {
+        return;
+    };
+    let gone: Vec<EndpointId> = pool
+        .limits
+        .keys()
+        .filter(|endpoint| !limits.contains_key(endpoint))
+        .copied()
+        .collect();
+    for endpoint in gone {
+        pool.set_limit(endpoint, 0);
+    }
+    for (endpoint, limit) in limits {
+        pool.set_limit(endpoint, limit);
+    }
+}
+
+/// Lifts teams that begin to wait to the floor, clamps debts, and moves the floor.
+fn level_accounts(state: &CoreState, pool: &mut OwnedPool) {
+    let mut waiting: BTreeMap<TeamId, u32> = BTreeMap::new();
+    for member in pool.members.values() {
+        for (team, demand) in &member.teams {
+            *waiting.entry(*team).or_default() += demand.waiting;
+        }
+    }
+    let floor = pool.floor;
+    let debt = i64::try_from(state.config.ownership.debt_units).unwrap_or(i64::MAX);
+    for (team, count) in &waiting {
+        let account = pool.accounts.entry(*team).or_default();
+        let waits = *count > 0;
+        // Idle time banks no credit: a team that begins to wait starts at the floor.
+        if waits && !account.waits {
+            account.time = account.time.max(floor);
+        }
+        // A debt without bound would starve its team after a partition; it is clamped.
+        let most = floor + virtual_time(debt, state.catalog.share_of(*team));
+        account.time = account.time.min(most);
+        account.waits = waits;
+    }
+    let least = pool
+        .accounts
+        .values()
+        .filter(|account| account.waits)
+        .map(|account| account.time)
+        .min();
+    // With nobody waiting nobody is owed anything: all start level at the highest time.
+    let level = least.or_else(|| pool.accounts.values().map(|account| account.time).max());
+    pool.floor = floor.max(level.unwrap_or(floor));
+}
+
+/// Sets each entry router's target from fair shares of the teams it has.
+fn set_targets(state: &CoreState, pool: &mut OwnedPool) {
+    let total = pool.total();
+    let mut demands: BTreeMap<TeamId, u32> = BTreeMap::new();
+    for member in pool.members.values() {
+        for (team, demand) in &member.teams {
+            *demands.entry(*team).or_default() += demand.waiting + demand.running;
+        }
+    }
+    demands.retain(|_, demand| *demand > 0);
+    let wanted: u32 = demands.values().sum();
+    pool.scarce = wanted > total;
+    let shares = team_shares(state, pool, total, &demands);
+    let rest = f64::from(total.saturating_sub(wanted));
+    let spare = rest / f64::from(u32::try_from(pool.members.len()).unwrap_or(1).max(1));
+    let wishes: Vec<f64> = pool
+        .members
+        .values()
+        .map(|member| spare + member_share(member, &shares, &demands))
+        .collect();
+    let targets = round_shares(total, &wishes);
+    let needy = pool.members.values().any(|member| {
+        let running = member.demand() - member.waiting();
+        member.waiting() > 0 && member.held <= running
+    });
+    for (member, target) in pool.members.values_mut().zip(targets) {
+        // While nobody lacks slots nothing is asked back, so that quiet times cost no messages.
+        let target = if needy || pool.scarce {
+            target
+        } else {
+            target.max(member.held)
+        };
+        member.target = target;
+    }
+}
+
+fn team_shares(
+    state: &CoreState,
+    pool: &OwnedPool,
+    total: u32,
+    demands: &BTreeMap<TeamId, u32>,
+) -> BTreeMap<TeamId, f64> {
+    let claims: Vec<ShareClaim> = demands
+        .iter()
+        .map(|(team, demand)| ShareClaim {
+            weight: team_weight(state, pool, *team),
+            demand: f64::from(*demand),
+        })
+        .collect();
+    demands
+        .keys()
+        .copied()
+        .zip(water_fill(f64::from(total), &claims))
+        .collect()
+}
+
+/// A team's share, less the further it is ahead of the floor.
+#[allow(clippy::cast_precision_loss)]
+fn team_weight(state: &CoreState, pool: &OwnedPool, team: TeamId) -> f64 {
+    let share = state.catalog.share_of(team);
+    let time = pool.accounts.get(&team).map_or(pool.floor, |row| row.time);
+    let lead = (time - pool.floor).max(0) as f64;
+    let units = i64::try_from(state.config.ownership.lead_units).unwrap_or(i64::MAX);
+    let half = virtual_time(units, share).max(1) as f64;
+    f64::from(share.0.max(1)) / (1.0 + lead / half)
+}
+
+fn member_share(
+    member: &MemberClaim,
+    shares: &BTreeMap<TeamId, f64>,
+    demands: &BTreeMap<TeamId, u32>,
+) -> f64 {
+    member
+        .teams
+        .iter()
+        .map(|(team, demand)| {
+            let all = demands.get(team).copied().unwrap_or(0).max(1);
+            let share = shares.get(team).copied().unwrap_or(0.0);
+            share * f64::from(demand.waiting + demand.running) / f64::from(all)
+        })
+        .sum()
+}
+
+/// Grants vacant slots, to those furthest below their targets first.
+fn grant_vacant(pool: &mut OwnedPool) {
+    let mut hosts: Vec<(u32, HostName)> = pool
+        .members
+        .iter()
+        .filter(|(_, member)| member.target > member.held)
+        .map(|(host, member)| (member.target - member.held, host.clone()))
+        .collect();
+    hosts.sort_by(|left, right| right.cmp(left));
+    for (wanted, host) in hosts {
+        for _ in 0..wanted {
+            let Some((_, endpoint)) = pool.vacant.last().copied() else {
+                return;
+            };
+            grant_one(pool, &host, endpoint);
+        }
+    }
+}
+
+fn grant_one(pool: &mut OwnedPool, host: &HostName, endpoint: EndpointId) {
+    let Some(member) = pool.members.get_mut(host) else {
+        return;
+    };
+    member.urgent = true;
+    let next = member.allotment_sequence + 1;
+    pool.change_claim(host, endpoint, |claim| {
+        claim.granted += 1;
+        claim.told_in = next;
+    });
+}
+
+fn tell_members(state: &mut CoreState, pool_id: PoolId, pool: &mut OwnedPool) {
+    let now = state.now;
+    let refresh = TimeSpan::from_millis(state.config.ownership.refresh_ms);
+    let epoch = epoch_of(state.identity.incarnation);
+    let (floor, scarce) = (pool.floor, pool.scarce);
+    let hosts: Vec<HostName> = pool.members.keys().cloned().collect();
+    for host in hosts {
+        let Some(member) = pool.members.get_mut(&host) else {
+            continue;
+        };
+        let lowered = member.target < member.held
+            && member.sent.is_none_or(|(target, _)| target > member.target);
+        let moved = member.sent != Some((member.target, scarce));
+        let busy = member.waiting() > 0 || moved || member.report_seen > member.report_told;
+        let due = now.since(member.told_at) >= refresh && busy;
+        if !(member.urgent || lowered && scarce || due) {
+            continue;
+        }
+        let accounts = &pool.accounts;
+        let allotment = build(member, pool_id, epoch, floor, scarce, now, |team| {
+            accounts.get(&team).map_or(floor, |row| row.time)
+        });
+        state.send(&host, PeerBody::Allotment(allotment));
+    }
+}
+
+fn build(
+    member: &mut MemberClaim,
+    pool_id: PoolId,
+    epoch: u32,
+    floor: i64,
+    scarce: bool,
+    now: Moment,
+    time_of: impl Fn(TeamId) -> i64,
+) -> SlotAllotment {
+    member.allotment_sequence += 1;
+    member.told_at = now;
+    member.urgent = false;
+    member.sent = Some((member.target, scarce));
+    member.report_told = member.report_seen;
+    let mut allotment = SlotAllotment {
+        pool: pool_id.0,
+        epoch,
+        sequence: member.allotment_sequence,
+        acked: member.report_seen,
+        target: member.target,
+        scarce,
+        floor: steps(floor),
+        ..SlotAllotment::default()
+    };
+    for (endpoint, claim) in &member.slots {
+        if claim.told_in > member.allotment_acked {
+            allotment.endpoints.push(endpoint.0);
+            allotment.granted.push(claim.granted);
+        }
+    }
+    for (team, demand) in &member.teams {
+        if demand.waiting > 0 {
+            allotment.teams.push(team.0);
+            allotment.lead.push(steps(time_of(*team) - floor));
+        }
+    }
+    allotment
+}
+
+fn steps(time: i64) -> u64 {
+    u64::try_from(time / LEAD_STEP).unwrap_or(0)
+}
--- /dev/null
+++ b/src/core/systems/reporting.rs
@@ -0,0 +1,178 @@
+//! Telling pool owners of demand and returned slots.
+
+use prost::Message;
+
+use crate::core::event::CoreEvent;
+use crate::core::state::CoreState;
+use crate::core::tables::entry_pool::EntryPool;
+use crate::core::tables::entry_pool::OwnerLink;
+use crate::core::tables::entry_pool::SlotHold;
+use crate::core::tables::entry_pool::epoch_of;
+use crate::units::Moment;
+use crate::units::PoolId;
+use crate::units::TimeSpan;
+use crate::wire::PeerBody;
+use crate::wire::demand::DemandReport;
+
+/// Service units in one step of the `charged` field of a report.
+pub const CHARGE_STEP: i64 = 16;
+
+/// Bytes of framing around a control message, reckoned in the budget.
+const FRAME_BYTES: u64 = 8;
+
+/// Sends the reports that are due, on every event for the pools that something happened to.
+pub fn run(state: &mut CoreState, event: &CoreEvent) {
+    if matches!(event, CoreEvent::Tick) {
+        refill(state);
+        let pools: Vec<PoolId> = state.entries.keys().copied().collect();
+        state.woken.extend(pools);
+    }
+    for pool in std::mem::take(&mut state.woken) {
+        follow_owner(state, pool);
+        report_if_due(state, pool);
+    }
+}
+
+fn refill(state: &mut CoreState) {
+    let passed = state.now.since(state.urgent_refilled);
+    let earned = state.config.reporting.urgent_bytes_per_s * passed.0 / 1_000_000;
+    if earned == 0 {
+        return;
+    }
+    let most = state.config.reporting.urgent_bytes_per_s;
+    state.urgent_bytes = (state.urgent_bytes + earned).min(most);
+    state.urgent_refilled = state.now;
+}
+
+/// Turns to the pool's owner of the moment. A new owner starts with what runs here: free slots
+/// of the old owner's grants are dropped, so that two owners never add up to more than the
+/// running attempts.
+fn follow_owner(state: &mut CoreState, pool_id: PoolId) {
+    let version = state.members.version();
+    let Some(pool) = state.entries.get_mut(&pool_id) else {
+        return;
+    };
+    if pool.owner_version == version {
+        return;
+    }
+    pool.owner_version = version;
+    let Some(host) = state.members.owner_of(pool_id) else {
+        return;
+    };
+    let Some(incarnation) = state.members.get(host).and_then(|row| row.incarnation) else {
+        return;
+    };
+    let link = OwnerLink {
+        host: host.clone(),
+        epoch: epoch_of(incarnation),
+    };
+    if pool.owner.as_ref() != Some(&link) {
+        begin_epoch(pool, link);
+    }
+}
+
+fn begin_epoch(pool: &mut EntryPool, link: OwnerLink) {
+    pool.owner = Some(link);
+    let endpoints: Vec<_> = pool.slots.keys().copied().collect();
+    for endpoint in endpoints {
+        pool.change_slots(endpoint, |hold| {
+            *hold = SlotHold {
+                carried: hold.busy,
+                busy: hold.busy,
+                ..SlotHold::default()
+            };
+        });
+    }
+    pool.slots.retain(|_, hold| hold.busy > 0);
+    pool.target = pool.held;
+    pool.scarce = false;
+    pool.floor = 0;
+    pool.allotment_seen = 0;
+    pool.report_acked = 0;
+    for usage in pool.teams.values_mut() {
+        usage.told = 0;
+        usage.told_charged = usage.charged;
+        usage.sent_charges.clear();
+    }
+    pool.urgent = true;
+    pool.changed = true;
+}
+
+fn report_if_due(state: &mut CoreState, pool_id: PoolId) {
+    let now = state.now;
+    let config = &state.config.reporting;
+    let Some(pool) = state.entries.get_mut(&pool_id) else {
+        return;
+    };
+    let wants = pool.wants && pool.waiting > 0 && pool.open.is_empty();
+    let urgent = (pool.urgent || wants) && state.urgent_bytes > 0;
+    let passed = now.since(pool.reported_at);
+    let due = match (urgent, pool.changed) {
+        (true, _) => passed >= TimeSpan::from_millis(config.urgent_gap_ms),
+        (false, true) => passed >= TimeSpan::from_millis(config.interval_ms),
+        (false, false) => passed >= TimeSpan::from_millis(config.keepalive_ms),
+    };
+    let Some(owner) = pool
+        .owner
+        .clone()
+        .filter(|_| due || pool.report_sequence == 0)
+    else {
+        return;
+    };
+    let report = build(pool, pool_id, owner.epoch, now);
+    if urgent && owner.host != state.identity.host {
+        let bytes = report.encoded_len() as u64 + FRAME_BYTES;
+        state.urgent_bytes = state.urgent_bytes.saturating_sub(bytes);
+    }
+    state.send(&owner.host, PeerBody::Demand(report));
+}
+
+fn build(pool: &mut EntryPool, pool_id: PoolId, epoch: u32, now: Moment) -> DemandReport {
+    pool.report_sequence += 1;
+    pool.reported_at = now;
+    pool.urgent = false;
+    pool.wants = false;
+    pool.changed = false;
+    let mut report = DemandReport {
+        pool: pool_id.0,
+        epoch,
+        sequence: pool.report_sequence,
+        acked: pool.allotment_seen,
+        spare: pool.held.saturating_sub(pool.busy),
+        ..DemandReport::default()
+    };
+    add_teams(pool, &mut report);
+    add_slots(pool, &mut report);
+    report
+}
+
+/// Adds the teams whose numbers the owner has not acknowledged.
+fn add_teams(pool: &mut EntryPool, report: &mut DemandReport) {
+    let (sequence, acked) = (pool.report_sequence, pool.report_acked);
+    for (team, usage) in &mut pool.teams {
+        if usage.told_in <= acked && acked > 0 {
+            continue;
+        }
+        let charged = usage.charged / CHARGE_STEP;
+        report.teams.push(team.0);
+        report
+            .waiting
+            .push(u32::try_from(usage.queue.len()).unwrap_or(u32::MAX));
+        report.running.push(usage.running);
+        report.charged.push(charged);
+        usage.sent_charges.push((sequence, charged * CHARGE_STEP));
+    }
+}
+
+/// Adds the endpoints whose returned slots the owner has not acknowledged.
+fn add_slots(pool: &EntryPool, report: &mut DemandReport) {
+    let acked = pool.report_acked;
+    for (endpoint, hold) in &pool.slots {
+        if hold.told_in <= acked && acked > 0 {
+            continue;
+        }
+        report.endpoints.push(endpoint.0);
+        report.carried.push(hold.carried);
+        report.returned.push(hold.returned);
+    }
+}
--- /dev/null
+++ b/src/core/tables/endpoints.rs
@@ -0,0 +1,62 @@
+//! What this router knows of endpoints beyond the publication.
+
+use std::collections::BTreeMap;
+
+use crate::units::EndpointId;
+use crate::units::Moment;
+use crate::units::PoolId;
+
+/// One endpoint.
+#[derive(Debug, Clone, Default)]
+pub struct EndpointState {
+    /// The pool it serves now, once it has said so.
+    pub active: Option<PoolId>,
+    /// True once anybody said that this generation leaves. Never goes back to false for it.
+    pub leaving: bool,
+    /// The generation that the host list gave.
+    pub generation: u64,
+    /// Its life, from its last load report.
+    pub life: u64,
+    /// Highest fencing number that it said it obeyed.
+    pub fence: u64,
+    /// Requests of all routers that it said it runs.
+    pub reported_running: u32,
+    /// When it last reported.
+    pub reported_at: Option<Moment>,
+    /// No new work before this moment, after a failure to connect.
+    pub rest_until: Moment,
+    /// Failures to connect in a row.
+    pub failures: u32,
+}
+
+/// All endpoints that were heard of.
+#[derive(Debug, Default)]
+pub struct EndpointTable {
+    rows: BTreeMap<EndpointId, EndpointState>,
+}
+
+impl EndpointTable {
+    /// The row of an endpoint, made if new.
+    pub fn row(&mut self, endpoint: EndpointId) -> &mut EndpointState {
+        self.rows.entry(endpoint).or_default()
+    }
+
+    /// The row of an endpoint, if any.
+    #[must_use]
+    pub fn get(&self, endpoint: EndpointId) -> Option<&EndpointState> {
+        self.rows.get(&endpoint)
+    }
+
+    /// True if the endpoint may be given new work now.
+    #[must_use]
+    pub fn is_open(&self, endpoint: EndpointId, now: Moment) -> bool {
+        self.rows
+            .get(&endpoint)
+            .is_none_or(|row| !row.leaving && row.rest_until <= now)
+    }
+
+    /// All rows in id order.
+    pub fn iter(&self) -> impl Iterator<Item = (EndpointId, &EndpointState)> {
+        self.rows.iter().map(|(endpoint, row)| (*endpoint, row))
+    }
+}
--- /dev/null
+++ b/src/core/tables/mod.rs
@@ -0,0 +1,10 @@
+//! The tables of the decision core: entities as rows, no decisions.
+
+pub mod endpoints;
+pub mod entry_pool;
+pub mod estimates;
+pub mod members;
+pub mod owned_pool;
+pub mod requests;
+pub mod retry_budgets;
+pub mod team_queue;
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,10 @@
+//! verbenaturn: a router fleet that shares model capacity fairly among many teams.
+//!
+//! Start reading at [`core`], the decision core; `docs/ARCHITECTURE.md` shows the way of a
+//! request through the files.
+
+pub mod catalog;
+pub mod configs;
+pub mod core;
+pub mod units;
+pub mod wire;
--- /dev/null
+++ b/src/units/number.rs
@@ -0,0 +1,128 @@
+//! Numbers that must not be mixed up: ids, sizes, shares and service.
+
+use std::fmt;
+use std::num::ParseIntError;
+use std::str::FromStr;
+
+use schemars::JsonSchema;
+use serde::Deserialize;
+use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::EndpointName;
+use super::PoolName;
+use super::TeamName;
+
+macro_rules! number_type {
+    ($(#[$doc:meta])* $name:ident, $inner:ty) => {
+        $(#[$doc])*
+        #[derive(
+            Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+            JsonSchema,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub $inner);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.fmt(formatter)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = ParseIntError;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                text.parse().map(Self)
+            }
+        }
+    };
+}
+
+number_type!(
+    /// A request as its entry router knows it; unique within one router incarnation.
+    RequestId, u64
+);
+number_type!(
+    /// An attempt of one request, counted from 1.
+    AttemptNumber, u32
+);
+number_type!(
+    /// The platform's revision of a publication.
+    ConfigRevision, u64
+);
+number_type!(
+    /// One life of a router process; drawn at random at start.
+    RouterIncarnation, u64
+);
+number_type!(
+    /// A number that grows with each change of orderer; engines may check it.
+    FenceNumber, u64
+);
+number_type!(
+    /// A team's share, relative to the other teams' shares. Never 0 in a checked publication.
+    ShareWeight, u32
+);
+number_type!(
+    /// Service in weighted tokens for engines and in calls times a weight for plain services.
+    ServiceUnits, u64
+);
+number_type!(
+    /// Requests that may run at the same time.
+    SlotCount, u32
+);
+number_type!(
+    /// A size in bytes.
+    ByteSize, u64
+);
+number_type!(
+    /// A hash of what a request asks, to recognise its resends.
+    RequestFingerprint, u64
+);
+number_type!(
+    /// A team on the wire: the low 32 bits of the hash of its name.
+    TeamId, u32
+);
+number_type!(
+    /// An endpoint on the wire: the low 32 bits of the hash of its name.
+    EndpointId, u32
+);
+number_type!(
+    /// A pool on the wire: the low 32 bits of the hash of its name.
+    PoolId, u32
+);
+
+/// A publication in which two names share an id is refused, so the cut is safe.
+#[allow(clippy::cast_possible_truncation)]
+fn id_of(text: &str) -> u32 {
+    xxh3_64(text.as_bytes()) as u32
+}
+
+impl From<&TeamName> for TeamId {
+    fn from(name: &TeamName) -> Self {
+        Self(id_of(name.as_str()))
+    }
+}
+
+impl From<&EndpointName> for EndpointId {
+    fn from(name: &EndpointName) -> Self {
+        Self(id_of(name.as_str()))
+    }
+}
+
+impl From<&PoolName> for PoolId {
+    fn from(name: &PoolName) -> Self {
+        Self(id_of(name.as_str()))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn numbers_round_trip_as_text() {
+        let revision = ConfigRevision(42);
+        assert_eq!(revision.to_string().parse(), Ok(revision));
+    }
+}
--- /dev/null
+++ b/src/units/text.rs
@@ -0,0 +1,133 @@
+//! Names that people write: teams, endpoints, hosts, domains, pools, kinds.
+
+use std::fmt;
+use std::str::FromStr;
+
+use schemars::JsonSchema;
+use serde::Deserialize;
+use serde::Serialize;
+use smol_str::SmolStr;
+
+/// Longest name accepted, in bytes.
+pub const MAX_NAME_BYTES: usize = 64;
+
+/// Why a text is not a name.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct NameError {
+    text: SmolStr,
+}
+
+impl fmt::Display for NameError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            formatter,
+            "\"{}\" is not a name: use 1 to {MAX_NAME_BYTES} of a-z, A-Z, 0-9, '-', '_' and '.'",
+            self.text
+        )
+    }
+}
+
+impl std::error::Error for NameError {}
+
+fn checked_name(text: &str) -> Result<SmolStr, NameError> {
+    let fits = !text.is_empty() && text.len() <= MAX_NAME_BYTES;
+    let plain = text
+        .bytes()
+        .all(|byte| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.'));
+    if fits && plain {
+        Ok(SmolStr::new(text))
+    } else {
+        let shown: String = text.chars().take(MAX_NAME_BYTES).collect();
+        Err(NameError {
+            text: SmolStr::new(shown),
+        })
+    }
+}
+
+macro_rules! name_type {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, JsonSchema)]
+        #[serde(try_from = "String", into = "String")]
+        #[schemars(with = "String")]
+        pub struct $name(SmolStr);
+
+        impl $name {
+            /// The name as text.
+            #[must_use]
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+                formatter.write_str(&self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = NameError;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                checked_name(text).map(Self)
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = NameError;
+
+            fn try_from(text: String) -> Result<Self, Self::Error> {
+                text.parse()
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(name: $name) -> Self {
+                name.0.into()
+            }
+        }
+    };
+}
+
+name_type!(
+    /// A team: who a request is charged to.
+    TeamName
+);
+name_type!(
+    /// An endpoint: a model engine or a plain service instance.
+    EndpointName
+);
+name_type!(
+    /// A host that runs one router.
+    HostName
+);
+name_type!(
+    /// A failure domain.
+    DomainName
+);
+name_type!(
+    /// A pool: the endpoints that can all run the same requests.
+    PoolName
+);
+name_type!(
+    /// A kind of request, such as `review` or `tag`.
+    KindName
+);
+name_type!(
+    /// A team template.
+    TemplateName
+);
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn names_are_checked() {
+        assert!("nadi-clinic".parse::<TeamName>().is_ok());
+        assert!("".parse::<TeamName>().is_err());
+        assert!("a b".parse::<TeamName>().is_err());
+        assert!("x".repeat(MAX_NAME_BYTES + 1).parse::<TeamName>().is_err());
+    }
+}
--- /dev/null
+++ b/src/wire/allotment.rs
@@ -0,0 +1,44 @@
+//! What a pool's owner tells an entry router.
+
+use prost::Message;
+
+/// The slots and the order of teams that an entry router shall use in one pool.
+///
+/// `granted` is grow-only per epoch and `sequence` orders the rest, so that a lost, doubled
+/// or reordered message does no harm.
+#[derive(Clone, PartialEq, Message)]
+pub struct SlotAllotment {
+    /// The pool.
+    #[prost(fixed32, tag = "1")]
+    pub pool: u32,
+    /// The owner's incarnation (truncated to 32 bits).
+    #[prost(fixed32, tag = "2")]
+    pub epoch: u32,
+    /// Grows with each allotment of this epoch to this router.
+    #[prost(uint64, tag = "3")]
+    pub sequence: u64,
+    /// Highest report sequence that is reckoned in below.
+    #[prost(uint64, tag = "4")]
+    pub acked: u64,
+    /// Slots the router shall keep; it gives back what it holds above this as slots free up.
+    #[prost(uint32, tag = "5")]
+    pub target: u32,
+    /// Endpoints with a row in `granted`.
+    #[prost(fixed32, repeated, tag = "6")]
+    pub endpoints: Vec<u32>,
+    /// Slots granted since the epoch began, per entry of `endpoints`.
+    #[prost(uint64, repeated, tag = "7")]
+    pub granted: Vec<u64>,
+    /// Teams with a row in `lead`.
+    #[prost(fixed32, repeated, tag = "8")]
+    pub teams: Vec<u32>,
+    /// Virtual time above the floor in `LEAD_STEP` units, per entry of `teams`.
+    #[prost(uint64, repeated, tag = "9")]
+    pub lead: Vec<u64>,
+    /// True while requests wait somewhere for lack of slots: spare slots shall come back.
+    #[prost(bool, tag = "10")]
+    pub scarce: bool,
+    /// The floor: least virtual time of the teams that wait, in `LEAD_STEP` units.
+    #[prost(uint64, tag = "11")]
+    pub floor: u64,
+}
--- /dev/null
+++ b/src/wire/gossip.rs
@@ -0,0 +1,60 @@
+//! Membership messages.
+
+use prost::Message;
+
+/// A ping, an answer to one, or a request to ping another router.
+#[derive(Clone, PartialEq, Message)]
+pub struct GossipPing {
+    /// 0 ping, 1 answer, 2 ping on behalf of `sender`.
+    #[prost(uint32, tag = "1")]
+    pub step: u32,
+    /// Ties an answer to its ping.
+    #[prost(uint32, tag = "2")]
+    pub sequence: u32,
+    /// The router to ping, for step 2.
+    #[prost(string, tag = "3")]
+    pub target: String,
+    /// The sender's publication revision.
+    #[prost(uint64, tag = "4")]
+    pub revision: u64,
+    /// News about members.
+    #[prost(message, repeated, tag = "5")]
+    pub news: Vec<MemberNews>,
+    /// Endpoints known to leave: id and the revision or generation that says so.
+    #[prost(message, repeated, tag = "6")]
+    pub leaving: Vec<LeavingNews>,
+}
+
+/// What is known of one router.
+#[derive(Clone, PartialEq, Message)]
+pub struct MemberNews {
+    /// Host name.
+    #[prost(string, tag = "1")]
+    pub host: String,
+    /// IP number and port of its peer listener.
+    #[prost(string, tag = "2")]
+    pub address: String,
+    /// Its incarnation.
+    #[prost(fixed64, tag = "3")]
+    pub incarnation: u64,
+    /// 0 alive, 1 suspect, 2 leaving, 3 dead.
+    #[prost(uint32, tag = "4")]
+    pub state: u32,
+    /// Refutation count of that incarnation: a router that hears it is suspect raises it.
+    #[prost(uint32, tag = "5")]
+    pub refutation: u32,
+    /// Failure domain.
+    #[prost(string, tag = "6")]
+    pub domain: String,
+}
+
+/// What is known of one leaving endpoint.
+#[derive(Clone, PartialEq, Message)]
+pub struct LeavingNews {
+    /// The endpoint.
+    #[prost(fixed32, tag = "1")]
+    pub endpoint: u32,
+    /// The generation of the endpoint (from the host list) that leaves.
+    #[prost(uint64, tag = "2")]
+    pub generation: u64,
+}
