Tickets: at most one execution of an unrepeatable request

Cause: an unrepeatable request was queued without a ticket, so a resend by way of another router could run it a second time.

Change: the tickets system offers a ticket (428), lets its minter alone run it, joins callers that present it at once, answers later ones from the kept answer, and says unknown, ran or not run else. A ticket that ended as not run stays so: a late copy gets a fresh ticket. Memory is bounded per number and bytes, and a flooding team pushes out its own rows first. New for drivers: RequestFacts::forwarded, CoreEvent::AnswerKept, RefusalReason::TicketMismatch; a caller that left does not stop a running ticketed request.

--- a/src/configs/mod.rs
+++ b/src/configs/mod.rs
@@ -5,6 +5,7 @@
 pub mod dispatch;
 pub mod ownership;
 pub mod reporting;
+pub mod tickets;
 
 use schemars::JsonSchema;
 use serde::Deserialize;
@@ -15,6 +16,7 @@
 use self::dispatch::DispatchConfig;
 use self::ownership::OwnershipConfig;
 use self::reporting::ReportingConfig;
+use self::tickets::TicketsConfig;
 
 /// Settings of the decision core, one field a system.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
@@ -30,4 +32,6 @@
     pub ownership: OwnershipConfig,
     /// Telling owners of demand.
     pub reporting: ReportingConfig,
+    /// Unrepeatable requests.
+    pub tickets: TicketsConfig,
 }
--- a/src/core/action.rs
+++ b/src/core/action.rs
@@ -37,6 +37,8 @@
     TicketGone,
     /// The pool has no endpoint.
     NoEndpoint,
+    /// The ticket was minted for another team or another request.
+    TicketMismatch,
 }
 
 /// What is known of a refused request's execution.
@@ -85,7 +87,8 @@
         /// When to come back; zero if coming back does not help.
         retry_after: TimeSpan,
     },
-    /// The answer was passed on whole; the request is forgotten.
+    /// The answer was passed on whole; the request is forgotten. What is kept of the answer to
+    /// a request with a ticket stays until `ForgetAnswer`.
     Complete {
         /// The request.
         request: RequestId,
@@ -97,22 +100,27 @@
         /// The ticket.
         ticket: TicketName,
     },
-    /// Attach the caller to the running attempt or stored answer of another request with the
-    /// same ticket.
+    /// Attach the caller to the running attempt or kept answer of another request with the same
+    /// ticket, from the answer's beginning. `Complete` or `Refuse` of the later request follows
+    /// when the original ends, or at once if it has ended; a replay under way is finished even
+    /// after `ForgetAnswer`. If the beginning is not kept, the driver tells the later caller
+    /// "unknown".
     JoinAnswer {
         /// The later request.
         request: RequestId,
         /// The one that runs or ran.
         original: RequestId,
     },
-    /// Forward the request to a peer over a forwarding connection; the peer answers for it.
+    /// Forward the request to a peer over a forwarding connection; the peer answers for it. If
+    /// the link breaks, the driver tells the caller "not run" only if no byte was sent and the
+    /// request has no ticket, else "unknown".
     Forward {
         /// The request.
         request: RequestId,
         /// The peer.
         host: HostName,
     },
-    /// Drop what is kept of an ended request's answer.
+    /// Drop what is kept of a request's answer.
     ForgetAnswer {
         /// The request.
         request: RequestId,
--- a/src/core/event.rs
+++ b/src/core/event.rs
@@ -7,6 +7,7 @@
 
 use crate::catalog::FleetCatalog;
 use crate::units::AttemptNumber;
+use crate::units::ByteSize;
 use crate::units::DomainName;
 use crate::units::EndpointId;
 use crate::units::HostName;
@@ -57,6 +58,8 @@
     pub fingerprint: RequestFingerprint,
     /// Hash of the prompt's beginning, for prefix affinity; 0 if none.
     pub prefix: u64,
+    /// True if another router forwarded it here.
+    pub forwarded: bool,
     /// True if an answer cut in the middle can be continued at an offset.
     pub resumable: bool,
 }
@@ -85,7 +88,8 @@
 pub enum CoreEvent {
     /// A request arrived and was read far enough to decide.
     Arrived(RequestFacts),
-    /// The caller of a request left.
+    /// The caller of a request left. The driver goes on with a running attempt until it ends
+    /// or the core cancels it: an unrepeatable request runs on, so that a resend finds its answer.
     CallerLeft(RequestId),
     /// The first byte of the answer arrived.
     FirstByte {
@@ -114,6 +118,15 @@
         /// Service of this attempt.
         service: ServiceUnits,
     },
+    /// What the driver keeps of the answer to a request with a ticket, for callers that send it
+    /// again: told each time it grew by much, once more just before `AttemptEnded` reports the
+    /// whole answer, and with `None` when it was given up for its size.
+    AnswerKept {
+        /// The request that runs.
+        request: RequestId,
+        /// Bytes kept so far, from the answer's beginning.
+        bytes: Option<ByteSize>,
+    },
     /// An endpoint's own load report. It lags.
     EndpointLoad {
         /// The endpoint.
--- a/src/core/finish.rs
+++ b/src/core/finish.rs
@@ -8,12 +8,15 @@
 use super::action::RefusalReason;
 use super::action::RunOutcome;
 use super::state::CoreState;
+use super::systems::tickets;
 
 /// The answer was passed on whole.
 pub fn complete(state: &mut CoreState, request: RequestId) {
-    if state.requests.remove(request).is_some() {
-        state.act(CoreAction::Complete { request });
-    }
+    let Some(entry) = state.requests.remove(request) else {
+        return;
+    };
+    state.act(CoreAction::Complete { request });
+    tickets::completed(state, entry.facts.repeat);
 }
 
 /// The request is refused or given up; its caller is told at once.
@@ -24,12 +27,14 @@
     outcome: RunOutcome,
     retry_after: TimeSpan,
 ) {
-    if state.requests.remove(request).is_some() {
-        state.act(CoreAction::Refuse {
-            request,
-            reason,
-            outcome,
-            retry_after,
-        });
-    }
+    let Some(entry) = state.requests.remove(request) else {
+        return;
+    };
+    state.act(CoreAction::Refuse {
+        request,
+        reason,
+        outcome,
+        retry_after,
+    });
+    tickets::refused(state, entry.facts.repeat, reason, outcome, retry_after);
 }
--- a/src/core/state.rs
+++ b/src/core/state.rs
@@ -28,6 +28,7 @@
 use super::tables::owned_pool::OwnedPool;
 use super::tables::requests::RequestTable;
 use super::tables::retry_budgets::RetryBudgets;
+use super::tables::tickets::TicketTable;
 
 /// The tables of one router's core, and what its systems want done.
 #[derive(Debug)]
@@ -50,6 +51,8 @@
     pub endpoints: EndpointTable,
     /// Requests that entered the fleet here.
     pub requests: RequestTable,
+    /// Tickets that this router minted.
+    pub tickets: TicketTable,
     /// Pools as this router uses them.
     pub entries: BTreeMap<PoolId, EntryPool>,
     /// Pools that this router owns.
@@ -86,6 +89,7 @@
             publication_text: Bytes::new(),
             endpoints: EndpointTable::default(),
             requests: RequestTable::default(),
+            tickets: TicketTable::default(),
             entries: BTreeMap::new(),
             owned: BTreeMap::new(),
             estimates: CostEstimates::default(),
--- a/src/core/systems/admission.rs
+++ b/src/core/systems/admission.rs
@@ -10,6 +10,8 @@
 use crate::core::state::CoreState;
 use crate::core::systems::attempts;
 use crate::core::systems::dispatch;
+use crate::core::systems::tickets;
+use crate::core::systems::tickets::TicketVerdict;
 use crate::core::tables::requests::RequestEntry;
 use crate::core::tables::requests::RequestStage;
 use crate::units::RequestId;
@@ -26,6 +28,9 @@
 }
 
 fn arrived(state: &mut CoreState, facts: &RequestFacts) {
+    if tickets::present(state, facts) == TicketVerdict::Settled {
+        return;
+    }
     let urgency = urgency_of(state, facts);
     let entry = RequestEntry::new(facts.clone(), urgency, state.now);
     state.requests.insert(entry);
@@ -53,7 +58,9 @@
         .map_or(UrgencyClass::Batch, |kind| kind.urgency)
 }
 
-fn reason_to_refuse(state: &CoreState, facts: &RequestFacts) -> Option<RefusalReason> {
+/// Why a request could not be taken in now, if so.
+#[must_use]
+pub fn reason_to_refuse(state: &CoreState, facts: &RequestFacts) -> Option<RefusalReason> {
     let Some(pool) = state.entries.get(&facts.pool) else {
         return Some(RefusalReason::NoEndpoint);
     };
@@ -129,7 +136,12 @@
     let Some(entry) = state.requests.get(request) else {
         return;
     };
-    match entry.stage {
+    let (repeat, place) = (entry.facts.repeat, entry.stage);
+    let sent = entry.may_have_run || matches!(place, RequestStage::Running { .. });
+    if tickets::outlives_caller(state, repeat, sent) {
+        return;
+    }
+    match place {
         RequestStage::New | RequestStage::Backoff(_) => {}
         RequestStage::Waiting => dequeue(state, request),
         RequestStage::Running { attempt, .. } => {
--- a/src/core/systems/mod.rs
+++ b/src/core/systems/mod.rs
@@ -8,6 +8,7 @@
 pub mod ownership;
 pub mod publication;
 pub mod reporting;
+pub mod tickets;
 
 use super::event::CoreEvent;
 use super::state::CoreState;
@@ -19,6 +20,8 @@
     Membership,
     /// Which publication is in force.
     Publication,
+    /// At most one execution of unrepeatable requests.
+    Tickets,
     /// New requests, bounded queues, deadlines.
     Admission,
     /// What becomes of attempts: progress, ends, retries.
@@ -33,9 +36,10 @@
 
 impl CoreSystem {
     /// The order in which an event passes the systems.
-    pub const ORDER: [Self; 7] = [
+    pub const ORDER: [Self; 8] = [
         Self::Membership,
         Self::Publication,
+        Self::Tickets,
         Self::Admission,
         Self::Attempts,
         Self::Ownership,
@@ -48,6 +52,7 @@
         match self {
             Self::Membership => membership::run(state, event),
             Self::Publication => publication::run(state, event),
+            Self::Tickets => tickets::run(state, event),
             Self::Admission => admission::run(state, event),
             Self::Attempts => attempts::run(state, event),
             Self::Ownership => ownership::run(state, event),
--- /dev/null
+++ b/src/core/systems/tickets.rs
@@ -0,0 +1,297 @@
+//! Unrepeatable requests: at most one execution per ticket.
+//!
+//! A ticket names the router life that minted it, and only that life runs it. So one process
+//! decides alone, with nothing to agree on: no clock, quorum or shared state is involved, and a
+//! partition, a pause or a restart can't lead to a second execution. What that life can't tell
+//! any more, or can't be asked because it is gone, is "unknown".
+
+use crate::core::action::CoreAction;
+use crate::core::action::RefusalReason;
+use crate::core::action::RunOutcome;
+use crate::core::event::CoreEvent;
+use crate::core::event::RepeatRule;
+use crate::core::event::RequestFacts;
+use crate::core::event::TicketName;
+use crate::core::state::CoreState;
+use crate::core::systems::admission;
+use crate::core::tables::members::MemberState;
+use crate::core::tables::tickets::MinterWait;
+use crate::core::tables::tickets::TicketStage;
+use crate::units::HostName;
+use crate::units::RequestId;
+use crate::units::RouterIncarnation;
+use crate::units::TimeSpan;
+
+/// What becomes of a request whose ticket was looked at.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TicketVerdict {
+    /// It may be queued and run here.
+    Admit,
+    /// It was answered, joined to another, passed on, or waits for its minter to be known.
+    Settled,
+}
+
+/// Takes in what the driver keeps of answers, callers that leave, and time.
+pub fn run(state: &mut CoreState, event: &CoreEvent) {
+    match event {
+        CoreEvent::AnswerKept { request, bytes } => {
+            let bytes = bytes.map(|size| size.0);
+            state.tickets.note_answer(*request, bytes);
+            shrink(state);
+        }
+        CoreEvent::CallerLeft(request) => {
+            state.tickets.leave(*request);
+            state.tickets.minter_waits.remove(request);
+        }
+        CoreEvent::Tick => look_for_minters(state),
+        _ => {}
+    }
+}
+
+/// Looks at the ticket of a request that just arrived.
+pub fn present(state: &mut CoreState, facts: &RequestFacts) -> TicketVerdict {
+    match facts.repeat {
+        RepeatRule::Repeatable => TicketVerdict::Admit,
+        RepeatRule::Unrepeatable(None) => {
+            offer_or_refuse(state, facts);
+            TicketVerdict::Settled
+        }
+        RepeatRule::Unrepeatable(Some(ticket)) => {
+            if ticket.minter == state.identity.incarnation {
+                return present_own(state, facts, ticket.number);
+            }
+            present_foreign(state, facts, ticket.minter);
+            TicketVerdict::Settled
+        }
+    }
+}
+
+/// A ticket is offered only if its request would be taken in now: callers learn of a full queue
+/// on the first try.
+fn offer_or_refuse(state: &mut CoreState, facts: &RequestFacts) {
+    if let Some(reason) = admission::reason_to_refuse(state, facts) {
+        refuse(state, facts.request, reason, RunOutcome::NotRun);
+        return;
+    }
+    offer(state, facts);
+}
+
+fn offer(state: &mut CoreState, facts: &RequestFacts) {
+    let number = state.tickets.mint(facts, &state.config.tickets);
+    shrink(state);
+    state.act(CoreAction::OfferTicket {
+        request: facts.request,
+        ticket: TicketName {
+            minter: state.identity.incarnation,
+            number,
+        },
+    });
+}
+
+fn present_own(state: &mut CoreState, facts: &RequestFacts, number: u64) -> TicketVerdict {
+    let request = facts.request;
+    let Some(row) = state.tickets.get(number) else {
+        answer_ended(state, facts, state.tickets.outcome_of(number));
+        return TicketVerdict::Settled;
+    };
+    if row.team != facts.team || row.fingerprint != facts.fingerprint {
+        // A ticket used for another request would be answered with an answer that is not the
+        // caller's own. The request that it was minted for is left as it is.
+        let reason = RefusalReason::TicketMismatch;
+        refuse(state, request, reason, RunOutcome::NotRun);
+        return TicketVerdict::Settled;
+    }
+    match (row.stage, row.answer) {
+        (TicketStage::Offered, _) => {
+            state.tickets.hold(number, request);
+            return TicketVerdict::Admit;
+        }
+        (TicketStage::Held(original), _) => join(state, number, request, original),
+        (TicketStage::Ended(RunOutcome::Ran), Some(original)) => {
+            state.act(CoreAction::JoinAnswer { request, original });
+            state.act(CoreAction::Complete { request });
+        }
+        (TicketStage::Ended(outcome), _) => answer_ended(state, facts, outcome),
+    }
+    TicketVerdict::Settled
+}
+
+fn join(state: &mut CoreState, number: u64, request: RequestId, original: RequestId) {
+    let joined = state.tickets.get(number).map_or(0, |row| row.joined.len());
+    if joined >= state.config.tickets.max_joined as usize {
+        refuse(
+            state,
+            request,
+            RefusalReason::QueueFull,
+            RunOutcome::Unknown,
+        );
+        return;
+    }
+    state.tickets.join(number, request);
+    state.act(CoreAction::JoinAnswer { request, original });
+}
+
+/// Answers a request whose ticket has ended and whose answer is not kept. One that did not run,
+/// and never will under that ticket, gets a fresh ticket.
+fn answer_ended(state: &mut CoreState, facts: &RequestFacts, outcome: RunOutcome) {
+    if outcome == RunOutcome::NotRun {
+        offer_or_refuse(state, facts);
+        return;
+    }
+    state.act(CoreAction::Refuse {
+        request: facts.request,
+        reason: RefusalReason::TicketGone,
+        outcome,
+        retry_after: TimeSpan(0),
+    });
+}
+
+/// Refuses a request that no table holds.
+fn refuse(state: &mut CoreState, request: RequestId, reason: RefusalReason, outcome: RunOutcome) {
+    let retry_after = match reason {
+        RefusalReason::TicketMismatch => TimeSpan(0),
+        _ => TimeSpan::from_millis(state.config.admission.retry_after_ms),
+    };
+    state.act(CoreAction::Refuse {
+        request,
+        reason,
+        outcome,
+        retry_after,
+    });
+}
+
+/// A ticket of another router life goes to the host that lives it.
+fn present_foreign(state: &mut CoreState, facts: &RequestFacts, minter: RouterIncarnation) {
+    match find_minter(state, minter) {
+        MinterPlace::Reachable(host) if !facts.forwarded => {
+            state.act(CoreAction::Forward {
+                request: facts.request,
+                host,
+            });
+        }
+        // A forwarded request that reaches the wrong life was sent by a router that lags. To
+        // forward it again could go on for ever; only its minter's answer counts.
+        MinterPlace::Reachable(_) | MinterPlace::Gone => give_up_on_minter(state, facts.request),
+        MinterPlace::NotHeardOf => {
+            let wait = TimeSpan::from_millis(state.config.tickets.minter_wait_ms);
+            let until = (state.now + wait).min(facts.deadline);
+            let facts = facts.clone();
+            state
+                .tickets
+                .minter_waits
+                .insert(facts.request, MinterWait { facts, until });
+        }
+    }
+}
+
+enum MinterPlace {
+    Reachable(HostName),
+    Gone,
+    NotHeardOf,
+}
+
+fn find_minter(state: &CoreState, minter: RouterIncarnation) -> MinterPlace {
+    let row = state
+        .members
+        .iter()
+        .find(|(_, row)| row.incarnation == Some(minter));
+    match row {
+        Some((_, row)) if row.state == MemberState::Dead => MinterPlace::Gone,
+        Some((host, _)) => MinterPlace::Reachable(host.clone()),
+        None => MinterPlace::NotHeardOf,
+    }
+}
+
+/// The minter is gone, or is taken to be: whether it ran the request can't be proved here.
+/// Coming back helps if it was only cut off.
+fn give_up_on_minter(state: &mut CoreState, request: RequestId) {
+    refuse(
+        state,
+        request,
+        RefusalReason::TicketGone,
+        RunOutcome::Unknown,
+    );
+}
+
+/// A router that just started, or one whose ticket travels faster than the news of its new life,
+/// is not heard of yet: its tickets would be answered "unknown" for no need. They wait a short
+/// while. "Unknown" is always safe, so the wait is no matter of correctness.
+fn look_for_minters(state: &mut CoreState) {
+    let waits: Vec<MinterWait> = state.tickets.minter_waits.values().cloned().collect();
+    for wait in waits {
+        let RepeatRule::Unrepeatable(Some(ticket)) = wait.facts.repeat else {
+            continue;
+        };
+        let known = !matches!(find_minter(state, ticket.minter), MinterPlace::NotHeardOf);
+        if known {
+            state.tickets.minter_waits.remove(&wait.facts.request);
+            present_foreign(state, &wait.facts, ticket.minter);
+        } else if state.now >= wait.until {
+            state.tickets.minter_waits.remove(&wait.facts.request);
+            give_up_on_minter(state, wait.facts.request);
+        }
+    }
+}
+
+fn own_number(state: &CoreState, repeat: RepeatRule) -> Option<u64> {
+    match repeat {
+        RepeatRule::Unrepeatable(Some(ticket)) if ticket.minter == state.identity.incarnation => {
+            Some(ticket.number)
+        }
+        _ => None,
+    }
+}
+
+/// The request that held the ticket was answered whole.
+pub fn completed(state: &mut CoreState, repeat: RepeatRule) {
+    let Some(number) = own_number(state, repeat) else {
+        return;
+    };
+    for request in state.tickets.end(number, RunOutcome::Ran) {
+        state.act(CoreAction::Complete { request });
+    }
+    shrink(state);
+}
+
+/// The request that held the ticket was refused or given up. Its callers are all told the same,
+/// and the ticket ends with that outcome: a "not run" that was told once stays true, also for a
+/// copy of the request that is still on its way.
+pub fn refused(
+    state: &mut CoreState,
+    repeat: RepeatRule,
+    reason: RefusalReason,
+    outcome: RunOutcome,
+    retry_after: TimeSpan,
+) {
+    let Some(number) = own_number(state, repeat) else {
+        return;
+    };
+    for request in state.tickets.end(number, outcome) {
+        state.act(CoreAction::Refuse {
+            request,
+            reason,
+            outcome,
+            retry_after,
+        });
+    }
+    shrink(state);
+}
+
+/// True if the request goes on though its caller left: others wait for its answer, or it may
+/// have run and a resend shall find its answer. Else its ticket can be used again.
+pub fn outlives_caller(state: &mut CoreState, repeat: RepeatRule, may_have_run: bool) -> bool {
+    let Some(number) = own_number(state, repeat) else {
+        return false;
+    };
+    if may_have_run || state.tickets.is_awaited(number) {
+        return true;
+    }
+    state.tickets.put_back(number);
+    false
+}
+
+fn shrink(state: &mut CoreState) {
+    for request in state.tickets.shrink(&state.config.tickets) {
+        state.act(CoreAction::ForgetAnswer { request });
+    }
+}
--- a/src/core/tables/mod.rs
+++ b/src/core/tables/mod.rs
@@ -8,3 +8,5 @@
 pub mod requests;
 pub mod retry_budgets;
 pub mod team_queue;
+pub mod team_shelf;
+pub mod tickets;
--- /dev/null
+++ b/src/core/tables/team_shelf.rs
@@ -0,0 +1,103 @@
+//! Things kept for teams within a common bound. The team that keeps the most gives way first,
+//! so that a flood pushes out its own things only.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use crate::units::TeamId;
+
+/// Numbered things with a weight each, per team.
+#[derive(Debug, Default)]
+pub struct TeamShelf {
+    items: BTreeMap<TeamId, BTreeMap<u64, u64>>,
+    totals: BTreeMap<TeamId, u64>,
+    heaviest: BTreeSet<(u64, TeamId)>,
+    weight: u64,
+    count: usize,
+}
+
+impl TeamShelf {
+    /// Adds a thing, or changes its weight.
+    pub fn put(&mut self, team: TeamId, number: u64, weight: u64) {
+        self.take(team, number);
+        self.items.entry(team).or_default().insert(number, weight);
+        self.add_weight(team, weight);
+        self.count += 1;
+    }
+
+    /// Takes a thing out; true if it was there.
+    pub fn take(&mut self, team: TeamId, number: u64) -> bool {
+        let Some(items) = self.items.get_mut(&team) else {
+            return false;
+        };
+        let Some(weight) = items.remove(&number) else {
+            return false;
+        };
+        if items.is_empty() {
+            self.items.remove(&team);
+        }
+        self.count -= 1;
+        self.remove_weight(team, weight);
+        true
+    }
+
+    /// The oldest thing (least number) of the team of the greatest weight.
+    #[must_use]
+    pub fn first_to_go(&self) -> Option<(TeamId, u64)> {
+        let (_, team) = self.heaviest.last()?;
+        let (number, _) = self.items.get(team)?.first_key_value()?;
+        Some((*team, *number))
+    }
+
+    /// Weight of all things.
+    #[must_use]
+    pub fn weight(&self) -> u64 {
+        self.weight
+    }
+
+    /// Number of all things.
+    #[must_use]
+    pub fn count(&self) -> usize {
+        self.count
+    }
+
+    fn add_weight(&mut self, team: TeamId, weight: u64) {
+        let total = self.totals.entry(team).or_default();
+        self.heaviest.remove(&(*total, team));
+        *total += weight;
+        self.heaviest.insert((*total, team));
+        self.weight += weight;
+    }
+
+    fn remove_weight(&mut self, team: TeamId, weight: u64) {
+        let Some(total) = self.totals.get_mut(&team) else {
+            return;
+        };
+        self.heaviest.remove(&(*total, team));
+        *total -= weight;
+        self.weight -= weight;
+        if self.items.contains_key(&team) {
+            self.heaviest.insert((*total, team));
+        } else {
+            self.totals.remove(&team);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_team_that_keeps_most_gives_way_first() {
+        let mut shelf = TeamShelf::default();
+        shelf.put(TeamId(1), 1, 10);
+        shelf.put(TeamId(2), 2, 6);
+        shelf.put(TeamId(2), 3, 6);
+        assert_eq!(shelf.first_to_go(), Some((TeamId(2), 2)));
+        assert!(shelf.take(TeamId(2), 2));
+        assert!(!shelf.take(TeamId(2), 2));
+        assert_eq!(shelf.first_to_go(), Some((TeamId(1), 1)));
+        assert_eq!((shelf.weight(), shelf.count()), (16, 2));
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod catalog;
 pub mod configs;
 pub mod core;
+pub mod tickets;
 pub mod units;
 pub mod wire;
--- /dev/null
+++ b/tests/cores/mod.rs
@@ -0,0 +1,406 @@
+//! A few decision cores joined by a queue of messages: what the tests of failures drive.
+#![allow(dead_code)]
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use bytes::Bytes;
+
+use verbenaturn::catalog::EndpointEntry;
+use verbenaturn::catalog::FenceCheck;
+use verbenaturn::catalog::FleetCatalog;
+use verbenaturn::catalog::KindEntry;
+use verbenaturn::catalog::PoolEntry;
+use verbenaturn::catalog::PoolProtocol;
+use verbenaturn::catalog::TeamEntry;
+use verbenaturn::catalog::UrgencyClass;
+use verbenaturn::configs::CoreConfig;
+use verbenaturn::core::RouterCore;
+use verbenaturn::core::RouterIdentity;
+use verbenaturn::core::action::CoreAction;
+use verbenaturn::core::event::AttemptOutcome;
+use verbenaturn::core::event::CoreEvent;
+use verbenaturn::core::event::ListedRouter;
+use verbenaturn::core::event::RepeatRule;
+use verbenaturn::core::event::RequestFacts;
+use verbenaturn::core::event::TicketName;
+use verbenaturn::units::AttemptNumber;
+use verbenaturn::units::ConfigRevision;
+use verbenaturn::units::DomainName;
+use verbenaturn::units::EndpointId;
+use verbenaturn::units::EndpointName;
+use verbenaturn::units::HostName;
+use verbenaturn::units::KindName;
+use verbenaturn::units::Moment;
+use verbenaturn::units::PoolId;
+use verbenaturn::units::PoolName;
+use verbenaturn::units::RequestFingerprint;
+use verbenaturn::units::RequestId;
+use verbenaturn::units::RouterIncarnation;
+use verbenaturn::units::ServiceUnits;
+use verbenaturn::units::ShareWeight;
+use verbenaturn::units::SlotCount;
+use verbenaturn::units::TeamId;
+use verbenaturn::units::TeamName;
+use verbenaturn::units::TimeSpan;
+use verbenaturn::wire::PeerMessage;
+
+/// Microseconds between two ticks.
+pub const TICK_US: u64 = 5_000;
+
+/// The pool of all tests that need only one.
+pub fn pool() -> PoolId {
+    pool_named("tagging")
+}
+
+/// A pool's id.
+pub fn pool_named(name: &str) -> PoolId {
+    PoolId::from(&name.parse::<PoolName>().unwrap())
+}
+
+/// A team's id; teams are called `team-1` and so on.
+pub fn team(number: usize) -> TeamId {
+    TeamId::from(&format!("team-{number}").parse::<TeamName>().unwrap())
+}
+
+/// An endpoint's id; endpoints are called `engine-1` and so on.
+pub fn endpoint(number: usize) -> EndpointId {
+    EndpointId::from(&format!("engine-{number}").parse::<EndpointName>().unwrap())
+}
+
+/// A router's host.
+pub fn host(router: usize) -> HostName {
+    format!("host-{router}").parse().unwrap()
+}
+
+fn domain(number: usize) -> DomainName {
+    format!("domain-{number}").parse().unwrap()
+}
+
+/// The kind of all requests.
+pub fn kind() -> KindName {
+    "tag".parse().unwrap()
+}
+
+fn kind_entry() -> KindEntry {
+    KindEntry {
+        urgency: UrgencyClass::Batch,
+        unrepeatable: true,
+        deadline: TimeSpan::from_millis(30_000),
+        goal: TimeSpan::from_millis(1_000),
+        objective_per_mille: 990,
+        method: None,
+        path_prefix: None,
+    }
+}
+
+fn team_entry(number: usize) -> TeamEntry {
+    TeamEntry {
+        name: format!("team-{number}").parse().unwrap(),
+        share: ShareWeight(1),
+        key_hashes: Vec::new(),
+        queue_limit: 64,
+        kinds: BTreeMap::from([(kind(), kind_entry())]),
+        default_kind: kind(),
+    }
+}
+
+/// One endpoint of the tests.
+pub fn endpoint_entry(number: usize, slots: u32, pools: Vec<PoolId>) -> EndpointEntry {
+    EndpointEntry {
+        name: format!("engine-{number}").parse().unwrap(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        pools,
+        domain: domain(number % 3),
+        slots: SlotCount(slots),
+        fence_check: FenceCheck::Checked,
+        leaving: false,
+    }
+}
+
+/// One pool of the tests.
+pub fn pool_entry(name: &str, endpoints: Vec<EndpointId>) -> PoolEntry {
+    PoolEntry {
+        name: name.parse().unwrap(),
+        protocol: PoolProtocol::Engine,
+        endpoints,
+    }
+}
+
+// Fields that the catalog gains later keep their defaults here.
+#[allow(clippy::needless_update)]
+/// One pool, two teams, `endpoints` endpoints of `slots` slots each.
+pub fn catalog(endpoints: usize, slots: u32) -> FleetCatalog {
+    let ids: Vec<EndpointId> = (1..=endpoints).map(endpoint).collect();
+    FleetCatalog {
+        revision: ConfigRevision(1),
+        teams: (1..=2)
+            .map(|number| (team(number), team_entry(number)))
+            .collect(),
+        pools: BTreeMap::from([(pool(), pool_entry("tagging", ids))]),
+        endpoints: (1..=endpoints)
+            .map(|number| {
+                let entry = endpoint_entry(number, slots, vec![pool()]);
+                (endpoint(number), entry)
+            })
+            .collect(),
+        ..FleetCatalog::default()
+    }
+}
+
+/// A request of team 1 that may be repeated.
+pub fn facts(request: u64) -> RequestFacts {
+    RequestFacts {
+        request: RequestId(request),
+        team: team(1),
+        kind: kind(),
+        pool: pool(),
+        repeat: RepeatRule::Repeatable,
+        deadline: Moment(3_600_000_000),
+        fingerprint: RequestFingerprint(7),
+        prefix: 0,
+        resumable: false,
+        forwarded: false,
+    }
+}
+
+/// The same request, unrepeatable.
+pub fn unrepeatable(request: u64, ticket: Option<TicketName>) -> RequestFacts {
+    RequestFacts {
+        repeat: RepeatRule::Unrepeatable(ticket),
+        ..facts(request)
+    }
+}
+
+/// The end of an attempt.
+pub fn ended(request: u64, attempt: u32, outcome: AttemptOutcome) -> CoreEvent {
+    CoreEvent::AttemptEnded {
+        request: RequestId(request),
+        attempt: AttemptNumber(attempt),
+        outcome,
+        service: ServiceUnits(100),
+    }
+}
+
+/// Cores, their links and the actions that they asked for.
+pub struct CoreFleet {
+    /// The cores; `None` while one is down.
+    pub cores: Vec<Option<RouterCore>>,
+    /// The time.
+    pub now: Moment,
+    /// Pairs of routers that do not reach each other.
+    pub cut: BTreeSet<(usize, usize)>,
+    /// Messages sent, for counting.
+    pub messages: u64,
+    actions: Vec<(usize, CoreAction)>,
+    catalog: Arc<FleetCatalog>,
+    config: CoreConfig,
+    lives: u64,
+}
+
+impl CoreFleet {
+    /// A fleet that knows its members and its publication, with slots shared out.
+    pub fn new(routers: usize, catalog: FleetCatalog) -> Self {
+        Self::with_config(routers, catalog, CoreConfig::default())
+    }
+
+    /// The same with given settings.
+    pub fn with_config(routers: usize, catalog: FleetCatalog, config: CoreConfig) -> Self {
+        let mut fleet = Self {
+            cores: (0..routers).map(|_| None).collect(),
+            now: Moment(1_000_000),
+            cut: BTreeSet::new(),
+            messages: 0,
+            actions: Vec::new(),
+            catalog: Arc::new(catalog),
+            config,
+            lives: 0,
+        };
+        for router in 0..routers {
+            fleet.start(router);
+        }
+        fleet.advance(1_000);
+        fleet.actions.clear();
+        fleet
+    }
+
+    /// Starts a router with nothing in memory.
+    pub fn start(&mut self, router: usize) {
+        self.lives += 1;
+        let identity = RouterIdentity {
+            host: host(router),
+            incarnation: RouterIncarnation(1_000 + self.lives),
+            domain: domain(router % 3),
+            address: "127.0.0.1:9".into(),
+        };
+        let core = RouterCore::new(identity, self.config.clone(), self.lives);
+        self.cores[router] = Some(core);
+        let routers = (0..self.cores.len()).map(listed).collect();
+        let leaving = Vec::new();
+        self.tell(router, CoreEvent::HostsListed { routers, leaving });
+        let catalog = Arc::clone(&self.catalog);
+        let text = Bytes::new();
+        self.tell(router, CoreEvent::Published { catalog, text });
+        for peer in 0..self.cores.len() {
+            self.connect(router, peer);
+        }
+    }
+
+    /// Ends a router; its peers see the connection close.
+    pub fn stop(&mut self, router: usize) {
+        self.cores[router] = None;
+        for peer in 0..self.cores.len() {
+            self.tell(peer, CoreEvent::PeerClosed { host: host(router) });
+        }
+    }
+
+    /// Cuts the link of two routers.
+    pub fn part(&mut self, one: usize, other: usize) {
+        self.cut.insert((one.min(other), one.max(other)));
+        self.tell(one, CoreEvent::PeerClosed { host: host(other) });
+        self.tell(other, CoreEvent::PeerClosed { host: host(one) });
+    }
+
+    /// Mends the link of two routers.
+    pub fn mend(&mut self, one: usize, other: usize) {
+        self.cut.remove(&(one.min(other), one.max(other)));
+        self.connect(one, other);
+    }
+
+    fn connect(&mut self, one: usize, other: usize) {
+        let (Some(left), Some(right)) = (self.life(one), self.life(other)) else {
+            return;
+        };
+        if one == other || !self.is_linked(one, other) {
+            return;
+        }
+        let opened = |host, incarnation| CoreEvent::PeerOpened { host, incarnation };
+        self.tell(one, opened(host(other), right));
+        self.tell(other, opened(host(one), left));
+    }
+
+    /// True if two routers reach each other.
+    pub fn is_linked(&self, one: usize, other: usize) -> bool {
+        !self.cut.contains(&(one.min(other), one.max(other)))
+    }
+
+    /// A router's incarnation.
+    pub fn life(&self, router: usize) -> Option<RouterIncarnation> {
+        let core = self.cores[router].as_ref()?;
+        Some(core.state().identity.incarnation)
+    }
+
+    /// A router's core.
+    pub fn core(&self, router: usize) -> &RouterCore {
+        self.cores[router].as_ref().unwrap()
+    }
+
+    /// Tells a router an event, delivers the messages that follow from it, and keeps all other
+    /// actions for [`Self::take`].
+    pub fn tell(&mut self, router: usize, event: CoreEvent) {
+        let mut queue = VecDeque::from([(router, event)]);
+        while let Some((router, event)) = queue.pop_front() {
+            let now = self.now;
+            let Some(core) = self.cores[router].as_mut() else {
+                continue;
+            };
+            for action in core.handle(now, event) {
+                match action {
+                    CoreAction::Send { host, message } => {
+                        queue.extend(self.delivery(router, &host, message));
+                    }
+                    action => self.actions.push((router, action)),
+                }
+            }
+        }
+    }
+
+    fn delivery(
+        &mut self,
+        router: usize,
+        to: &HostName,
+        message: PeerMessage,
+    ) -> Option<(usize, CoreEvent)> {
+        let peer = (0..self.cores.len()).find(|peer| host(*peer) == *to)?;
+        self.messages += 1;
+        if !self.is_linked(router, peer) {
+            return None;
+        }
+        let event = CoreEvent::Message {
+            from: host(router),
+            incarnation: self.life(router)?,
+            message,
+        };
+        Some((peer, event))
+    }
+
+    /// Lets time pass, with ticks.
+    pub fn advance(&mut self, millis: u64) {
+        let end = self.now + TimeSpan::from_millis(millis);
+        while self.now < end {
+            self.now = (self.now + TimeSpan(TICK_US)).min(end);
+            for router in 0..self.cores.len() {
+                self.tell(router, CoreEvent::Tick);
+            }
+        }
+    }
+
+    /// Tells an event and returns what that router asks for at once.
+    pub fn ask(&mut self, router: usize, event: CoreEvent) -> Vec<CoreAction> {
+        self.tell(router, event);
+        self.take(router)
+    }
+
+    /// Takes the actions of a router since the last call.
+    pub fn take(&mut self, router: usize) -> Vec<CoreAction> {
+        let (mine, others) = std::mem::take(&mut self.actions)
+            .into_iter()
+            .partition(|(asker, _)| *asker == router);
+        self.actions = others;
+        let mine: Vec<(usize, CoreAction)> = mine;
+        mine.into_iter().map(|(_, action)| action).collect()
+    }
+
+    /// Presents an unrepeatable request without a ticket and returns the ticket offered.
+    pub fn get_ticket(&mut self, router: usize, request: u64) -> TicketName {
+        let facts = unrepeatable(request, None);
+        let actions = self.ask(router, CoreEvent::Arrived(facts));
+        actions
+            .iter()
+            .find_map(|action| match action {
+                CoreAction::OfferTicket { ticket, .. } => Some(*ticket),
+                _ => None,
+            })
+            .unwrap()
+    }
+
+    /// Presents a request with a ticket and returns what follows at once.
+    pub fn present(&mut self, router: usize, request: u64, ticket: TicketName) -> Vec<CoreAction> {
+        let facts = unrepeatable(request, Some(ticket));
+        self.ask(router, CoreEvent::Arrived(facts))
+    }
+}
+
+fn listed(router: usize) -> ListedRouter {
+    ListedRouter {
+        host: host(router),
+        address: "127.0.0.1:9".into(),
+        domain: domain(router % 3),
+        leaving: false,
+    }
+}
+
+/// The requests that were dispatched, with their endpoints.
+pub fn dispatched(actions: &[CoreAction]) -> Vec<(u64, EndpointId)> {
+    actions
+        .iter()
+        .filter_map(|action| match action {
+            CoreAction::Dispatch {
+                request, endpoint, ..
+            } => Some((request.0, *endpoint)),
+            _ => None,
+        })
+        .collect()
+}
