Publications and settings: checked with all faults at once, rendered to the catalog

Cause: the daemon needs a catalog, its own settings and a platform to read from. The configuration service and the host list stand behind a trait each, over HTTP (entity tag as revision, Prefer: wait for a watch) and as files (revision inside the file, so that no router numbers it anew).

--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -117,6 +117,30 @@
     pub leaving: bool,
 }
 
+/// What every router demands of callers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallerLimits {
+    /// Largest request header, in bytes.
+    pub header_bytes: u64,
+    /// Largest request body, in bytes.
+    pub body_bytes: u64,
+    /// Longest pause within a request's header or body.
+    pub body_idle: TimeSpan,
+    /// Longest pause of a caller that reads its answer.
+    pub answer_idle: TimeSpan,
+}
+
+impl Default for CallerLimits {
+    fn default() -> Self {
+        Self {
+            header_bytes: 16 * 1_024,
+            body_bytes: 8 * 1_024 * 1_024,
+            body_idle: TimeSpan::from_millis(10_000),
+            answer_idle: TimeSpan::from_millis(60_000),
+        }
+    }
+}
+
 /// The rendered publication.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct FleetCatalog {
@@ -128,6 +152,8 @@
     pub pools: BTreeMap<PoolId, PoolEntry>,
     /// All endpoints.
     pub endpoints: BTreeMap<EndpointId, EndpointEntry>,
+    /// What every router demands of callers.
+    pub caller_limits: CallerLimits,
 }
 
 impl FleetCatalog {
--- /dev/null
+++ b/src/document/mod.rs
@@ -0,0 +1,51 @@
+//! JSON documents that people write: settings and publications.
+//!
+//! A document is read in three steps: its text into a tree ([`tree`]), the tree's shape against
+//! the JSON schema of its type ([`shape`]), and only then into the type. All faults of a step
+//! are reported at once, each with its path.
+
+pub mod fault;
+pub mod shape;
+pub mod tree;
+
+use schemars::JsonSchema;
+use schemars::SchemaGenerator;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+
+pub use self::fault::DocumentFault;
+pub use self::fault::FaultList;
+
+/// The JSON schema of a document type.
+#[must_use]
+pub fn schema_of<T: JsonSchema>() -> Value {
+    SchemaGenerator::default()
+        .into_root_schema_for::<T>()
+        .into()
+}
+
+/// Reads a document.
+///
+/// # Errors
+/// All faults of the first step that finds any.
+pub fn read_document<T>(text: &[u8]) -> Result<T, FaultList>
+where
+    T: JsonSchema + DeserializeOwned,
+{
+    let tree = tree::parse(text)?;
+    let faults = shape::check(&schema_of::<T>(), &tree);
+    if faults.is_empty() {
+        typed(tree)
+    } else {
+        Err(FaultList::from(faults))
+    }
+}
+
+/// Turns a tree of the right shape into its type.
+///
+/// # Errors
+/// The first thing that the type refuses and its schema does not.
+pub fn typed<T: DeserializeOwned>(tree: Value) -> Result<T, FaultList> {
+    serde_json::from_value(tree)
+        .map_err(|error| FaultList::from(vec![DocumentFault::new("", error.to_string())]))
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,10 @@
 pub mod catalog;
 pub mod configs;
 pub mod core;
+pub mod document;
+pub mod platform;
+pub mod publication;
+pub mod settings;
 pub mod tickets;
 pub mod units;
 pub mod wire;
--- /dev/null
+++ b/src/platform/file.rs
@@ -0,0 +1,273 @@
+//! The platform as files, for small sites.
+//!
+//! The publication's `revision` stands in the file itself: a counter kept by each router would
+//! start anew with the process, and two routers would number one text differently. A file must be
+//! replaced by renaming a new one over it; one that is written in place may be read half and is
+//! then reported as faulty until the next look.
+
+use std::fs::Metadata;
+use std::io::ErrorKind;
+use std::os::unix::fs::MetadataExt;
+use std::path::Path;
+use std::path::PathBuf;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::SystemTime;
+
+use bytes::Bytes;
+use error_stack::Report;
+use serde::Deserialize;
+use smol_str::SmolStr;
+use tokio::fs;
+use tokio::io::AsyncReadExt;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+use crate::document::DocumentFault;
+use crate::document::FaultList;
+use crate::publication::MAX_PUBLICATION_BYTES;
+use crate::settings::PlatformTiming;
+use crate::units::ConfigRevision;
+
+use super::ConfigSource;
+use super::ConfigText;
+use super::HostSource;
+use super::error::PlatformError;
+use super::error::PlatformFault;
+use super::error::PlatformStep;
+use super::hosts::HostList;
+use super::hosts::MAX_HOSTS_BYTES;
+
+/// A change within this time of the last one may leave the modification time as it was, so a
+/// younger file is read again at each look.
+const SETTLED_AFTER: Duration = Duration::from_secs(2);
+
+/// What tells one state of a file from another without reading it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct FileStamp {
+    inode: u64,
+    bytes: u64,
+    modified: SystemTime,
+}
+
+impl FileStamp {
+    fn of(metadata: &Metadata) -> Self {
+        Self {
+            inode: metadata.ino(),
+            bytes: metadata.len(),
+            modified: metadata.modified().unwrap_or(SystemTime::UNIX_EPOCH),
+        }
+    }
+
+    /// A modification time in the future never settles; such a file is read at each look.
+    fn settled(&self) -> bool {
+        let age = SystemTime::now().duration_since(self.modified);
+        age.is_ok_and(|age| age > SETTLED_AFTER)
+    }
+}
+
+/// A file of the platform.
+#[derive(Debug)]
+struct FileReader {
+    path: PathBuf,
+    max_bytes: usize,
+}
+
+impl FileReader {
+    fn error(&self, step: PlatformStep, fault: PlatformFault) -> Report<PlatformError> {
+        Report::new(PlatformError {
+            step,
+            source: SmolStr::new(self.path.to_string_lossy()),
+            fault,
+        })
+    }
+
+    async fn read(&self, step: PlatformStep) -> Result<Bytes, Report<PlatformError>> {
+        let text = read_bounded(&self.path, self.max_bytes).await;
+        let text = text.map_err(|error| {
+            self.error(step, PlatformFault::Unreadable)
+                .attach(error.to_string())
+        })?;
+        if text.len() > self.max_bytes {
+            return Err(self.error(step, PlatformFault::TooLarge(self.max_bytes)));
+        }
+        Ok(Bytes::from(text))
+    }
+}
+
+/// Reads a file, but not more than one byte over the limit.
+async fn read_bounded(path: &Path, max_bytes: usize) -> Result<Vec<u8>, std::io::Error> {
+    let file = fs::File::open(path).await?;
+    if file.metadata().await?.is_dir() {
+        return Err(ErrorKind::IsADirectory.into());
+    }
+    let mut text = Vec::new();
+    file.take(max_bytes as u64 + 1)
+        .read_to_end(&mut text)
+        .await?;
+    Ok(text)
+}
+
+/// The publication as a file.
+#[derive(Debug)]
+pub struct FileConfigSource {
+    reader: FileReader,
+    hold: Duration,
+    poll: Duration,
+    seen: Mutex<Option<SeenFile>>,
+}
+
+/// The newest publication that was read from a file.
+#[derive(Debug, Clone)]
+struct SeenFile {
+    stamp: Option<FileStamp>,
+    news: ConfigText,
+}
+
+#[derive(Debug, Deserialize)]
+struct RevisionField {
+    revision: Option<u64>,
+}
+
+impl FileConfigSource {
+    /// A source at a path.
+    #[must_use]
+    pub fn new(path: PathBuf, timing: &PlatformTiming) -> Self {
+        Self {
+            reader: FileReader {
+                path,
+                max_bytes: MAX_PUBLICATION_BYTES,
+            },
+            hold: Duration::from_secs(timing.watch_s),
+            poll: Duration::from_millis(timing.file_poll_ms),
+            seen: Mutex::new(None),
+        }
+    }
+
+    fn seen(&self) -> Option<SeenFile> {
+        let seen = self.seen.lock();
+        seen.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    async fn load(&self, step: PlatformStep) -> Result<ConfigText, Report<PlatformError>> {
+        let stamp = fs::metadata(&self.reader.path).await;
+        let stamp = stamp.ok().map(|metadata| FileStamp::of(&metadata));
+        let seen = self.seen();
+        if let (Some(stamp), Some(seen)) = (stamp, &seen)
+            && seen.stamp == Some(stamp)
+            && stamp.settled()
+        {
+            return Ok(seen.news.clone());
+        }
+        let text = self.reader.read(step).await?;
+        let revision = self.revision(step, &text)?;
+        let news = ConfigText { revision, text };
+        if let Some(seen) = seen {
+            self.compare(step, &seen.news, &news)?;
+        }
+        *self.seen.lock().unwrap_or_else(PoisonError::into_inner) = Some(SeenFile {
+            stamp,
+            news: news.clone(),
+        });
+        Ok(news)
+    }
+
+    fn revision(
+        &self,
+        step: PlatformStep,
+        text: &[u8],
+    ) -> Result<ConfigRevision, Report<PlatformError>> {
+        let field: RevisionField = serde_json::from_slice(text).map_err(|error| {
+            let fault = DocumentFault::new("", format!("not a publication: {error}"));
+            self.reader
+                .error(step, PlatformFault::Faulty(FaultList::from(vec![fault])))
+        })?;
+        match field.revision {
+            Some(number) if number > 0 => Ok(ConfigRevision(number)),
+            _ => Err(self.reader.error(step, PlatformFault::NoRevision)),
+        }
+    }
+
+    /// An operator who edits the file and forgets its revision, or restores an old copy, would
+    /// leave routers that were restarted since with another text than the rest.
+    fn compare(
+        &self,
+        step: PlatformStep,
+        seen: &ConfigText,
+        news: &ConfigText,
+    ) -> Result<(), Report<PlatformError>> {
+        if news.revision < seen.revision {
+            let fault = PlatformFault::OldRevision {
+                came: news.revision,
+                seen: seen.revision,
+            };
+            return Err(self.reader.error(step, fault));
+        }
+        if news.revision == seen.revision && news.text != seen.text {
+            let fault = PlatformFault::SameRevision(news.revision);
+            return Err(self.reader.error(step, fault));
+        }
+        Ok(())
+    }
+}
+
+impl ConfigSource for FileConfigSource {
+    async fn read(&self) -> Result<ConfigText, Report<PlatformError>> {
+        self.load(PlatformStep::ReadConfig).await
+    }
+
+    async fn watch(
+        &self,
+        after: ConfigRevision,
+    ) -> Result<Option<ConfigText>, Report<PlatformError>> {
+        let step = PlatformStep::WatchConfig;
+        let end = Instant::now() + self.hold;
+        loop {
+            let news = self.load(step).await?;
+            if news.revision > after {
+                return Ok(Some(news));
+            }
+            if news.revision < after {
+                let fault = PlatformFault::OldRevision {
+                    came: news.revision,
+                    seen: after,
+                };
+                return Err(self.reader.error(step, fault));
+            }
+            if Instant::now() + self.poll > end {
+                sleep(self.poll.min(self.hold)).await;
+                return Ok(None);
+            }
+            sleep(self.poll).await;
+        }
+    }
+}
+
+/// The host list as a file.
+#[derive(Debug)]
+pub struct FileHostSource {
+    reader: FileReader,
+}
+
+impl FileHostSource {
+    /// A source at a path.
+    #[must_use]
+    pub fn new(path: PathBuf) -> Self {
+        Self {
+            reader: FileReader {
+                path,
+                max_bytes: MAX_HOSTS_BYTES,
+            },
+        }
+    }
+}
+
+impl HostSource for FileHostSource {
+    async fn read(&self) -> Result<HostList, Report<PlatformError>> {
+        let step = PlatformStep::ReadHosts;
+        let text = self.reader.read(step).await?;
+        HostList::read(&text)
+            .map_err(|faults| self.reader.error(step, PlatformFault::Faulty(faults)))
+    }
+}
--- /dev/null
+++ b/src/platform/follow.rs
@@ -0,0 +1,142 @@
+//! Follows the platform for a daemon, until cancelled.
+
+use std::time::Duration;
+
+use error_stack::Report;
+use rand::RngExt;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+
+use crate::settings::PlatformTiming;
+use crate::units::ConfigRevision;
+
+use super::ConfigSource;
+use super::ConfigText;
+use super::HostList;
+use super::HostSource;
+use super::PlatformError;
+
+/// What became of one read or watch of the configuration service.
+#[derive(Debug)]
+pub enum ConfigNews {
+    /// A newer publication, unchecked.
+    Newer(ConfigText),
+    /// The service answered; there is nothing newer.
+    Unchanged,
+    /// The service failed, or went back.
+    Failed(Report<PlatformError>),
+}
+
+/// What became of one read of the host list.
+#[derive(Debug)]
+pub enum HostNews {
+    /// The list.
+    Listed(HostList),
+    /// It could not be read.
+    Failed(Report<PlatformError>),
+}
+
+/// Whether to watch the configuration service, and from where on.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct WatchOrder {
+    /// Watch, or leave the service alone.
+    pub on: bool,
+    /// The revision that the router has, from peers as well.
+    pub after: ConfigRevision,
+}
+
+/// Watches the configuration service while `order` says so and sends what comes to `sender`.
+///
+/// A publication that is refused for its faults is not read again: the next watch starts after
+/// it. While `order` is off no call is made and none is left waiting.
+pub async fn follow_config(
+    source: impl ConfigSource,
+    timing: PlatformTiming,
+    mut order: watch::Receiver<WatchOrder>,
+    sender: mpsc::Sender<ConfigNews>,
+    cancel: CancellationToken,
+) {
+    let mut seen = ConfigRevision(0);
+    loop {
+        let now = *order.borrow_and_update();
+        seen = seen.max(now.after);
+        if !now.on {
+            tokio::select! {
+                () = cancel.cancelled() => return,
+                changed = order.changed() => if changed.is_err() { return },
+            }
+            continue;
+        }
+        let news = tokio::select! {
+            () = cancel.cancelled() => return,
+            news = next_news(&source, seen) => news,
+            switched = switched_off(&mut order) => if switched { continue } else { return },
+        };
+        let failed = matches!(news, ConfigNews::Failed(_));
+        if let ConfigNews::Newer(text) = &news {
+            seen = seen.max(text.revision);
+        }
+        if sender.send(news).await.is_err() {
+            return;
+        }
+        if failed && !rest(&timing, &cancel).await {
+            return;
+        }
+    }
+}
+
+async fn next_news(source: &impl ConfigSource, seen: ConfigRevision) -> ConfigNews {
+    let news = if seen == ConfigRevision(0) {
+        source.read().await.map(Some)
+    } else {
+        source.watch(seen).await
+    };
+    match news {
+        Ok(Some(text)) => ConfigNews::Newer(text),
+        Ok(None) => ConfigNews::Unchanged,
+        Err(report) => ConfigNews::Failed(report),
+    }
+}
+
+/// Waits until watching is switched off (true) or nobody can switch it any more (false).
+async fn switched_off(order: &mut watch::Receiver<WatchOrder>) -> bool {
+    order.wait_for(|order| !order.on).await.is_ok()
+}
+
+/// Reads the host list at intervals and sends what comes to `sender`.
+pub async fn follow_hosts(
+    source: impl HostSource,
+    timing: PlatformTiming,
+    sender: mpsc::Sender<HostNews>,
+    cancel: CancellationToken,
+) {
+    loop {
+        let news = tokio::select! {
+            () = cancel.cancelled() => return,
+            news = source.read() => news.map_or_else(HostNews::Failed, HostNews::Listed),
+        };
+        if sender.send(news).await.is_err() {
+            return;
+        }
+        let pause = jittered(timing.hosts_poll_ms);
+        tokio::select! {
+            () = cancel.cancelled() => return,
+            () = sleep(pause) => {}
+        }
+    }
+}
+
+async fn rest(timing: &PlatformTiming, cancel: &CancellationToken) -> bool {
+    tokio::select! {
+        () = cancel.cancelled() => false,
+        () = sleep(jittered(timing.retry_ms)) => true,
+    }
+}
+
+/// A quarter more or less: routers that failed together must not come back together.
+fn jittered(millis: u64) -> Duration {
+    let quarter = millis / 4;
+    Duration::from_millis(rand::rng().random_range(millis - quarter..=millis + quarter))
+}
--- /dev/null
+++ b/src/platform/mod.rs
@@ -0,0 +1,134 @@
+//! The platform at the edge of the process: the configuration service and the host list.
+//!
+//! Each is a narrow trait with an HTTP implementation and one for a file. Nothing can be written
+//! to either. [`follow`] runs them for a daemon.
+
+pub mod error;
+pub mod file;
+pub mod follow;
+pub mod hosts;
+pub mod http;
+
+use std::future::Future;
+
+use bytes::Bytes;
+use error_stack::Report;
+
+use crate::settings::PlatformSettings;
+use crate::units::ConfigRevision;
+
+pub use self::error::PlatformError;
+pub use self::error::PlatformFault;
+use self::file::FileConfigSource;
+use self::file::FileHostSource;
+pub use self::hosts::HostList;
+use self::http::HttpConfigSource;
+use self::http::HttpHostSource;
+
+/// A publication as read, unchecked.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ConfigText {
+    /// The platform's revision. Never 0.
+    pub revision: ConfigRevision,
+    /// The published text, at most [`crate::publication::MAX_PUBLICATION_BYTES`] bytes.
+    pub text: Bytes,
+}
+
+/// Where publications come from.
+pub trait ConfigSource {
+    /// Reads the newest publication.
+    ///
+    /// # Errors
+    /// When the source can't be reached, does not answer in time or answers something else.
+    fn read(&self) -> impl Future<Output = Result<ConfigText, Report<PlatformError>>> + Send;
+
+    /// Waits for a publication newer than `after`; nothing if none came in the time that a watch
+    /// is held open.
+    ///
+    /// # Errors
+    /// As for `read`, and when the source goes back to an older revision.
+    fn watch(
+        &self,
+        after: ConfigRevision,
+    ) -> impl Future<Output = Result<Option<ConfigText>, Report<PlatformError>>> + Send;
+}
+
+/// Where the host list comes from.
+pub trait HostSource {
+    /// Reads the host list. It lags.
+    ///
+    /// # Errors
+    /// When the source can't be reached, does not answer in time or answers something else.
+    fn read(&self) -> impl Future<Output = Result<HostList, Report<PlatformError>>> + Send;
+}
+
+/// The sources of publications that there are.
+#[derive(Debug)]
+pub enum PlatformConfig {
+    /// The configuration service.
+    Http(Box<HttpConfigSource>),
+    /// A file.
+    File(FileConfigSource),
+}
+
+/// The sources of host lists that there are.
+#[derive(Debug)]
+pub enum PlatformHosts {
+    /// A service.
+    Http(Box<HttpHostSource>),
+    /// A file.
+    File(FileHostSource),
+}
+
+impl PlatformConfig {
+    /// The source that checked settings name.
+    #[must_use]
+    pub fn new(settings: &PlatformSettings) -> Self {
+        match (&settings.config_url, &settings.config_file) {
+            (Some(url), _) => Self::Http(Box::new(HttpConfigSource::new(url, &settings.timing))),
+            (None, file) => {
+                let file = file.clone().unwrap_or_default();
+                Self::File(FileConfigSource::new(file, &settings.timing))
+            }
+        }
+    }
+}
+
+impl PlatformHosts {
+    /// The source that checked settings name.
+    #[must_use]
+    pub fn new(settings: &PlatformSettings) -> Self {
+        match (&settings.hosts_url, &settings.hosts_file) {
+            (Some(url), _) => Self::Http(Box::new(HttpHostSource::new(url, &settings.timing))),
+            (None, file) => Self::File(FileHostSource::new(file.clone().unwrap_or_default())),
+        }
+    }
+}
+
+impl ConfigSource for PlatformConfig {
+    async fn read(&self) -> Result<ConfigText, Report<PlatformError>> {
+        match self {
+            Self::Http(source) => source.read().await,
+            Self::File(source) => source.read().await,
+        }
+    }
+
+    async fn watch(
+        &self,
+        after: ConfigRevision,
+    ) -> Result<Option<ConfigText>, Report<PlatformError>> {
+        match self {
+            Self::Http(source) => source.watch(after).await,
+            Self::File(source) => source.watch(after).await,
+        }
+    }
+}
+
+impl HostSource for PlatformHosts {
+    async fn read(&self) -> Result<HostList, Report<PlatformError>> {
+        match self {
+            Self::Http(source) => source.read().await,
+            Self::File(source) => source.read().await,
+        }
+    }
+}
--- a/src/units/mod.rs
+++ b/src/units/mod.rs
@@ -23,6 +23,8 @@
 pub use text::EndpointName;
 pub use text::HostName;
 pub use text::KindName;
+pub use text::NAME_PATTERN;
+pub use text::NameError;
 pub use text::PoolName;
 pub use text::TeamName;
 pub use text::TemplateName;
--- a/src/units/text.rs
+++ b/src/units/text.rs
@@ -1,9 +1,13 @@
 //! Names that people write: teams, endpoints, hosts, domains, pools, kinds.
 
+use std::borrow::Cow;
 use std::fmt;
 use std::str::FromStr;
 
 use schemars::JsonSchema;
+use schemars::Schema;
+use schemars::SchemaGenerator;
+use schemars::json_schema;
 use serde::Deserialize;
 use serde::Serialize;
 use smol_str::SmolStr;
@@ -11,6 +15,9 @@
 /// Longest name accepted, in bytes.
 pub const MAX_NAME_BYTES: usize = 64;
 
+/// What a name looks like, as the JSON schemas state it.
+pub const NAME_PATTERN: &str = "^[A-Za-z0-9._-]{1,64}$";
+
 /// Why a text is not a name.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct NameError {
@@ -47,9 +54,8 @@
 macro_rules! name_type {
     ($(#[$doc:meta])* $name:ident) => {
         $(#[$doc])*
-        #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, JsonSchema)]
+        #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
         #[serde(try_from = "String", into = "String")]
-        #[schemars(with = "String")]
         pub struct $name(SmolStr);
 
         impl $name {
@@ -60,6 +66,20 @@
             }
         }
 
+        impl JsonSchema for $name {
+            fn inline_schema() -> bool {
+                true
+            }
+
+            fn schema_name() -> Cow<'static, str> {
+                stringify!($name).into()
+            }
+
+            fn json_schema(_: &mut SchemaGenerator) -> Schema {
+                json_schema!({ "type": "string", "pattern": NAME_PATTERN })
+            }
+        }
+
         impl fmt::Display for $name {
             fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
                 formatter.write_str(&self.0)
