--- /dev/null
+++ b/examples/measure/checks.rs
@@ -0,0 +1,185 @@
+//! Runs one scenario on the fleet and on the naive version and states each measure, its bound
+//! and the naive version's figure.
+
+use serde_json::Value;
+use serde_json::json;
+
+use super::fleet::CoreFleet;
+use super::load::LoadPlan;
+use super::naive::NaiveFleet;
+use super::scenarios;
+use super::scenarios::FleetScenario;
+use super::scenarios::FleetSize;
+use super::tally::FleetTally;
+
+/// Control bytes a second that a router may send.
+const CONTROL_BOUND: f64 = 4_000.0;
+/// Part of capacity that may be free while a request waits for it.
+const LOSS_BOUND: f64 = 0.01;
+/// Seconds after which a leaving endpoint gets nothing new.
+const LEAVING_BOUND: f64 = 5.0;
+/// Attempts per started request.
+const RETRY_BOUND: f64 = 1.1;
+
+/// One measure of one run.
+#[derive(Debug, Clone)]
+pub struct FleetCheck {
+    /// What is measured.
+    pub measure: &'static str,
+    /// The fleet's figure.
+    pub value: f64,
+    /// Its unit.
+    pub unit: &'static str,
+    /// The naive version's figure, where it has one.
+    pub baseline: Option<f64>,
+    /// The greatest figure allowed, where one is stated.
+    pub bound: Option<f64>,
+}
+
+impl FleetCheck {
+    /// True unless the bound was passed.
+    pub fn holds(&self) -> bool {
+        self.bound.is_none_or(|bound| self.value <= bound)
+    }
+
+    /// One line of output.
+    pub fn to_json(&self, scenario: FleetScenario, size: FleetSize, seed: u64) -> Value {
+        json!({
+            "scenario": scenario.name,
+            "deployment": size.name,
+            "seed": seed,
+            "measure": self.measure,
+            "value": self.value,
+            "unit": self.unit,
+            "baseline": self.baseline,
+            "bound": self.bound,
+            "ok": self.holds(),
+        })
+    }
+}
+
+/// Runs a scenario from a seed.
+pub fn run(scenario: FleetScenario, size: FleetSize, seed: u64) -> Vec<FleetCheck> {
+    let catalog = scenarios::catalog(size);
+    let load = LoadPlan {
+        streams: scenarios::load(scenario, size),
+        seed,
+    };
+    let mut naive = NaiveFleet::new(&catalog, load.clone());
+    naive.run(scenario.end_us);
+    let mut fleet = CoreFleet::new(size.routers, catalog, load, seed);
+    fleet.begin_load();
+    let draw = seed.wrapping_mul(0x9E37_79B9_7F4A_7C15).rotate_left(17);
+    for (at, fault) in scenarios::faults(scenario, draw) {
+        fleet.plan(at, fault);
+    }
+    fleet.run(scenario.end_us);
+    let mut checks = invariants(&fleet);
+    checks.extend(policies(scenario, &fleet.tally, &naive.tally));
+    checks.extend(costs(&fleet.tally));
+    checks
+}
+
+#[allow(clippy::cast_precision_loss)]
+fn invariants(fleet: &CoreFleet) -> Vec<FleetCheck> {
+    let tally = &fleet.tally;
+    let newest = fleet.revisions().into_iter().max().unwrap_or(0);
+    let revisions = fleet.revisions().into_iter();
+    let behind = revisions.filter(|revision| *revision < newest).count();
+    let lost = tally.unended().saturating_sub(fleet.open_calls());
+    let counts = [
+        ("doubled", tally.doubled(), "requests"),
+        ("false_not_run", tally.false_not_run(), "requests"),
+        ("cut", tally.ended_twice(), "requests"),
+        ("lost", lost, "requests"),
+        ("config_reverts", behind, "routers"),
+    ];
+    counts
+        .into_iter()
+        .map(|(measure, count, unit)| FleetCheck {
+            measure,
+            value: count as f64,
+            unit,
+            baseline: Some(0.0),
+            bound: Some(0.0),
+        })
+        .collect()
+}
+
+fn policies(scenario: FleetScenario, ours: &FleetTally, naive: &FleetTally) -> Vec<FleetCheck> {
+    let check = |measure, unit, read: &dyn Fn(&FleetTally) -> f64, bound| FleetCheck {
+        measure,
+        value: read(ours),
+        unit,
+        baseline: Some(read(naive)),
+        bound,
+    };
+    let loss_bound = scenario.keeps_capacity.then_some(LOSS_BOUND);
+    let gap_bound = Some(scenario.gap_bound);
+    vec![
+        check(
+            "fairness_gap",
+            "units/share",
+            &FleetTally::fairness_gap,
+            gap_bound,
+        ),
+        check(
+            "utilisation_loss",
+            "of capacity",
+            &FleetTally::utilisation_loss,
+            loss_bound,
+        ),
+        check("utilisation", "of capacity", &FleetTally::utilisation, None),
+        check("max_wait", "s", &FleetTally::max_wait, None),
+        check(
+            "query_wait_p99",
+            "s",
+            &|tally| tally.late_wait("query"),
+            None,
+        ),
+        check("tag_wait_p99", "s", &|tally| tally.late_wait("tag"), None),
+    ]
+}
+
+#[allow(clippy::cast_precision_loss)]
+fn costs(ours: &FleetTally) -> Vec<FleetCheck> {
+    let rows = [
+        (
+            "control_bytes_per_s",
+            ours.control_bytes_per_s(),
+            "B/s",
+            Some(CONTROL_BOUND),
+        ),
+        ("unknown_share", ours.unknown_share(), "of requests", None),
+        (
+            "retry_amplification",
+            ours.amplification(),
+            "attempts/request",
+            Some(RETRY_BOUND),
+        ),
+        (
+            "late_dispatch_to_leaving",
+            ours.late_dispatch(),
+            "s",
+            Some(LEAVING_BOUND),
+        ),
+        (
+            "endpoints_crashed",
+            ours.endpoints_crashed() as f64,
+            "endpoints",
+            None,
+        ),
+        ("whole", ours.whole() as f64, "requests", None),
+        ("refused", ours.refused() as f64, "requests", None),
+        ("event_cost", ours.event_micros(), "us", None),
+    ];
+    rows.into_iter()
+        .map(|(measure, value, unit, bound)| FleetCheck {
+            measure,
+            value,
+            unit,
+            baseline: None,
+            bound,
+        })
+        .collect()
+}
--- /dev/null
+++ b/examples/measure/faults.rs
@@ -0,0 +1,169 @@
+//! What goes wrong in a run, or is done by operators, and how the fleet is made to feel it.
+
+use std::sync::Arc;
+
+use verbenaturn::catalog::FleetCatalog;
+use verbenaturn::core::action::RunOutcome;
+use verbenaturn::core::event::AttemptOutcome;
+use verbenaturn::core::event::CoreEvent;
+use verbenaturn::units::AttemptNumber;
+use verbenaturn::units::RequestId;
+
+use super::fleet::CoreFleet;
+use super::fleet::Seat;
+use super::fleet::host;
+
+/// What can go wrong, or be done by operators, at a moment of a scenario.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum FleetFault {
+    /// Routers below this index no longer reach the others.
+    Part(usize),
+    /// All reach all again.
+    Heal,
+    /// A router restarts with nothing in memory.
+    Restart(usize),
+    /// A router sees and does nothing for so many milliseconds.
+    Pause(usize, u64),
+    /// An endpoint is on the host list as leaving, at all routers but this one.
+    Leave(usize, usize),
+    /// An endpoint loses all that it runs.
+    Crash(usize),
+    /// A publication with this revision and all shares times this factor for odd teams.
+    Publish(u64, u32),
+    /// Parts per thousand of messages that are lost, and as many doubled.
+    Noise(u32),
+}
+
+impl CoreFleet {
+    pub(super) fn fault(&mut self, fault: FleetFault) {
+        match fault {
+            FleetFault::Part(cut) => self.part(cut),
+            FleetFault::Heal => self.heal(),
+            FleetFault::Restart(seat) => self.restart(seat),
+            FleetFault::Pause(seat, millis) => {
+                self.seats[seat].wakes_at = self.now + millis * 1_000;
+            }
+            FleetFault::Leave(place, deaf) => self.leave(place, deaf),
+            FleetFault::Crash(place) => self.crash(place),
+            FleetFault::Publish(revision, factor) => self.publish(revision, factor),
+            FleetFault::Noise(per_mille) => self.noise = per_mille,
+        }
+    }
+
+    fn part(&mut self, cut: usize) {
+        self.parted = Some(cut);
+        for left in 0..cut {
+            for right in cut..self.seats.len() {
+                self.tell(left, CoreEvent::PeerClosed { host: host(right) });
+                self.tell(right, CoreEvent::PeerClosed { host: host(left) });
+            }
+        }
+    }
+
+    fn heal(&mut self) {
+        self.parted = None;
+        for left in 0..self.seats.len() {
+            for right in 0..self.seats.len() {
+                self.open(left, right);
+            }
+        }
+    }
+
+    fn restart(&mut self, seat: usize) {
+        let life = self.seats[seat].life;
+        let core = self.make_core(seat, life + 1);
+        self.seats[seat] = Seat {
+            core,
+            life: life + 1,
+            wakes_at: 0,
+        };
+        let runs: Vec<_> = self
+            .running
+            .keys()
+            .filter(|key| (key.0, key.1) == (seat, life))
+            .copied()
+            .collect();
+        for key in runs {
+            let run = self.running.remove(&key).expect("just listed");
+            self.tally.stops(run.endpoint);
+        }
+        let calls: Vec<_> = self
+            .calls
+            .keys()
+            .filter(|key| (key.0, key.1) == (seat, life))
+            .copied()
+            .collect();
+        for key in calls {
+            let call = self.calls.remove(&key).expect("just listed");
+            self.close(call, RunOutcome::Unknown, false);
+        }
+        for other in 0..self.seats.len() {
+            if other != seat {
+                self.tell(other, CoreEvent::PeerClosed { host: host(seat) });
+            }
+        }
+        self.begin(seat);
+    }
+
+    fn leave(&mut self, place: usize, deaf: usize) {
+        let endpoint = self.names[place];
+        self.left.push((endpoint, self.now));
+        self.tally.closes(endpoint);
+        for seat in (0..self.seats.len()).filter(|seat| *seat != deaf) {
+            let leaving = vec![(endpoint, 1)];
+            self.tell(
+                seat,
+                CoreEvent::HostsListed {
+                    routers: Vec::new(),
+                    leaving,
+                },
+            );
+        }
+    }
+
+    fn crash(&mut self, place: usize) {
+        let endpoint = self.names[place];
+        self.tally.crashed(endpoint);
+        let runs: Vec<_> = self
+            .running
+            .iter()
+            .filter(|(_, run)| run.endpoint == endpoint)
+            .map(|(key, _)| *key)
+            .collect();
+        for (seat, life, request) in runs {
+            let attempt = self.attempt_of(seat, request);
+            self.end(
+                seat,
+                life,
+                request,
+                attempt,
+                AttemptOutcome::LostBeforeAnswer,
+            );
+        }
+    }
+
+    fn attempt_of(&self, seat: usize, request: RequestId) -> AttemptNumber {
+        let entry = self.seats[seat].core.state().requests.get(request);
+        AttemptNumber(entry.map_or(0, |entry| entry.attempts))
+    }
+
+    fn publish(&mut self, revision: u64, factor: u32) {
+        let mut catalog = FleetCatalog::clone(&self.catalog);
+        catalog.revision.0 = revision;
+        for (team, entry) in &mut catalog.teams {
+            if team.0 % 2 == 1 {
+                entry.share.0 *= factor;
+            }
+        }
+        let catalog = Arc::new(catalog);
+        if catalog.revision > self.catalog.revision {
+            self.tally.shares_changed(&catalog);
+            self.catalog = Arc::clone(&catalog);
+        }
+        for seat in 0..self.seats.len() {
+            let text = bytes::Bytes::new();
+            let catalog = Arc::clone(&catalog);
+            self.tell(seat, CoreEvent::Published { catalog, text });
+        }
+    }
+}
--- /dev/null
+++ b/examples/measure/fleet.rs
@@ -0,0 +1,534 @@
+//! The real decision cores joined by one queue of messages, with a fake clock and endpoints of
+//! a few lines each. The queue delivers, delays, drops and doubles; nothing else is modelled.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::collections::BinaryHeap;
+use std::sync::Arc;
+
+use prost::Message;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use verbenaturn::catalog::FleetCatalog;
+use verbenaturn::configs::CoreConfig;
+use verbenaturn::core::RouterCore;
+use verbenaturn::core::RouterIdentity;
+use verbenaturn::core::action::CoreAction;
+use verbenaturn::core::action::RunOutcome;
+use verbenaturn::core::event::AttemptOutcome;
+use verbenaturn::core::event::CoreEvent;
+use verbenaturn::core::event::ListedRouter;
+use verbenaturn::core::event::RepeatRule;
+use verbenaturn::core::event::RequestFacts;
+use verbenaturn::core::event::TicketName;
+use verbenaturn::units::AttemptNumber;
+use verbenaturn::units::EndpointId;
+use verbenaturn::units::HostName;
+use verbenaturn::units::Moment;
+use verbenaturn::units::RequestFingerprint;
+use verbenaturn::units::RequestId;
+use verbenaturn::units::RouterIncarnation;
+use verbenaturn::units::ServiceUnits;
+use verbenaturn::wire::PeerMessage;
+
+use super::faults::FleetFault;
+use super::load::LoadPlan;
+use super::tally::FleetTally;
+
+/// Microseconds between ticks of a core.
+const TICK_US: u64 = 5_000;
+/// Microseconds between progress events of a running attempt.
+const PROGRESS_US: u64 = 250_000;
+/// Bytes of framing around a control message.
+const FRAME_BYTES: u64 = 8;
+
+enum Item {
+    Tick(usize, u64),
+    Deliver(usize, usize, u64, Box<PeerMessage>),
+    Call(u64, usize, Option<TicketName>),
+    Progress(usize, u64, RequestId, AttemptNumber),
+    Done(usize, u64, RequestId, AttemptNumber),
+    Fault(FleetFault),
+}
+
+pub(super) struct Running {
+    call: u64,
+    pub(super) endpoint: EndpointId,
+    since: u64,
+    until: u64,
+    seen: u64,
+    cost: u64,
+}
+
+/// One router.
+pub(super) struct Seat {
+    pub(super) core: RouterCore,
+    pub(super) life: u64,
+    pub(super) wakes_at: u64,
+}
+
+/// The cores, the queue and the endpoints.
+pub struct CoreFleet {
+    /// What was counted.
+    pub tally: FleetTally,
+    pub(super) seats: Vec<Seat>,
+    queue: BinaryHeap<Reverse<(u64, u64)>>,
+    items: BTreeMap<u64, Item>,
+    order: u64,
+    pub(super) now: u64,
+    random: StdRng,
+    pub(super) catalog: Arc<FleetCatalog>,
+    pub(super) names: Vec<EndpointId>,
+    load: LoadPlan,
+    pub(super) calls: BTreeMap<(usize, u64, RequestId), u64>,
+    pub(super) running: BTreeMap<(usize, u64, RequestId), Running>,
+    next_request: u64,
+    pub(super) parted: Option<usize>,
+    pub(super) noise: u32,
+    latency: u64,
+    pub(super) left: Vec<(EndpointId, u64)>,
+    tickets: BTreeMap<u64, TicketName>,
+    seed: u64,
+}
+
+pub(super) fn host(index: usize) -> HostName {
+    format!("host-{index}").parse().expect("a plain name")
+}
+
+impl CoreFleet {
+    /// A fleet of `routers` cores that serve `load` with `catalog`.
+    pub fn new(routers: usize, catalog: FleetCatalog, load: LoadPlan, seed: u64) -> Self {
+        let names = catalog.endpoints.keys().copied().collect();
+        let mut fleet = Self {
+            tally: FleetTally::new(&catalog, routers),
+            seats: Vec::new(),
+            queue: BinaryHeap::new(),
+            items: BTreeMap::new(),
+            order: 0,
+            now: 0,
+            random: StdRng::seed_from_u64(seed),
+            catalog: Arc::new(catalog),
+            names,
+            load,
+            calls: BTreeMap::new(),
+            running: BTreeMap::new(),
+            next_request: 0,
+            parted: None,
+            noise: 0,
+            latency: 500,
+            left: Vec::new(),
+            tickets: BTreeMap::new(),
+            seed,
+        };
+        for index in 0..routers {
+            let core = fleet.make_core(index, 1);
+            fleet.seats.push(Seat {
+                core,
+                life: 1,
+                wakes_at: 0,
+            });
+        }
+        for index in 0..routers {
+            fleet.begin(index);
+        }
+        fleet
+    }
+
+    pub(super) fn make_core(&self, index: usize, life: u64) -> RouterCore {
+        let number = index as u64;
+        let identity = RouterIdentity {
+            host: host(index),
+            incarnation: RouterIncarnation(self.seed << 20 | number << 8 | life),
+            domain: format!("domain-{}", index % 3)
+                .parse()
+                .expect("a plain name"),
+            address: format!("127.0.0.1:{}", 7_000 + index).into(),
+        };
+        RouterCore::new(
+            identity,
+            CoreConfig::default(),
+            self.seed ^ number << 32 ^ life,
+        )
+    }
+
+    pub(super) fn begin(&mut self, index: usize) {
+        let routers = (0..self.seats.len())
+            .map(|other| ListedRouter {
+                host: host(other),
+                address: format!("127.0.0.1:{}", 7_000 + other).into(),
+                domain: format!("domain-{}", other % 3)
+                    .parse()
+                    .expect("a plain name"),
+                leaving: false,
+            })
+            .collect();
+        let leaving = Vec::new();
+        self.tell(index, CoreEvent::HostsListed { routers, leaving });
+        let catalog = Arc::clone(&self.catalog);
+        let text = bytes::Bytes::new();
+        self.tell(index, CoreEvent::Published { catalog, text });
+        for other in 0..self.seats.len() {
+            self.open(index, other);
+            self.open(other, index);
+        }
+        let life = self.seats[index].life;
+        let offset = self.random.random_range(0..TICK_US);
+        self.push(self.now + offset, Item::Tick(index, life));
+    }
+
+    pub(super) fn open(&mut self, index: usize, other: usize) {
+        if index != other && self.reach(index, other) {
+            let incarnation = self.seats[other].core.state().identity.incarnation;
+            let opened = CoreEvent::PeerOpened {
+                host: host(other),
+                incarnation,
+            };
+            self.tell(index, opened);
+        }
+    }
+
+    pub(super) fn reach(&self, left: usize, right: usize) -> bool {
+        self.parted.is_none_or(|cut| (left < cut) == (right < cut))
+    }
+
+    fn push(&mut self, at: u64, item: Item) {
+        self.order += 1;
+        self.queue.push(Reverse((at, self.order)));
+        self.items.insert(self.order, item);
+    }
+
+    /// Adds a fault at a moment in microseconds.
+    pub fn plan(&mut self, at: u64, fault: FleetFault) {
+        self.push(at, Item::Fault(fault));
+    }
+
+    /// Adds all first calls of the load plan.
+    pub fn begin_load(&mut self) {
+        for (at, call, router) in self.load.first_calls(self.seats.len()) {
+            self.push(at, Item::Call(call, router, None));
+        }
+    }
+
+    /// Runs until `end` microseconds.
+    pub fn run(&mut self, end: u64) {
+        while let Some(Reverse((at, order))) = self.queue.pop() {
+            if at > end {
+                return;
+            }
+            self.now = at;
+            self.tally.advance(at);
+            let item = self.items.remove(&order).expect("queued items are kept");
+            self.step(item);
+        }
+    }
+
+    fn step(&mut self, item: Item) {
+        let seat = match &item {
+            Item::Tick(seat, _)
+            | Item::Deliver(_, seat, ..)
+            | Item::Call(_, seat, _)
+            | Item::Progress(seat, ..)
+            | Item::Done(seat, ..) => *seat,
+            Item::Fault(_) => usize::MAX,
+        };
+        if let Some(wakes_at) = self.seats.get(seat).map(|seat| seat.wakes_at)
+            && wakes_at > self.now
+        {
+            self.push(wakes_at, item);
+            return;
+        }
+        match item {
+            Item::Tick(seat, life) if self.seats[seat].life == life => {
+                self.tell(seat, CoreEvent::Tick);
+                self.push(self.now + TICK_US, Item::Tick(seat, life));
+            }
+            Item::Tick(..) => {}
+            Item::Deliver(from, to, life, message) => self.deliver(from, to, life, *message),
+            Item::Call(call, seat, ticket) => self.call(call, seat, ticket),
+            Item::Progress(seat, life, request, attempt) => {
+                self.progress(seat, life, request, attempt);
+            }
+            Item::Done(seat, life, request, attempt) => {
+                self.end(seat, life, request, attempt, AttemptOutcome::Whole);
+            }
+            Item::Fault(fault) => self.fault(fault),
+        }
+    }
+
+    fn deliver(&mut self, from: usize, to: usize, life: u64, message: PeerMessage) {
+        if !self.reach(from, to) || self.seats[from].life != life {
+            return;
+        }
+        let incarnation = self.seats[from].core.state().identity.incarnation;
+        let from = host(from);
+        self.tell(
+            to,
+            CoreEvent::Message {
+                from,
+                incarnation,
+                message,
+            },
+        );
+    }
+
+    fn call(&mut self, call: u64, seat: usize, ticket: Option<TicketName>) {
+        let spec = self.load.spec(call);
+        if ticket.is_none() && !self.tickets.contains_key(&call) {
+            self.tally.arrived(call, &spec);
+            let follower = self.load.follower(call, self.seats.len());
+            if let Some((wait, next, router)) = follower
+                && self.load.lasts(call, self.now)
+            {
+                self.push(self.now + wait, Item::Call(next, router, None));
+            }
+        }
+        self.next_request += 1;
+        let request = RequestId(self.next_request);
+        self.calls
+            .insert((seat, self.seats[seat].life, request), call);
+        let repeat = if spec.unrepeatable {
+            RepeatRule::Unrepeatable(ticket)
+        } else {
+            RepeatRule::Repeatable
+        };
+        self.tally.waits(call, &spec, true);
+        self.tell(
+            seat,
+            CoreEvent::Arrived(RequestFacts {
+                request,
+                team: spec.team,
+                kind: spec.kind.clone(),
+                pool: spec.pool,
+                repeat,
+                deadline: Moment(self.now + spec.patience_us),
+                fingerprint: RequestFingerprint(call + 1),
+                prefix: 0,
+                resumable: false,
+            }),
+        );
+    }
+
+    pub(super) fn tell(&mut self, seat: usize, event: CoreEvent) {
+        let started = std::time::Instant::now();
+        let actions = self.seats[seat].core.handle(Moment(self.now), event);
+        self.tally.spent(started.elapsed());
+        for action in actions {
+            self.carry_out(seat, action);
+        }
+    }
+
+    fn carry_out(&mut self, seat: usize, action: CoreAction) {
+        let life = self.seats[seat].life;
+        match action {
+            CoreAction::Send { host: to, message } => self.send(seat, &to, &message),
+            CoreAction::Dispatch {
+                request,
+                attempt,
+                endpoint,
+                ..
+            } => {
+                self.dispatch(seat, request, attempt, endpoint);
+            }
+            CoreAction::Cancel { request, .. } => {
+                if let Some(run) = self.running.remove(&(seat, life, request)) {
+                    self.tally.stops(run.endpoint);
+                }
+            }
+            CoreAction::Complete { request } => self.finish(seat, request, RunOutcome::Ran, true),
+            CoreAction::Refuse {
+                request, outcome, ..
+            } => {
+                self.finish(seat, request, outcome, false);
+            }
+            CoreAction::OfferTicket { request, ticket } => {
+                if let Some(call) = self.calls.remove(&(seat, life, request)) {
+                    self.tally.waits(call, &self.load.spec(call), false);
+                    self.tickets.insert(call, ticket);
+                    let via = self.random.random_range(0..self.seats.len());
+                    self.push(self.now + 2_000, Item::Call(call, via, Some(ticket)));
+                }
+            }
+            CoreAction::Forward { request, host: to } => {
+                let Some(call) = self.calls.remove(&(seat, life, request)) else {
+                    return;
+                };
+                self.tally.waits(call, &self.load.spec(call), false);
+                let ticket = self.tickets.get(&call).copied();
+                let to = self.index_of(&to);
+                self.push(self.now + self.latency, Item::Call(call, to, ticket));
+            }
+            _ => {}
+        }
+    }
+
+    fn index_of(&self, name: &HostName) -> usize {
+        let index = (0..self.seats.len()).find(|index| host(*index) == *name);
+        index.expect("cores name only listed hosts")
+    }
+}
+
+impl CoreFleet {
+    fn send(&mut self, from: usize, to: &HostName, message: &PeerMessage) {
+        let to = self.index_of(to);
+        let bytes = message.encoded_len() as u64 + FRAME_BYTES;
+        self.tally.control(from, bytes);
+        let life = self.seats[from].life;
+        let copies = match self.random.random_range(0..1_000) {
+            draw if draw < self.noise => 0,
+            draw if draw < 2 * self.noise => 2,
+            _ => 1,
+        };
+        for _ in 0..copies {
+            let jitter = self.random.random_range(0..self.latency / 5);
+            let at = self.now + self.latency + jitter;
+            self.push(at, Item::Deliver(from, to, life, Box::new(message.clone())));
+        }
+    }
+
+    fn dispatch(
+        &mut self,
+        seat: usize,
+        request: RequestId,
+        attempt: AttemptNumber,
+        to: EndpointId,
+    ) {
+        let life = self.seats[seat].life;
+        let call = self.calls[&(seat, life, request)];
+        let spec = self.load.spec(call);
+        self.tally.starts(call, &spec, to);
+        if let Some((_, at)) = self.left.iter().find(|(endpoint, _)| *endpoint == to) {
+            self.tally.dispatched_to_leaving(self.now - at);
+        }
+        if spec.poison {
+            self.push(
+                self.now + 50_000,
+                Item::Fault(FleetFault::Crash(self.place_of(to))),
+            );
+        }
+        let crowd = self.tally.crowding(to);
+        let since = self.now + self.latency;
+        let until = since + spec.duration_us * crowd / 100;
+        let run = Running {
+            call,
+            endpoint: to,
+            since,
+            until,
+            seen: 0,
+            cost: spec.cost,
+        };
+        self.running.insert((seat, life, request), run);
+        if until - since > PROGRESS_US {
+            self.push(
+                since + PROGRESS_US,
+                Item::Progress(seat, life, request, attempt),
+            );
+        }
+        self.push(
+            until + self.latency,
+            Item::Done(seat, life, request, attempt),
+        );
+    }
+
+    fn place_of(&self, endpoint: EndpointId) -> usize {
+        let place = self.names.iter().position(|name| *name == endpoint);
+        place.expect("the catalog's endpoints are listed")
+    }
+
+    fn served(&mut self, seat: usize, life: u64, request: RequestId) -> Option<u64> {
+        let run = self.running.get_mut(&(seat, life, request))?;
+        let passed = self.now.clamp(run.since, run.until) - run.since;
+        let so_far = run.cost * passed / (run.until - run.since).max(1);
+        self.tally
+            .serves(&self.load.spec(run.call), so_far - run.seen);
+        run.seen = so_far;
+        Some(so_far)
+    }
+
+    fn progress(&mut self, seat: usize, life: u64, request: RequestId, attempt: AttemptNumber) {
+        let Some(so_far) = self.served(seat, life, request) else {
+            return;
+        };
+        let until = self.running[&(seat, life, request)].until;
+        let service = ServiceUnits(so_far);
+        self.tell(
+            seat,
+            CoreEvent::Progress {
+                request,
+                attempt,
+                service,
+            },
+        );
+        if self.now + PROGRESS_US < until {
+            self.push(
+                self.now + PROGRESS_US,
+                Item::Progress(seat, life, request, attempt),
+            );
+        }
+    }
+
+    pub(super) fn end(
+        &mut self,
+        seat: usize,
+        life: u64,
+        request: RequestId,
+        attempt: AttemptNumber,
+        outcome: AttemptOutcome,
+    ) {
+        let Some(so_far) = self.served(seat, life, request) else {
+            return;
+        };
+        let Some(run) = self.running.remove(&(seat, life, request)) else {
+            return;
+        };
+        self.tally.stops(run.endpoint);
+        if outcome != AttemptOutcome::Whole {
+            self.tally.waits(run.call, &self.load.spec(run.call), true);
+        }
+        if self.seats[seat].life == life {
+            let service = ServiceUnits(so_far);
+            self.tell(
+                seat,
+                CoreEvent::AttemptEnded {
+                    request,
+                    attempt,
+                    outcome,
+                    service,
+                },
+            );
+        }
+    }
+
+    fn finish(&mut self, seat: usize, request: RequestId, outcome: RunOutcome, whole: bool) {
+        let life = self.seats[seat].life;
+        if let Some(call) = self.calls.remove(&(seat, life, request)) {
+            self.close(call, outcome, whole);
+        }
+    }
+
+    /// The caller has its answer or refusal; a closed-loop team sends its next call.
+    pub(super) fn close(&mut self, call: u64, outcome: RunOutcome, whole: bool) {
+        let spec = self.load.spec(call);
+        self.tally.ended(call, &spec, outcome, whole);
+        if !self.load.lasts(call, self.now) {
+            return;
+        }
+        if let Some((wait, next, router)) = self.load.next_call(call, whole, self.seats.len()) {
+            self.push(self.now + wait, Item::Call(next, router, None));
+        }
+    }
+
+    /// Revisions in force at the end, one a router.
+    pub fn revisions(&self) -> Vec<u64> {
+        let seats = self.seats.iter();
+        seats
+            .map(|seat| seat.core.state().catalog.revision.0)
+            .collect()
+    }
+
+    /// Calls that have no answer yet and are still known to a router.
+    pub fn open_calls(&self) -> usize {
+        self.calls.len()
+    }
+}
--- /dev/null
+++ b/examples/measure/tally.rs
@@ -0,0 +1,367 @@
+//! What a run is judged by. The fleet and the naive version fill the same tally.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use verbenaturn::catalog::FleetCatalog;
+use verbenaturn::core::action::RunOutcome;
+use verbenaturn::units::EndpointId;
+use verbenaturn::units::KindName;
+use verbenaturn::units::PoolId;
+use verbenaturn::units::TeamId;
+
+use super::load::CallSpec;
+
+/// Microseconds between samples of service and waiting.
+const SAMPLE_US: u64 = 250_000;
+/// Nothing before this moment counts for gap and utilisation, in microseconds.
+pub const WARM_UP_US: u64 = 2_000_000;
+
+/// One call's life.
+#[derive(Debug, Clone, Default)]
+struct CallLife {
+    arrived: u64,
+    started: Option<u64>,
+    executions: u32,
+    endings: u32,
+    told_not_run: bool,
+    unrepeatable: bool,
+    waiting: bool,
+}
+
+#[derive(Debug, Clone, Default)]
+struct TeamSamples {
+    waiting: i64,
+    normal: f64,
+    samples: Vec<(f64, bool)>,
+}
+
+/// Counts of one run.
+#[derive(Debug, Default)]
+pub struct FleetTally {
+    now: u64,
+    shares: BTreeMap<TeamId, f64>,
+    limits: BTreeMap<EndpointId, i64>,
+    homes: BTreeMap<EndpointId, PoolId>,
+    running: BTreeMap<EndpointId, i64>,
+    waiting: BTreeMap<PoolId, i64>,
+    free: BTreeMap<PoolId, i64>,
+    idle: f64,
+    capacity: f64,
+    busy: f64,
+    calls: BTreeMap<u64, CallLife>,
+    teams: BTreeMap<(PoolId, TeamId), TeamSamples>,
+    sampled: u64,
+    control: Vec<u64>,
+    late: u64,
+    crashes: BTreeMap<EndpointId, u32>,
+    cost: Duration,
+    events: u64,
+    queued: BTreeMap<KindName, Vec<u64>>,
+    refused: u64,
+    unknown: u64,
+    whole: u64,
+    attempts: u64,
+}
+
+fn share_map(catalog: &FleetCatalog) -> BTreeMap<TeamId, f64> {
+    let teams = catalog.teams.iter();
+    teams
+        .map(|(team, entry)| (*team, f64::from(entry.share.0)))
+        .collect()
+}
+
+impl FleetTally {
+    /// An empty tally.
+    pub fn new(catalog: &FleetCatalog, routers: usize) -> Self {
+        let mut tally = Self {
+            shares: share_map(catalog),
+            control: vec![0; routers],
+            ..Self::default()
+        };
+        for (endpoint, entry) in &catalog.endpoints {
+            let slots = i64::from(entry.slots.0);
+            tally.limits.insert(*endpoint, slots);
+            tally.homes.insert(*endpoint, entry.pools[0]);
+            *tally.free.entry(entry.pools[0]).or_default() += slots;
+        }
+        tally
+    }
+
+    /// Shares changed.
+    pub fn shares_changed(&mut self, catalog: &FleetCatalog) {
+        self.shares = share_map(catalog);
+    }
+
+    /// Time passes: idle and used capacity is added up, service is sampled.
+    #[allow(clippy::cast_precision_loss)]
+    pub fn advance(&mut self, now: u64) {
+        let span = (now - self.now) as f64;
+        self.now = now;
+        if now < WARM_UP_US {
+            return;
+        }
+        for (pool, free) in &self.free {
+            let waiting = self.waiting.get(pool).copied().unwrap_or(0);
+            self.idle += span * waiting.min(*free).max(0) as f64;
+        }
+        self.capacity += span * self.limits.values().sum::<i64>() as f64;
+        self.busy += span * self.running.values().sum::<i64>() as f64;
+        while self.sampled + SAMPLE_US <= now {
+            self.sampled += SAMPLE_US;
+            for team in self.teams.values_mut() {
+                team.samples.push((team.normal, team.waiting > 0));
+            }
+        }
+    }
+
+    /// A call came from its caller.
+    pub fn arrived(&mut self, call: u64, spec: &CallSpec) {
+        let life = self.calls.entry(call).or_default();
+        life.arrived = self.now;
+        life.unrepeatable = spec.unrepeatable;
+        let team = self.teams.entry((spec.pool, spec.team)).or_default();
+        if team.samples.is_empty() {
+            let before = self.sampled.saturating_sub(WARM_UP_US) / SAMPLE_US;
+            team.samples = vec![(0.0, false); usize::try_from(before).unwrap_or(0)];
+        }
+    }
+
+    /// A call waits for a slot, or no longer.
+    pub fn waits(&mut self, call: u64, spec: &CallSpec, waits: bool) {
+        let life = self.calls.entry(call).or_default();
+        if life.waiting == waits {
+            return;
+        }
+        life.waiting = waits;
+        let change = if waits { 1 } else { -1 };
+        *self.waiting.entry(spec.pool).or_default() += change;
+        self.teams
+            .entry((spec.pool, spec.team))
+            .or_default()
+            .waiting += change;
+    }
+
+    fn move_running(&mut self, endpoint: EndpointId, change: i64) {
+        let running = self.running.entry(endpoint).or_default();
+        let limit = self.limits.get(&endpoint).copied().unwrap_or(0);
+        let before = (limit - *running).max(0);
+        *running += change;
+        let after = (limit - *running).max(0);
+        if let Some(pool) = self.homes.get(&endpoint) {
+            *self.free.entry(*pool).or_default() += after - before;
+        }
+    }
+
+    /// An endpoint takes no more work, so its free slots are not idle.
+    pub fn closes(&mut self, endpoint: EndpointId) {
+        let running = self.running.get(&endpoint).copied().unwrap_or(0);
+        let limit = self.limits.insert(endpoint, 0).unwrap_or(0);
+        if let Some(pool) = self.homes.get(&endpoint) {
+            *self.free.entry(*pool).or_default() -= (limit - running).max(0);
+        }
+    }
+
+    /// An attempt starts on an endpoint.
+    pub fn starts(&mut self, call: u64, spec: &CallSpec, endpoint: EndpointId) {
+        self.waits(call, spec, false);
+        self.move_running(endpoint, 1);
+        self.attempts += 1;
+        let now = self.now;
+        let life = self.calls.entry(call).or_default();
+        life.executions += 1;
+        if life.started.is_none() {
+            life.started = Some(now);
+            let waited = now - life.arrived;
+            self.queued
+                .entry(spec.kind.clone())
+                .or_default()
+                .push(waited);
+        }
+    }
+
+    /// An attempt is over on an endpoint.
+    pub fn stops(&mut self, endpoint: EndpointId) {
+        self.move_running(endpoint, -1);
+    }
+
+    /// Running over limit, in parts per hundred and at least 100.
+    pub fn crowding(&self, endpoint: EndpointId) -> u64 {
+        let running = self.running.get(&endpoint).copied().unwrap_or(0);
+        let limit = self.limits.get(&endpoint).copied().unwrap_or(1).max(1);
+        u64::try_from(running * 100 / limit).unwrap_or(0).max(100)
+    }
+
+    /// Service was rendered.
+    #[allow(clippy::cast_precision_loss)]
+    pub fn serves(&mut self, spec: &CallSpec, units: u64) {
+        let share = self.shares.get(&spec.team).copied().unwrap_or(1.0);
+        let team = self.teams.entry((spec.pool, spec.team)).or_default();
+        team.normal += units as f64 / share;
+    }
+
+    /// The caller got its end of a call.
+    pub fn ended(&mut self, call: u64, spec: &CallSpec, outcome: RunOutcome, whole: bool) {
+        let life = self.calls.entry(call).or_default();
+        life.endings += 1;
+        life.told_not_run |= outcome == RunOutcome::NotRun;
+        self.waits(call, spec, false);
+        self.whole += u64::from(whole);
+        self.refused += u64::from(!whole && outcome == RunOutcome::NotRun);
+        self.unknown += u64::from(!whole && outcome == RunOutcome::Unknown);
+    }
+
+    /// A router sent so many bytes of control traffic.
+    pub fn control(&mut self, router: usize, bytes: u64) {
+        self.control[router] += bytes;
+    }
+
+    /// New work went to an endpoint this long after it was first said to leave.
+    pub fn dispatched_to_leaving(&mut self, after: u64) {
+        self.late = self.late.max(after);
+    }
+
+    /// An endpoint crashed.
+    pub fn crashed(&mut self, endpoint: EndpointId) {
+        *self.crashes.entry(endpoint).or_default() += 1;
+    }
+
+    /// A core took this long for an event.
+    pub fn spent(&mut self, cost: Duration) {
+        self.cost += cost;
+        self.events += 1;
+    }
+}
+
+#[allow(clippy::cast_precision_loss)]
+impl FleetTally {
+    /// Greatest difference of service over share between two teams over any interval in which
+    /// both had something waiting, in service units per share.
+    pub fn fairness_gap(&self) -> f64 {
+        let mut worst: f64 = 0.0;
+        let rows: Vec<_> = self.teams.iter().collect();
+        for (place, ((pool, _), left)) in rows.iter().enumerate() {
+            for ((other, _), right) in rows.iter().skip(place + 1) {
+                if pool == other {
+                    worst = worst.max(pair_gap(&left.samples, &right.samples));
+                }
+            }
+        }
+        worst
+    }
+
+    /// Part of the capacity that was free while a request that could use it waited.
+    pub fn utilisation_loss(&self) -> f64 {
+        self.idle / self.capacity.max(1.0)
+    }
+
+    /// Part of the capacity that was used.
+    pub fn utilisation(&self) -> f64 {
+        self.busy / self.capacity.max(1.0)
+    }
+
+    /// Control bytes a second of the busiest router.
+    pub fn control_bytes_per_s(&self) -> f64 {
+        let most = self.control.iter().max().copied().unwrap_or(0);
+        most as f64 * 1e6 / self.now.max(1) as f64
+    }
+
+    /// Longest wait for a first start, in seconds.
+    pub fn max_wait(&self) -> f64 {
+        let longest = self.queued.values().flatten().max();
+        longest.copied().unwrap_or(0) as f64 / 1e6
+    }
+
+    /// Wait that 99 in 100 calls of one kind stay under, in seconds.
+    pub fn late_wait(&self, kind: &str) -> f64 {
+        let rows = self.queued.iter().filter(|(row, _)| row.as_str() == kind);
+        let mut waits: Vec<u64> = rows.flat_map(|(_, waits)| waits).copied().collect();
+        waits.sort_unstable();
+        let place = waits.len() * 99 / 100;
+        waits.get(place).copied().unwrap_or(0) as f64 / 1e6
+    }
+
+    /// Unrepeatable calls that ran more than once.
+    pub fn doubled(&self) -> usize {
+        let calls = self.calls.values();
+        calls
+            .filter(|life| life.unrepeatable && life.executions > 1)
+            .count()
+    }
+
+    /// Calls that were told "not run" and had run.
+    pub fn false_not_run(&self) -> usize {
+        let calls = self.calls.values();
+        calls
+            .filter(|life| life.told_not_run && life.executions > 0)
+            .count()
+    }
+
+    /// Calls that got more than one end.
+    pub fn ended_twice(&self) -> usize {
+        self.calls.values().filter(|life| life.endings > 1).count()
+    }
+
+    /// Calls that got no end.
+    pub fn unended(&self) -> usize {
+        self.calls.values().filter(|life| life.endings == 0).count()
+    }
+
+    /// Part of ended calls whose caller was told "unknown".
+    pub fn unknown_share(&self) -> f64 {
+        self.unknown as f64 / self.calls.len().max(1) as f64
+    }
+
+    /// Attempts per call that was started.
+    pub fn amplification(&self) -> f64 {
+        let started = self
+            .calls
+            .values()
+            .filter(|life| life.executions > 0)
+            .count();
+        self.attempts as f64 / started.max(1) as f64
+    }
+
+    /// Longest time after which a leaving endpoint still got new work, in seconds.
+    pub fn late_dispatch(&self) -> f64 {
+        self.late as f64 / 1e6
+    }
+
+    /// Endpoints that crashed.
+    pub fn endpoints_crashed(&self) -> usize {
+        self.crashes.len()
+    }
+
+    /// Mean processor time of an event, in microseconds.
+    pub fn event_micros(&self) -> f64 {
+        self.cost.as_secs_f64() * 1e6 / self.events.max(1) as f64
+    }
+
+    /// Calls answered whole.
+    pub fn whole(&self) -> u64 {
+        self.whole
+    }
+
+    /// Calls refused without having run.
+    pub fn refused(&self) -> u64 {
+        self.refused
+    }
+}
+
+fn pair_gap(left: &[(f64, bool)], right: &[(f64, bool)]) -> f64 {
+    let mut worst: f64 = 0.0;
+    let mut low = f64::INFINITY;
+    let mut high = f64::NEG_INFINITY;
+    for (one, two) in left.iter().zip(right) {
+        if !(one.1 && two.1) {
+            low = f64::INFINITY;
+            high = f64::NEG_INFINITY;
+            continue;
+        }
+        let difference = one.0 - two.0;
+        low = low.min(difference);
+        high = high.max(difference);
+        worst = worst.max(high - low);
+    }
+    worst
+}
