Platform stand-in and tests of the platform's edge when the platform misbehaves

Cause: nothing showed what a router does with a service that hangs, goes back, answers over a megabyte or garbage, or with a file that goes back. Change: an in-process stand-in with counters and switches; seven tests. The first run showed that every read failed: a request builder made with an empty URI keeps that error even when a URI follows.

--- /dev/null
+++ b/examples/shared/platform.rs
@@ -0,0 +1,263 @@
+//! A stand-in of the platform: the configuration service and the host list over HTTP.
+//!
+//! `GET /config` and `GET /hosts` as `verbenaturn::platform::http` reads them, with counters and
+//! switches for the ways in which the real ones fail. Ends when it is dropped.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicI64;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Response;
+use http::StatusCode;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
+use tokio_util::sync::DropGuard;
+use warp::Filter;
+
+/// A published value with its revision.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct PublishedValue {
+    /// The revision.
+    pub revision: u64,
+    /// The text.
+    pub text: Bytes,
+}
+
+/// How the configuration service answers.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub enum ServiceMood {
+    /// As it should.
+    #[default]
+    Well,
+    /// Takes requests and never answers.
+    Hanging,
+    /// Answers everything with this older value.
+    Old(PublishedValue),
+    /// Answers with this many bytes.
+    Oversized(usize),
+    /// Answers with bytes that are no publication, under a new revision.
+    Garbage,
+    /// Answers with this status.
+    Failing(u16),
+}
+
+#[derive(Debug, Clone, Default)]
+struct PlatformState {
+    config: PublishedValue,
+    hosts: Bytes,
+    mood: ServiceMood,
+}
+
+#[derive(Debug, Default)]
+struct CallCounters {
+    config_calls: AtomicU64,
+    hosts_calls: AtomicU64,
+    open_watches: AtomicI64,
+}
+
+/// The stand-in.
+#[derive(Debug)]
+pub struct StandinPlatform {
+    address: SocketAddr,
+    state: watch::Sender<PlatformState>,
+    counters: Arc<CallCounters>,
+    _stop: DropGuard,
+}
+
+impl StandinPlatform {
+    /// Starts on a free loopback port, or on `address`.
+    ///
+    /// # Errors
+    /// When the address can't be had.
+    pub async fn start(address: Option<SocketAddr>) -> std::io::Result<Self> {
+        let wanted = address.unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 0)));
+        let listener = TcpListener::bind(wanted).await?;
+        let address = listener.local_addr()?;
+        let (state, reader) = watch::channel(PlatformState::default());
+        let counters = Arc::new(CallCounters::default());
+        let stop = CancellationToken::new();
+        let routes = routes(reader, Arc::clone(&counters));
+        let stopped = stop.clone().cancelled_owned();
+        tokio::spawn(async move {
+            tokio::select! {
+                () = warp::serve(routes).incoming(listener).run() => {}
+                () = stopped => {}
+            }
+        });
+        Ok(Self {
+            address,
+            state,
+            counters,
+            _stop: stop.drop_guard(),
+        })
+    }
+
+    /// The configuration service's URL.
+    #[must_use]
+    pub fn config_url(&self) -> String {
+        format!("http://{}/config", self.address)
+    }
+
+    /// The host list's URL.
+    #[must_use]
+    pub fn hosts_url(&self) -> String {
+        format!("http://{}/hosts", self.address)
+    }
+
+    /// Publishes a text under the next revision, which is returned.
+    pub fn publish(&self, text: impl Into<Bytes>) -> u64 {
+        let text = text.into();
+        let mut revision = 0;
+        self.state.send_modify(|state| {
+            state.config.revision += 1;
+            state.config.text = text;
+            revision = state.config.revision;
+        });
+        revision
+    }
+
+    /// Replaces the host list.
+    pub fn list_hosts(&self, text: impl Into<Bytes>) {
+        let text = text.into();
+        self.state.send_modify(|state| state.hosts = text);
+    }
+
+    /// Makes the configuration service fail, or get well.
+    pub fn set_mood(&self, mood: ServiceMood) {
+        self.state.send_modify(|state| state.mood = mood);
+    }
+
+    /// Calls of the configuration service so far, reads and watches.
+    #[must_use]
+    pub fn config_calls(&self) -> u64 {
+        self.counters.config_calls.load(Ordering::Relaxed)
+    }
+
+    /// Reads of the host list so far.
+    #[must_use]
+    pub fn hosts_calls(&self) -> u64 {
+        self.counters.hosts_calls.load(Ordering::Relaxed)
+    }
+
+    /// Watches that wait now.
+    #[must_use]
+    pub fn open_watches(&self) -> i64 {
+        self.counters.open_watches.load(Ordering::Relaxed)
+    }
+}
+
+fn routes(
+    state: watch::Receiver<PlatformState>,
+    counters: Arc<CallCounters>,
+) -> impl Filter<Extract = (Response<Bytes>,), Error = warp::Rejection> + Clone + Send + Sync {
+    let shared = warp::any().map(move || (state.clone(), Arc::clone(&counters)));
+    let config = warp::path("config")
+        .and(warp::path::end())
+        .and(warp::header::optional::<String>("if-none-match"))
+        .and(warp::header::optional::<String>("prefer"))
+        .and(shared.clone())
+        .then(answer_config);
+    let hosts = warp::path("hosts")
+        .and(warp::path::end())
+        .and(shared)
+        .map(answer_hosts);
+    warp::get().and(config.or(hosts).unify())
+}
+
+type SharedState = (watch::Receiver<PlatformState>, Arc<CallCounters>);
+
+async fn answer_config(
+    tag: Option<String>,
+    prefer: Option<String>,
+    (mut state, counters): SharedState,
+) -> Response<Bytes> {
+    counters.config_calls.fetch_add(1, Ordering::Relaxed);
+    let known = tag.and_then(|tag| tag.trim_matches('"').parse::<u64>().ok());
+    let wait = prefer
+        .and_then(|text| text.strip_prefix("wait=")?.parse().ok())
+        .map_or(Duration::ZERO, Duration::from_secs);
+    let _open = OpenWatch::new(known.is_some(), counters);
+    let news = timeout(wait, state.wait_for(|state| is_news(state, known)));
+    let timed_out = news.await.is_err();
+    if state.has_changed().is_err() {
+        return status(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    if timed_out && known.is_some() {
+        return status(StatusCode::NOT_MODIFIED);
+    }
+    let state = state.borrow().clone();
+    answer_by_mood(state, known).await
+}
+
+/// A watch that waits, counted while it does.
+struct OpenWatch(Option<Arc<CallCounters>>);
+
+impl OpenWatch {
+    fn new(counted: bool, counters: Arc<CallCounters>) -> Self {
+        if counted {
+            counters.open_watches.fetch_add(1, Ordering::Relaxed);
+        }
+        Self(counted.then_some(counters))
+    }
+}
+
+impl Drop for OpenWatch {
+    fn drop(&mut self) {
+        if let Some(counters) = &self.0 {
+            counters.open_watches.fetch_sub(1, Ordering::Relaxed);
+        }
+    }
+}
+
+fn is_news(state: &PlatformState, known: Option<u64>) -> bool {
+    match state.mood {
+        ServiceMood::Well => known != Some(state.config.revision),
+        _ => true,
+    }
+}
+
+async fn answer_by_mood(state: PlatformState, known: Option<u64>) -> Response<Bytes> {
+    let next = known.unwrap_or(state.config.revision) + 1;
+    match state.mood {
+        ServiceMood::Well if state.config.revision == 0 => status(StatusCode::NOT_FOUND),
+        ServiceMood::Well => value(&state.config),
+        ServiceMood::Hanging => std::future::pending().await,
+        ServiceMood::Old(config) => value(&config),
+        ServiceMood::Oversized(bytes) => value(&PublishedValue {
+            revision: next,
+            text: Bytes::from(vec![b' '; bytes]),
+        }),
+        ServiceMood::Garbage => value(&PublishedValue {
+            revision: next,
+            text: Bytes::from_static(b"<html>\xff not json"),
+        }),
+        ServiceMood::Failing(code) => {
+            status(StatusCode::from_u16(code).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR))
+        }
+    }
+}
+
+fn value(config: &PublishedValue) -> Response<Bytes> {
+    let mut answer = Response::new(config.text.clone());
+    if let Ok(tag) = format!("\"{}\"", config.revision).parse() {
+        answer.headers_mut().insert(http::header::ETAG, tag);
+    }
+    answer
+}
+
+fn answer_hosts((state, counters): SharedState) -> Response<Bytes> {
+    counters.hosts_calls.fetch_add(1, Ordering::Relaxed);
+    Response::new(state.borrow().hosts.clone())
+}
+
+fn status(status: StatusCode) -> Response<Bytes> {
+    let mut answer = Response::new(Bytes::new());
+    *answer.status_mut() = status;
+    answer
+}
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -169,7 +169,7 @@
     async fn read(&self) -> Result<ConfigText, Report<PlatformError>> {
         let step = PlatformStep::ReadConfig;
         let limit = self.reader.timeout;
-        let request = Request::get("");
+        let request = Request::builder();
         let answer = self
             .reader
             .get(step, request, limit, MAX_PUBLICATION_BYTES)
@@ -183,7 +183,7 @@
     ) -> Result<Option<ConfigText>, Report<PlatformError>> {
         let step = PlatformStep::WatchConfig;
         let start = Instant::now();
-        let request = Request::get("")
+        let request = Request::builder()
             .header(IF_NONE_MATCH, format!("\"{after}\""))
             .header(PREFER, format!("wait={}", self.hold.as_secs()));
         let limit = self.hold + self.reader.timeout;
@@ -233,7 +233,7 @@
         let limit = self.reader.timeout;
         let answer = self
             .reader
-            .get(step, Request::get(""), limit, MAX_HOSTS_BYTES)
+            .get(step, Request::builder(), limit, MAX_HOSTS_BYTES)
             .await?;
         if answer.status() != StatusCode::OK {
             return Err(self.reader.status(step, answer.status()));
--- /dev/null
+++ b/tests/platform.rs
@@ -0,0 +1,219 @@
+//! The platform's edge when the platform misbehaves.
+
+#[allow(dead_code)]
+#[path = "../examples/shared/platform.rs"]
+mod standin;
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+use verbenaturn::platform::ConfigSource;
+use verbenaturn::platform::HostSource;
+use verbenaturn::platform::PlatformFault;
+use verbenaturn::platform::file::FileConfigSource;
+use verbenaturn::platform::follow::ConfigNews;
+use verbenaturn::platform::follow::WatchOrder;
+use verbenaturn::platform::follow::follow_config;
+use verbenaturn::platform::http::HttpConfigSource;
+use verbenaturn::platform::http::HttpHostSource;
+use verbenaturn::publication::MAX_PUBLICATION_BYTES;
+use verbenaturn::settings::PlatformTiming;
+use verbenaturn::units::ConfigRevision;
+
+use crate::standin::PublishedValue;
+use crate::standin::ServiceMood;
+use crate::standin::StandinPlatform;
+
+fn quick() -> PlatformTiming {
+    PlatformTiming {
+        watch_s: 1,
+        timeout_ms: 300,
+        retry_ms: 40,
+        file_poll_ms: 20,
+        hosts_poll_ms: 50,
+    }
+}
+
+async fn standin() -> (StandinPlatform, HttpConfigSource) {
+    let platform = StandinPlatform::start(None).await.unwrap();
+    let source = HttpConfigSource::new(&platform.config_url(), &quick());
+    (platform, source)
+}
+
+async fn open_watches(platform: &StandinPlatform, count: i64) {
+    while platform.open_watches() != count {
+        sleep(Duration::from_millis(2)).await;
+    }
+}
+
+fn value(revision: u64, text: &str) -> PublishedValue {
+    PublishedValue {
+        revision,
+        text: text.to_owned().into(),
+    }
+}
+
+#[tokio::test]
+async fn a_watch_brings_the_next_publication() {
+    let (platform, source) = standin().await;
+    let fault = source.read().await.unwrap_err();
+    assert_eq!(fault.current_context().fault, PlatformFault::Status(404));
+    platform.publish("{}");
+    let first = source.read().await.unwrap();
+    assert_eq!(first.revision, ConfigRevision(1));
+    let (news, _) = tokio::join!(source.watch(first.revision), async {
+        open_watches(&platform, 1).await;
+        platform.publish("{ }")
+    });
+    let news = news.unwrap().unwrap();
+    assert_eq!(news.revision, ConfigRevision(2));
+    assert_eq!(&news.text[..], b"{ }");
+    assert_eq!(source.watch(news.revision).await.unwrap(), None);
+    assert_eq!(platform.config_calls(), 4);
+}
+
+// The configuration service takes the connection and never answers. Without a limit of its own
+// the router would wait for ever and stay on its old publication after the service is well again.
+#[tokio::test]
+async fn a_hanging_service_is_given_up() {
+    let (platform, source) = standin().await;
+    platform.publish("{}");
+    platform.set_mood(ServiceMood::Hanging);
+    let read = source.read().await.unwrap_err();
+    assert_eq!(read.current_context().fault, PlatformFault::TimedOut);
+    let watch = source.watch(ConfigRevision(1)).await.unwrap_err();
+    assert_eq!(watch.current_context().fault, PlatformFault::TimedOut);
+    platform.set_mood(ServiceMood::Well);
+    assert!(source.read().await.is_ok());
+}
+
+// A replica of the service that lags answers a watch with a revision from before. Taken for news
+// it would bring back shares that operators have changed since.
+#[tokio::test]
+async fn an_older_revision_is_no_news() {
+    let (platform, source) = standin().await;
+    platform.set_mood(ServiceMood::Old(value(3, "{}")));
+    let fault = source.watch(ConfigRevision(5)).await.unwrap_err();
+    let old = PlatformFault::OldRevision {
+        came: ConfigRevision(3),
+        seen: ConfigRevision(5),
+    };
+    assert_eq!(fault.current_context().fault, old);
+    assert_eq!(source.watch(ConfigRevision(3)).await.unwrap(), None);
+}
+
+#[tokio::test]
+async fn a_value_over_a_megabyte_is_not_read() {
+    let (platform, source) = standin().await;
+    platform.set_mood(ServiceMood::Oversized(MAX_PUBLICATION_BYTES + 1));
+    let fault = source.read().await.unwrap_err();
+    let too_large = PlatformFault::TooLarge(MAX_PUBLICATION_BYTES);
+    assert_eq!(fault.current_context().fault, too_large);
+    platform.set_mood(ServiceMood::Oversized(MAX_PUBLICATION_BYTES));
+    assert_eq!(
+        source.read().await.unwrap().text.len(),
+        MAX_PUBLICATION_BYTES
+    );
+}
+
+#[tokio::test]
+async fn host_lists_with_faults_name_them() {
+    let (platform, _) = standin().await;
+    let source = HttpHostSource::new(&platform.hosts_url(), &quick());
+    platform.list_hosts(r#"{"routers": [{"host": "a", "address": "b", "domain": "c"}]}"#);
+    let fault = source.read().await.unwrap_err();
+    assert!(fault.to_string().contains("routers.0.address"), "{fault}");
+    platform.list_hosts(r#"{"endpoints": [{"name": "e", "leaving": true}]}"#);
+    assert_eq!(source.read().await.unwrap().endpoints.len(), 1);
+}
+
+// The service answers with a broken value, then hangs, then gets well. The router must read on
+// through all of it, must not read a refused value again and again, and must leave the service
+// alone once a peer watches in its place.
+#[tokio::test]
+async fn following_survives_a_service_that_fails() {
+    let (platform, source) = standin().await;
+    platform.publish("{}");
+    let (order, orders) = watch::channel(WatchOrder {
+        on: true,
+        after: ConfigRevision(0),
+    });
+    let (sender, mut news) = mpsc::channel(8);
+    let cancel = CancellationToken::new();
+    let task = tokio::spawn(follow_config(
+        source,
+        quick(),
+        orders,
+        sender,
+        cancel.clone(),
+    ));
+    let ConfigNews::Newer(first) = news.recv().await.unwrap() else {
+        panic!("the first read failed");
+    };
+    assert_eq!(first.revision, ConfigRevision(1));
+    platform.set_mood(ServiceMood::Failing(503));
+    while !matches!(news.recv().await.unwrap(), ConfigNews::Failed(_)) {}
+    platform.set_mood(ServiceMood::Well);
+    platform.publish("{ }");
+    let second = loop {
+        if let ConfigNews::Newer(text) = news.recv().await.unwrap() {
+            break text;
+        }
+    };
+    assert_eq!(second.revision, ConfigRevision(2));
+    open_watches(&platform, 1).await;
+    order.send_modify(|order| order.on = false);
+    open_watches(&platform, 0).await;
+    let calls = platform.config_calls();
+    platform.publish("{  }");
+    order.send_replace(WatchOrder {
+        on: true,
+        after: ConfigRevision(3),
+    });
+    open_watches(&platform, 1).await;
+    assert_eq!(platform.config_calls(), calls + 1);
+    assert!(news.try_recv().is_err(), "a publication that peers brought");
+    cancel.cancel();
+    task.await.unwrap();
+}
+
+fn scratch_file(name: &str) -> PathBuf {
+    PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name)
+}
+
+// At a small site an operator restores an old copy of the file, or edits it and leaves the
+// revision. Routers that restart take it for the newest while the others keep what they have:
+// the fleet runs on two publications. So the file is refused until its revision grows.
+#[tokio::test]
+async fn a_file_that_goes_back_is_refused() {
+    let path = scratch_file("goes-back.json");
+    let write = |text: &str| std::fs::write(&path, text).unwrap();
+    write(r#"{"revision": 5}"#);
+    let source = FileConfigSource::new(path.clone(), &quick());
+    assert_eq!(source.read().await.unwrap().revision, ConfigRevision(5));
+    assert_eq!(source.watch(ConfigRevision(5)).await.unwrap(), None);
+    write(r#"{"revision": 4}"#);
+    let fault = source.watch(ConfigRevision(5)).await.unwrap_err();
+    let old = PlatformFault::OldRevision {
+        came: ConfigRevision(4),
+        seen: ConfigRevision(5),
+    };
+    assert_eq!(fault.current_context().fault, old);
+    write(r#"{"revision": 5, "teams": {}}"#);
+    let fault = source.watch(ConfigRevision(5)).await.unwrap_err();
+    let same = PlatformFault::SameRevision(ConfigRevision(5));
+    assert_eq!(fault.current_context().fault, same);
+    write(r#"{"teams": {}}"#);
+    let fault = source.read().await.unwrap_err();
+    assert_eq!(fault.current_context().fault, PlatformFault::NoRevision);
+    write(r#"{"revision": 6, "te"#);
+    let fault = source.read().await.unwrap_err();
+    assert!(fault.to_string().contains("line 1"), "{fault}");
+    write(r#"{"revision": 6}"#);
+    let news = source.watch(ConfigRevision(5)).await.unwrap();
+    assert_eq!(news.unwrap().revision, ConfigRevision(6));
+}
