--- a/examples/measure/fleet.rs
+++ b/examples/measure/fleet.rs
@@ -306,7 +306,7 @@
                 fingerprint: RequestFingerprint(call + 1),
                 prefix: 0,
                 resumable: false,
-            forwarded: false,
+                forwarded: false,
             }),
         );
     }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -11,6 +11,10 @@
 use tokio::sync::watch;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
+
+use crate::standin::PublishedValue;
+use crate::standin::ServiceMood;
+use crate::standin::StandinPlatform;
 use verbenaturn::platform::ConfigSource;
 use verbenaturn::platform::HostSource;
 use verbenaturn::platform::PlatformFault;
@@ -24,10 +28,6 @@
 use verbenaturn::settings::PlatformTiming;
 use verbenaturn::units::ConfigRevision;
 
-use crate::standin::PublishedValue;
-use crate::standin::ServiceMood;
-use crate::standin::StandinPlatform;
-
 fn quick() -> PlatformTiming {
     PlatformTiming {
         watch_s: 1,
