Connections between routers: handshake with key proof, authenticated frames, forwarded requests

Cause: routers had no way to speak; a stranger on the network must not join, forward or read. Change: src/peers (listener, dialer, mutual key proof bound to nonces, sides and the TLS connection, a tag on each frame, optional mutual TLS, bounded queues, redial with jitter, bytes by kind) and one connection a forwarded request, so TCP carries back-pressure.

--- a/src/configs/mod.rs
+++ b/src/configs/mod.rs
@@ -4,6 +4,7 @@
 pub mod attempts;
 pub mod dispatch;
 pub mod ownership;
+pub mod peers;
 pub mod reporting;
 pub mod tickets;
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod configs;
 pub mod core;
 pub mod document;
+pub mod peers;
 pub mod platform;
 pub mod publication;
 pub mod settings;
--- /dev/null
+++ b/src/peers/forward.rs
@@ -0,0 +1,348 @@
+//! Forwarding a request to a peer and reading its answer.
+//!
+//! One connection carries one request at a time and is kept afterwards. The body and the
+//! answer are written and read straight from the connection, so a slow end slows the other.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use error_stack::Report;
+use error_stack::ResultExt;
+use futures_util::FutureExt;
+use futures_util::SinkExt;
+use futures_util::StreamExt;
+use futures_util::stream::SplitSink;
+use futures_util::stream::SplitStream;
+use prost::Message;
+
+use crate::units::HostName;
+use crate::units::RouterIncarnation;
+use crate::wire::forward::ForwardAnswerHead;
+use crate::wire::forward::ForwardBody;
+use crate::wire::forward::ForwardFrame;
+use crate::wire::forward::ForwardHead;
+
+use super::error::PeerError;
+use super::error::PeerStep;
+use super::frames::FRAME_OVERHEAD;
+use super::handshake::LinkPurpose;
+use super::handshake::PeerFramed;
+use super::handshake::RemotePeer;
+use super::link::LinkContext;
+use super::link::dial;
+use super::traffic::TrafficKind;
+
+/// The writing half of a forwarding connection.
+pub(super) type ForwardWriter = SplitSink<PeerFramed, Bytes>;
+
+/// The reading half of a forwarding connection.
+pub(super) type ForwardReader = SplitStream<PeerFramed>;
+
+/// Where a request is forwarded to.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ForwardTarget {
+    /// The peer's host.
+    pub host: HostName,
+    /// IP number and port of its peer listener.
+    pub address: smol_str::SmolStr,
+    /// The only incarnation that may get it, for a request with a ticket.
+    pub incarnation: Option<RouterIncarnation>,
+}
+
+/// Forwards requests over a pool of connections.
+#[derive(Debug, Clone)]
+pub struct ForwardClient {
+    context: Arc<LinkContext>,
+    idle: Arc<IdlePool>,
+}
+
+#[derive(Debug, Default)]
+struct IdlePool {
+    links: Mutex<BTreeMap<HostName, Vec<IdleLink>>>,
+}
+
+#[derive(Debug)]
+struct IdleLink {
+    link: ForwardLink,
+    since: Instant,
+}
+
+#[derive(Debug)]
+struct ForwardLink {
+    remote: RemotePeer,
+    writer: ForwardWriter,
+    reader: ForwardReader,
+}
+
+/// Where the two halves of a connection meet again after a whole exchange.
+#[derive(Debug)]
+struct ReturnPoint {
+    client: ForwardClient,
+    remote: RemotePeer,
+    writer: Mutex<Option<ForwardWriter>>,
+    reader: Mutex<Option<ForwardReader>>,
+}
+
+/// Takes the request's body. Dropping it before [`Self::finish`] closes the connection, which
+/// the peer takes as the caller's leaving.
+#[derive(Debug)]
+pub struct ForwardSink {
+    writer: ForwardWriter,
+    point: Arc<ReturnPoint>,
+}
+
+/// Gives the answer.
+#[derive(Debug)]
+pub struct ForwardAnswer {
+    reader: Option<ForwardReader>,
+    point: Arc<ReturnPoint>,
+}
+
+impl ForwardClient {
+    pub(super) fn new(context: Arc<LinkContext>) -> Self {
+        Self {
+            context,
+            idle: Arc::default(),
+        }
+    }
+
+    /// Begins a forwarded request.
+    ///
+    /// # Errors
+    /// At `Dial`, `Tls`, `Hello`, `Version`, `Proof` or `Identity`, nothing of the request left
+    /// this router. At `Write`, the peer may have it.
+    pub async fn open(
+        &self,
+        target: &ForwardTarget,
+        head: ForwardHead,
+    ) -> Result<(ForwardSink, ForwardAnswer), Report<PeerError>> {
+        let link = match self.take_idle(&target.host) {
+            Some(link) => link,
+            None => self.dial_new(target).await?,
+        };
+        // A restarted router knows nothing of its former life's tickets and must not run them.
+        if target
+            .incarnation
+            .is_some_and(|wanted| wanted != link.remote.incarnation)
+        {
+            return Err(
+                Report::new(PeerError::new(PeerStep::Identity, target.host.as_str()))
+                    .attach("the wanted incarnation is gone"),
+            );
+        }
+        let point = Arc::new(ReturnPoint {
+            client: self.clone(),
+            remote: link.remote,
+            writer: Mutex::default(),
+            reader: Mutex::default(),
+        });
+        let mut sink = ForwardSink {
+            writer: link.writer,
+            point: Arc::clone(&point),
+        };
+        sink.write(ForwardBody::Head(head)).await?;
+        let answer = ForwardAnswer {
+            reader: Some(link.reader),
+            point,
+        };
+        Ok((sink, answer))
+    }
+
+    async fn dial_new(&self, target: &ForwardTarget) -> Result<ForwardLink, Report<PeerError>> {
+        let purpose = LinkPurpose::Forward;
+        let (framed, remote) = dial(&self.context, &target.host, &target.address, purpose).await?;
+        let (writer, reader) = framed.split();
+        Ok(ForwardLink {
+            remote,
+            writer,
+            reader,
+        })
+    }
+
+    /// An idle connection that the peer has neither closed nor written to.
+    fn take_idle(&self, host: &HostName) -> Option<ForwardLink> {
+        let limit = Duration::from_millis(self.context.settings.config.idle_ms);
+        loop {
+            let mut idle = self
+                .idle
+                .links
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner);
+            let mut entry = idle.get_mut(host)?.pop()?;
+            drop(idle);
+            let quiet = entry.link.reader.next().now_or_never().is_none();
+            if quiet && entry.since.elapsed() < limit {
+                return Some(entry.link);
+            }
+        }
+    }
+
+    fn keep(&self, link: ForwardLink) {
+        let most = self.context.settings.config.idle_forwards;
+        let mut idle = self
+            .idle
+            .links
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let links = idle.entry(link.remote.host.clone()).or_default();
+        if links.len() < most {
+            let since = Instant::now();
+            links.push(IdleLink { link, since });
+        }
+    }
+}
+
+impl ReturnPoint {
+    fn fail(&self, step: PeerStep) -> PeerError {
+        PeerError::new(step, self.remote.host.as_str())
+    }
+
+    fn reunite(&self) {
+        let mut writer = self.writer.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut reader = self.reader.lock().unwrap_or_else(PoisonError::into_inner);
+        if let (Some(writer), Some(reader)) = (writer.take_if(|_| reader.is_some()), reader.take())
+        {
+            self.client.keep(ForwardLink {
+                remote: self.remote.clone(),
+                writer,
+                reader,
+            });
+        }
+    }
+}
+
+impl ForwardSink {
+    /// Sends a piece of the body; waits while the peer is slow.
+    ///
+    /// # Errors
+    /// The connection broke.
+    pub async fn send(&mut self, mut piece: Bytes) -> Result<(), Report<PeerError>> {
+        let most = self
+            .point
+            .client
+            .context
+            .settings
+            .config
+            .forward_piece_bytes;
+        while !piece.is_empty() {
+            let part = piece.split_to(piece.len().min(most));
+            self.write(ForwardBody::Body(part)).await?;
+        }
+        Ok(())
+    }
+
+    /// Says that the body is whole.
+    ///
+    /// # Errors
+    /// The connection broke.
+    pub async fn finish(mut self) -> Result<(), Report<PeerError>> {
+        self.write(ForwardBody::BodyEnd(true)).await?;
+        let Self { writer, point } = self;
+        *point.writer.lock().unwrap_or_else(PoisonError::into_inner) = Some(writer);
+        point.reunite();
+        Ok(())
+    }
+
+    async fn write(&mut self, body: ForwardBody) -> Result<(), Report<PeerError>> {
+        let point = &self.point;
+        write_frame(&point.client.context, &mut self.writer, body)
+            .await
+            .change_context_lazy(|| point.fail(PeerStep::Write))
+    }
+}
+
+impl ForwardAnswer {
+    /// The incarnation that answers.
+    #[must_use]
+    pub fn incarnation(&self) -> RouterIncarnation {
+        self.point.remote.incarnation
+    }
+
+    /// Waits for the answer's head.
+    ///
+    /// # Errors
+    /// The connection broke, or the peer sent something else.
+    pub async fn head(&mut self) -> Result<ForwardAnswerHead, Report<PeerError>> {
+        match self.read().await? {
+            ForwardBody::AnswerHead(head) => Ok(head),
+            _ => Err(Report::new(self.point.fail(PeerStep::Decode))
+                .attach("a frame other than the answer's head came first")),
+        }
+    }
+
+    /// The next piece of the answer's body; `None` once the answer is whole.
+    ///
+    /// # Errors
+    /// `AnswerCut` if the connection broke before the answer's end, so that a cut answer is
+    /// never taken for a whole one.
+    pub async fn next_piece(&mut self) -> Result<Option<Bytes>, Report<PeerError>> {
+        if self.reader.is_none() {
+            return Ok(None);
+        }
+        match self.read().await? {
+            ForwardBody::AnswerBody(piece) => Ok(Some(piece)),
+            ForwardBody::AnswerEnd(_) => {
+                let mut place = self
+                    .point
+                    .reader
+                    .lock()
+                    .unwrap_or_else(PoisonError::into_inner);
+                *place = self.reader.take();
+                drop(place);
+                self.point.reunite();
+                Ok(None)
+            }
+            _ => Err(Report::new(self.point.fail(PeerStep::Decode))
+                .attach("a frame that does not belong into an answer")),
+        }
+    }
+
+    async fn read(&mut self) -> Result<ForwardBody, Report<PeerError>> {
+        let point = Arc::clone(&self.point);
+        let cut = || point.fail(PeerStep::AnswerCut);
+        let Some(reader) = self.reader.as_mut() else {
+            return Err(Report::new(cut()).attach("the answer has ended already"));
+        };
+        let frame = read_frame(&point.client.context, reader)
+            .await
+            .change_context_lazy(cut)?;
+        frame.ok_or_else(|| Report::new(cut()).attach("the peer closed the connection"))
+    }
+}
+
+/// Writes one frame and counts it.
+pub(super) async fn write_frame(
+    context: &LinkContext,
+    writer: &mut ForwardWriter,
+    body: ForwardBody,
+) -> io::Result<()> {
+    let frame = Bytes::from(ForwardFrame::new(body).encode_to_vec());
+    let bytes = frame.len() + FRAME_OVERHEAD;
+    writer.send(frame).await?;
+    context.counters.add_sent(TrafficKind::Forwarded, bytes);
+    Ok(())
+}
+
+/// Reads one frame and counts it; `None` at the connection's end.
+pub(super) async fn read_frame(
+    context: &LinkContext,
+    reader: &mut ForwardReader,
+) -> io::Result<Option<ForwardBody>> {
+    let Some(frame) = reader.next().await else {
+        return Ok(None);
+    };
+    let frame = frame?;
+    let bytes = frame.len() + FRAME_OVERHEAD;
+    context.counters.add_received(TrafficKind::Forwarded, bytes);
+    let frame = ForwardFrame::decode(frame).map_err(io::Error::other)?;
+    frame
+        .body
+        .map(Some)
+        .ok_or_else(|| io::Error::other("a frame without content"))
+}
--- /dev/null
+++ b/src/peers/handshake.rs
@@ -0,0 +1,225 @@
+//! Who is at the other end, and proof that it holds a peer key.
+//!
+//! The dialer says hello, the acceptor says hello, the dialer proves, the acceptor proves. A
+//! proof is a keyed hash over both hellos with their nonces, the prover's side and, with TLS,
+//! a secret of that TLS connection; so it can't be replayed, reflected or relayed into another
+//! TLS connection. The acceptor proves last: who holds no key learns nothing from it.
+
+use std::io;
+
+use bytes::Bytes;
+use error_stack::Report;
+use error_stack::ResultExt;
+use futures_util::SinkExt;
+use futures_util::StreamExt;
+use prost::Message;
+use rand::Rng;
+use tokio_util::codec::Framed;
+
+use crate::units::HostName;
+use crate::units::RouterIncarnation;
+use crate::wire::WIRE_VERSION;
+use crate::wire::handshake::HelloFrame;
+use crate::wire::handshake::ProofFrame;
+
+use super::error::PeerError;
+use super::error::PeerStep;
+use super::frames::FrameCodec;
+use super::keys::PeerKeys;
+use super::keys::PeerSide;
+use super::tls::PeerStream;
+use super::tls::channel_binding;
+use super::traffic::TrafficCounters;
+use super::traffic::TrafficKind;
+
+/// Bytes of a nonce.
+const NONCE_BYTES: usize = 32;
+
+/// What a connection is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LinkPurpose {
+    /// Control messages both ways.
+    Control,
+    /// Forwarded requests, one at a time.
+    Forward,
+}
+
+impl LinkPurpose {
+    fn from_wire(number: u32) -> Option<Self> {
+        match number {
+            0 => Some(Self::Control),
+            1 => Some(Self::Forward),
+            _ => None,
+        }
+    }
+}
+
+/// The router at the other end, as it proved.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RemotePeer {
+    /// Its host.
+    pub host: HostName,
+    /// Its incarnation.
+    pub incarnation: RouterIncarnation,
+    /// What the dialer wants of the connection.
+    pub purpose: LinkPurpose,
+}
+
+/// What this end needs for a handshake.
+#[derive(Debug)]
+pub(super) struct HandshakeTerms<'terms> {
+    pub host: &'terms HostName,
+    pub incarnation: RouterIncarnation,
+    pub keys: &'terms PeerKeys,
+    pub side: PeerSide,
+    pub purpose: LinkPurpose,
+    pub max_frame_bytes: usize,
+    pub counters: &'terms TrafficCounters,
+    /// Host or address, for errors.
+    pub peer: &'terms str,
+}
+
+/// A connection whose other end has proved a key.
+pub(super) type PeerFramed = Framed<PeerStream, FrameCodec>;
+
+/// Runs the handshake on a fresh connection.
+pub(super) async fn shake_hands(
+    stream: PeerStream,
+    terms: &HandshakeTerms<'_>,
+) -> Result<(PeerFramed, RemotePeer), Report<PeerError>> {
+    let fail = |step| PeerError::new(step, terms.peer);
+    let binding = channel_binding(&stream).change_context_lazy(|| fail(PeerStep::Tls))?;
+    let mut framed = Framed::new(stream, FrameCodec::default());
+    let mine = Bytes::from(own_hello(terms).encode_to_vec());
+    let theirs = match terms.side {
+        PeerSide::Dialer => {
+            write(&mut framed, terms, mine.clone()).await?;
+            read(&mut framed, terms, PeerStep::Hello).await?
+        }
+        PeerSide::Acceptor => {
+            let hello = read(&mut framed, terms, PeerStep::Hello).await?;
+            write(&mut framed, terms, mine.clone()).await?;
+            hello
+        }
+    };
+    let remote = check_hello(&theirs, terms)?;
+    let (dialed, accepted) = match terms.side {
+        PeerSide::Dialer => (&mine, &theirs),
+        PeerSide::Acceptor => (&theirs, &mine),
+    };
+    let transcript = transcript_of(&binding, dialed, accepted);
+    let (proof, write_key) = terms.keys.prove(terms.side, &transcript);
+    let proof = ProofFrame {
+        proof: proof.into(),
+    };
+    let proof = Bytes::from(proof.encode_to_vec());
+    let answer = match terms.side {
+        PeerSide::Dialer => {
+            write(&mut framed, terms, proof).await?;
+            read(&mut framed, terms, PeerStep::Proof).await?
+        }
+        PeerSide::Acceptor => read(&mut framed, terms, PeerStep::Proof).await?,
+    };
+    let answer = ProofFrame::decode(answer).change_context_lazy(|| fail(PeerStep::Proof))?;
+    let Some(read_key) = terms
+        .keys
+        .check(terms.side.other(), &transcript, &answer.proof)
+    else {
+        return Err(Report::new(fail(PeerStep::Proof)).attach("it holds none of the peer keys"));
+    };
+    if terms.side == PeerSide::Acceptor {
+        let (proof, _) = terms.keys.prove(terms.side, &transcript);
+        let proof = ProofFrame {
+            proof: proof.into(),
+        };
+        write(&mut framed, terms, Bytes::from(proof.encode_to_vec())).await?;
+    }
+    framed
+        .codec_mut()
+        .seal(write_key, read_key, terms.max_frame_bytes);
+    Ok((framed, remote))
+}
+
+fn own_hello(terms: &HandshakeTerms<'_>) -> HelloFrame {
+    let mut nonce = vec![0; NONCE_BYTES];
+    rand::rng().fill_bytes(&mut nonce);
+    HelloFrame {
+        version: WIRE_VERSION,
+        host: terms.host.to_string(),
+        incarnation: terms.incarnation.0,
+        purpose: match terms.purpose {
+            LinkPurpose::Control => 0,
+            LinkPurpose::Forward => 1,
+        },
+        nonce: nonce.into(),
+    }
+}
+
+fn check_hello(bytes: &Bytes, terms: &HandshakeTerms<'_>) -> Result<RemotePeer, Report<PeerError>> {
+    let fail = |step| PeerError::new(step, terms.peer);
+    let hello = HelloFrame::decode(bytes.clone()).change_context_lazy(|| fail(PeerStep::Hello))?;
+    if hello.version != WIRE_VERSION {
+        return Err(Report::new(fail(PeerStep::Version)).attach(format!(
+            "it speaks version {}, this router {WIRE_VERSION}",
+            hello.version
+        )));
+    }
+    if hello.nonce.len() != NONCE_BYTES {
+        return Err(Report::new(fail(PeerStep::Hello)).attach("its nonce is not 32 bytes"));
+    }
+    let host: HostName = hello
+        .host
+        .parse()
+        .change_context_lazy(|| fail(PeerStep::Hello))?;
+    if host == *terms.host {
+        return Err(Report::new(fail(PeerStep::Identity)).attach("it has this router's own name"));
+    }
+    let Some(purpose) = LinkPurpose::from_wire(hello.purpose) else {
+        return Err(Report::new(fail(PeerStep::Hello)).attach("its purpose is not known"));
+    };
+    Ok(RemotePeer {
+        host,
+        incarnation: RouterIncarnation(hello.incarnation),
+        purpose,
+    })
+}
+
+/// Each part goes in with its length, so that no two transcripts read the same.
+fn transcript_of(binding: &[u8], dialed: &[u8], accepted: &[u8]) -> Vec<u8> {
+    let mut transcript = Vec::new();
+    for part in [binding, dialed, accepted] {
+        transcript.extend_from_slice(&(part.len() as u64).to_be_bytes());
+        transcript.extend_from_slice(part);
+    }
+    transcript
+}
+
+async fn write(
+    framed: &mut PeerFramed,
+    terms: &HandshakeTerms<'_>,
+    frame: Bytes,
+) -> Result<(), Report<PeerError>> {
+    terms
+        .counters
+        .add_sent(TrafficKind::Handshake, frame.len() + 4);
+    framed
+        .send(frame)
+        .await
+        .change_context_lazy(|| PeerError::new(PeerStep::Write, terms.peer))
+}
+
+async fn read(
+    framed: &mut PeerFramed,
+    terms: &HandshakeTerms<'_>,
+    step: PeerStep,
+) -> Result<Bytes, Report<PeerError>> {
+    let frame = framed
+        .next()
+        .await
+        .unwrap_or_else(|| Err(io::ErrorKind::UnexpectedEof.into()))
+        .change_context_lazy(|| PeerError::new(step, terms.peer))?;
+    terms
+        .counters
+        .add_received(TrafficKind::Handshake, frame.len() + 4);
+    Ok(frame)
+}
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -3,7 +3,9 @@
 
 pub mod allotment;
 pub mod demand;
+pub mod forward;
 pub mod gossip;
+pub mod handshake;
 pub mod publication;
 pub mod quarantine;
 
