--- a/src/peers/link.rs
+++ b/src/peers/link.rs
@@ -18,7 +18,7 @@
 use crate::units::HostName;
 use crate::wire::PeerMessage;
 
-use super::PeerSettings;
+use super::MeshSettings;
 use super::error::PeerError;
 use super::error::PeerStep;
 use super::frames::FRAME_OVERHEAD;
@@ -38,7 +38,7 @@
 /// What all connections of a router share.
 #[derive(Debug)]
 pub(super) struct LinkContext {
-    pub settings: PeerSettings,
+    pub settings: MeshSettings,
     pub keys: std::sync::RwLock<PeerKeys>,
     pub counters: TrafficCounters,
 }
--- a/src/peers/mesh.rs
+++ b/src/peers/mesh.rs
@@ -27,7 +27,7 @@
 use crate::units::RouterIncarnation;
 use crate::wire::PeerMessage;
 
-use super::PeerSettings;
+use super::MeshSettings;
 use super::error::PeerError;
 use super::error::PeerStep;
 use super::error::one_line;
@@ -121,7 +121,7 @@
     /// # Errors
     /// The listener can't be bound.
     pub async fn start(
-        settings: PeerSettings,
+        settings: MeshSettings,
         cancel: CancellationToken,
         events: mpsc::Sender<PeerEvent>,
     ) -> Result<(Self, mpsc::Receiver<ForwardedCall>), Report<PeerError>> {
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -26,7 +26,7 @@
 
 /// What a router needs to speak with its peers.
 #[derive(Debug, Clone)]
-pub struct PeerSettings {
+pub struct MeshSettings {
     /// This router's host.
     pub host: HostName,
     /// Its incarnation.
