Draining: what waits moves to peers, what runs ends, slots go back

Cause: a router that was told to drain went on taking work and never ended.

Change: the draining system marks the router leaving, forwards waiting repeatable requests and new arrivals to live peers, keeps requests with its own tickets (nobody else may run them), and reports Drained once nothing is left and the owners were told. A draining router says so in its reports and gets no spare slots: without that its owner granted back what it had given up.

--- a/src/core/state.rs
+++ b/src/core/state.rs
@@ -71,6 +71,10 @@
     pub urgent_refilled: Moment,
     /// True once operators asked for a drain.
     pub draining: bool,
+    /// Since when nothing is left to do in a drain.
+    pub drain_quiet_since: Option<Moment>,
+    /// True once the driver was told that the drain is over.
+    pub drained: bool,
     actions: Vec<CoreAction>,
     loopback: Vec<PeerMessage>,
 }
@@ -99,6 +103,8 @@
             urgent_bytes: 0,
             urgent_refilled: Moment(0),
             draining: false,
+            drain_quiet_since: None,
+            drained: false,
             actions: Vec::new(),
             loopback: Vec::new(),
         }
--- a/src/core/systems/admission.rs
+++ b/src/core/systems/admission.rs
@@ -10,6 +10,7 @@
 use crate::core::state::CoreState;
 use crate::core::systems::attempts;
 use crate::core::systems::dispatch;
+use crate::core::systems::draining;
 use crate::core::systems::tickets;
 use crate::core::systems::tickets::TicketVerdict;
 use crate::core::tables::requests::RequestEntry;
@@ -28,6 +29,9 @@
 }
 
 fn arrived(state: &mut CoreState, facts: &RequestFacts) {
+    if draining::turn_away(state, facts) {
+        return;
+    }
     if tickets::present(state, facts) == TicketVerdict::Settled {
         return;
     }
--- a/src/core/systems/mod.rs
+++ b/src/core/systems/mod.rs
@@ -4,6 +4,7 @@
 pub mod admission;
 pub mod attempts;
 pub mod dispatch;
+pub mod draining;
 pub mod membership;
 pub mod ownership;
 pub mod publication;
@@ -26,6 +27,8 @@
     Admission,
     /// What becomes of attempts: progress, ends, retries.
     Attempts,
+    /// Handing over and finishing before the router ends.
+    Draining,
     /// Sharing out the slots of owned pools.
     Ownership,
     /// Taking in allotments and picking who runs next.
@@ -36,12 +39,13 @@
 
 impl CoreSystem {
     /// The order in which an event passes the systems.
-    pub const ORDER: [Self; 8] = [
+    pub const ORDER: [Self; 9] = [
         Self::Membership,
         Self::Publication,
         Self::Tickets,
         Self::Admission,
         Self::Attempts,
+        Self::Draining,
         Self::Ownership,
         Self::Dispatch,
         Self::Reporting,
@@ -55,6 +59,7 @@
             Self::Tickets => tickets::run(state, event),
             Self::Admission => admission::run(state, event),
             Self::Attempts => attempts::run(state, event),
+            Self::Draining => draining::run(state, event),
             Self::Ownership => ownership::run(state, event),
             Self::Dispatch => dispatch::run(state, event),
             Self::Reporting => reporting::run(state, event),
--- a/src/core/systems/ownership.rs
+++ b/src/core/systems/ownership.rs
@@ -88,6 +88,7 @@
         member.report_seen = report.sequence;
         member.allotment_acked = member.allotment_acked.max(report.acked);
         member.heard_at = now;
+        member.draining = report.draining;
     }
     take_slots(pool, from, report);
     if fresh {
@@ -288,11 +289,15 @@
     pool.scarce = wanted > total;
     let shares = team_shares(state, pool, total, &demands);
     let rest = f64::from(total.saturating_sub(wanted));
-    let spare = rest / f64::from(u32::try_from(pool.members.len()).unwrap_or(1).max(1));
+    let staying = pool.members.values().filter(|member| !member.draining);
+    let spare = rest / f64::from(u32::try_from(staying.count()).unwrap_or(1).max(1));
     let wishes: Vec<f64> = pool
         .members
         .values()
-        .map(|member| spare + member_share(member, &shares, &demands))
+        .map(|member| {
+            let spare = if member.draining { 0.0 } else { spare };
+            spare + member_share(member, &shares, &demands)
+        })
         .collect();
     let targets = round_shares(total, &wishes);
     let needy = pool.members.values().any(|member| {
@@ -301,7 +306,7 @@
     });
     for (member, target) in pool.members.values_mut().zip(targets) {
         // While nobody lacks slots nothing is asked back, so that quiet times cost no messages.
-        let target = if needy || pool.scarce {
+        let target = if needy || pool.scarce || member.draining {
             target
         } else {
             target.max(member.held)
--- a/src/core/systems/reporting.rs
+++ b/src/core/systems/reporting.rs
@@ -119,7 +119,8 @@
     else {
         return;
     };
-    let report = build(pool, pool_id, owner.epoch, now);
+    let mut report = build(pool, pool_id, owner.epoch, now);
+    report.draining = state.draining;
     if urgent && owner.host != state.identity.host {
         let bytes = report.encoded_len() as u64 + FRAME_BYTES;
         state.urgent_bytes = state.urgent_bytes.saturating_sub(bytes);
--- a/src/core/systems/tickets.rs
+++ b/src/core/systems/tickets.rs
@@ -14,6 +14,7 @@
 use crate::core::event::TicketName;
 use crate::core::state::CoreState;
 use crate::core::systems::admission;
+use crate::core::systems::draining;
 use crate::core::tables::members::MemberState;
 use crate::core::tables::tickets::MinterWait;
 use crate::core::tables::tickets::TicketStage;
@@ -69,6 +70,10 @@
 /// A ticket is offered only if its request would be taken in now: callers learn of a full queue
 /// on the first try.
 fn offer_or_refuse(state: &mut CoreState, facts: &RequestFacts) {
+    if state.draining {
+        draining::refuse(state, facts.request);
+        return;
+    }
     if let Some(reason) = admission::reason_to_refuse(state, facts) {
         refuse(state, facts.request, reason, RunOutcome::NotRun);
         return;
--- a/src/core/tables/owned_pool.rs
+++ b/src/core/tables/owned_pool.rs
@@ -62,6 +62,8 @@
     pub teams: BTreeMap<TeamId, TeamDemand>,
     /// Its slots.
     pub slots: BTreeMap<EndpointId, SlotClaim>,
+    /// True once it said that it drains.
+    pub draining: bool,
     /// Slots that it shall keep.
     pub target: u32,
     /// `target` and `scarce` as last sent.
@@ -87,6 +89,7 @@
             allotment_sequence: 0,
             teams: BTreeMap::new(),
             slots: BTreeMap::new(),
+            draining: false,
             target: 0,
             sent: None,
             held: 0,
--- a/src/wire/demand.rs
+++ b/src/wire/demand.rs
@@ -47,4 +47,7 @@
     /// Pressure, per entry of `endpoints`: answers over the latency goal per mille.
     #[prost(uint32, repeated, tag = "13")]
     pub pressure: Vec<u32>,
+    /// True if the router drains: it takes slots for what waits there and none to spare.
+    #[prost(bool, tag = "14")]
+    pub draining: bool,
 }
