--- /dev/null
+++ b/examples/shared/endpoint.rs
@@ -0,0 +1,350 @@
+//! A stand-in endpoint: a small HTTP server that can crash, come back, and misbehave on request.
+//!
+//! What a request wants of it stands in the header `standin-do`: `crash`, `refuse`, `garbage`,
+//! `cut=N` (break off after N events or bytes), `slow=MS` (wait first), `short` (state a longer
+//! length than is sent). With a `once-` before it, only the first execution of a `standin-id`
+//! does so.
+
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::task::Context;
+use std::task::Poll;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use hyper::body::Body;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+use tokio::sync::mpsc;
+use tokio::time;
+use tokio_util::sync::CancellationToken;
+
+use super::engine;
+use super::plain;
+
+/// How long a crashed endpoint stays away.
+const AWAY: Duration = Duration::from_millis(300);
+
+/// What an endpoint is.
+#[derive(Debug, Clone)]
+pub enum EndpointRole {
+    /// A model engine.
+    Engine {
+        /// The model that it serves at first.
+        model: String,
+        /// Time between two tokens of a stream.
+        token: Duration,
+        /// True if it can resume a stream at an event.
+        resumes: bool,
+        /// True if it refuses orders with an old fencing number.
+        checks_fence: bool,
+    },
+    /// A plain service.
+    Plain {
+        /// Its pool.
+        pool: String,
+        /// Time that a call takes.
+        work: Duration,
+    },
+}
+
+/// What all connections of an endpoint share.
+#[derive(Debug)]
+pub struct EndpointShared {
+    /// What it is.
+    pub role: EndpointRole,
+    /// Requests that run at once; more wait.
+    pub slots: Semaphore,
+    /// Requests that run.
+    pub running: AtomicU32,
+    /// Requests that wait for a slot.
+    pub waiting: AtomicU32,
+    /// Microseconds that slots were busy, added at the end of each request.
+    pub busy_micros: AtomicU64,
+    /// Tokens and calls served.
+    pub served: AtomicU64,
+    /// Requests that were broken off by their caller's side.
+    pub cancelled: AtomicU64,
+    /// Grows with each crash.
+    pub life: AtomicU64,
+    /// Highest fencing number obeyed.
+    pub fence: AtomicU64,
+    /// The model served now.
+    pub model: Mutex<String>,
+    /// Executions begun, by `standin-id`.
+    pub executions: Mutex<BTreeMap<String, u32>>,
+    /// Work done by team of the caller, as the `standin-team` header names it.
+    pub by_team: Mutex<BTreeMap<String, u64>>,
+    refuse_all: AtomicBool,
+    dying: Mutex<CancellationToken>,
+}
+
+/// A running stand-in.
+#[derive(Debug, Clone)]
+pub struct StandinEndpoint {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its state.
+    pub shared: Arc<EndpointShared>,
+    closing: CancellationToken,
+}
+
+impl StandinEndpoint {
+    /// Starts one on a port of loopback; port 0 takes any.
+    pub async fn start(address: SocketAddr, role: EndpointRole, slots: usize) -> io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        let model = match &role {
+            EndpointRole::Engine { model, .. } => model.clone(),
+            EndpointRole::Plain { pool, .. } => pool.clone(),
+        };
+        let shared = Arc::new(EndpointShared {
+            role,
+            slots: Semaphore::new(slots),
+            running: AtomicU32::new(0),
+            waiting: AtomicU32::new(0),
+            busy_micros: AtomicU64::new(0),
+            served: AtomicU64::new(0),
+            cancelled: AtomicU64::new(0),
+            life: AtomicU64::new(1),
+            fence: AtomicU64::new(0),
+            model: Mutex::new(model),
+            executions: Mutex::default(),
+            by_team: Mutex::default(),
+            refuse_all: AtomicBool::new(false),
+            dying: Mutex::new(CancellationToken::new()),
+        });
+        let closing = CancellationToken::new();
+        let serving = serve(listener, address, Arc::clone(&shared), closing.clone());
+        tokio::spawn(serving);
+        Ok(Self {
+            address,
+            shared,
+            closing,
+        })
+    }
+
+    /// Ends it for good.
+    pub fn stop(&self) {
+        self.closing.cancel();
+        self.shared.crash();
+    }
+
+    /// Executions begun of the request with this `standin-id`.
+    pub fn executions_of(&self, id: &str) -> u32 {
+        let executions = self.shared.executions.lock().unwrap();
+        executions.get(id).copied().unwrap_or(0)
+    }
+
+    /// Refuses everything with 503 from now on (true) or no longer.
+    pub fn refuse_all(&self, refuse: bool) {
+        self.shared.refuse_all.store(refuse, Ordering::Relaxed);
+    }
+}
+
+impl EndpointShared {
+    /// Breaks all connections and stays away for a while.
+    pub fn crash(&self) {
+        self.life.fetch_add(1, Ordering::Relaxed);
+        self.dying.lock().unwrap().cancel();
+    }
+
+    /// Counts an execution of the request; returns how many there are now.
+    pub fn count_execution(&self, headers: &HeaderMap) -> u32 {
+        let id = text_of(headers, "standin-id");
+        let mut executions = self.executions.lock().unwrap();
+        let count = executions.entry(id).or_insert(0);
+        *count += 1;
+        *count
+    }
+}
+
+/// What a request wants done wrong.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Misdeed {
+    /// Nothing.
+    None,
+    /// Crash before anything is answered.
+    Crash,
+    /// Answer 503 before anything is done.
+    Refuse,
+    /// Answer what is no HTTP answer of this API.
+    Garbage,
+    /// Break off after so many events or bytes.
+    Cut(u64),
+    /// Wait before the answer.
+    Slow(Duration),
+    /// State a longer length than is sent.
+    Short,
+}
+
+/// What the request wants done wrong, if anything, at this execution of it.
+pub fn misdeed(headers: &HeaderMap, execution: u32) -> Misdeed {
+    let text = text_of(headers, "standin-do");
+    let text = match text.strip_prefix("once-") {
+        Some(_) if execution > 1 => "",
+        Some(rest) => rest,
+        None => &text,
+    };
+    let (name, value) = text.split_once('=').unwrap_or((text, "0"));
+    let value = value.parse().unwrap_or(0);
+    match name {
+        "crash" => Misdeed::Crash,
+        "refuse" => Misdeed::Refuse,
+        "garbage" => Misdeed::Garbage,
+        "cut" => Misdeed::Cut(value),
+        "slow" => Misdeed::Slow(Duration::from_millis(value)),
+        "short" => Misdeed::Short,
+        _ => Misdeed::None,
+    }
+}
+
+/// A header as text; empty if absent.
+pub fn text_of(headers: &HeaderMap, name: &str) -> String {
+    let value = headers.get(name).and_then(|value| value.to_str().ok());
+    value.unwrap_or_default().to_owned()
+}
+
+async fn serve(
+    first: TcpListener,
+    address: SocketAddr,
+    shared: Arc<EndpointShared>,
+    closing: CancellationToken,
+) {
+    let mut listener = Some(first);
+    while !closing.is_cancelled() {
+        let Some(open) = listener.take() else {
+            time::sleep(AWAY).await;
+            listener = TcpListener::bind(address).await.ok();
+            continue;
+        };
+        let dying = CancellationToken::new();
+        *shared.dying.lock().unwrap() = dying.clone();
+        accept_until(&open, &shared, &dying).await;
+    }
+}
+
+async fn accept_until(
+    listener: &TcpListener,
+    shared: &Arc<EndpointShared>,
+    dying: &CancellationToken,
+) {
+    loop {
+        let accepted = tokio::select! {
+            () = dying.cancelled() => return,
+            accepted = listener.accept() => accepted,
+        };
+        if let Ok((stream, _)) = accepted {
+            let (shared, dying) = (Arc::clone(shared), dying.clone());
+            tokio::spawn(dying.run_until_cancelled_owned(connection(stream, shared)));
+        }
+    }
+}
+
+async fn connection(stream: TcpStream, shared: Arc<EndpointShared>) {
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let shared = Arc::clone(&shared);
+        async move { Ok::<_, Infallible>(respond(shared, request).await) }
+    });
+    let _ = http1::Builder::new()
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+}
+
+async fn respond(shared: Arc<EndpointShared>, request: Request<Incoming>) -> Response<SentBody> {
+    match (&shared.role, request.uri().path()) {
+        (_, "/load") => load(&shared),
+        _ if shared.refuse_all.load(Ordering::Relaxed) => {
+            status(StatusCode::SERVICE_UNAVAILABLE, "busy")
+        }
+        (EndpointRole::Engine { .. }, _) => engine::respond(shared, request).await,
+        (EndpointRole::Plain { .. }, _) => plain::respond(shared, request).await,
+    }
+}
+
+fn load(shared: &EndpointShared) -> Response<SentBody> {
+    let report = serde_json::json!({
+        "running": shared.running.load(Ordering::Relaxed),
+        "waiting": shared.waiting.load(Ordering::Relaxed),
+        "serves": *shared.model.lock().unwrap(),
+        "life": shared.life.load(Ordering::Relaxed),
+        "fence": shared.fence.load(Ordering::Relaxed),
+    });
+    Response::new(SentBody::whole(report.to_string()))
+}
+
+/// An answer with a status and a short text.
+pub fn status(status: StatusCode, text: &'static str) -> Response<SentBody> {
+    let mut response = Response::new(SentBody::whole(text));
+    *response.status_mut() = status;
+    response
+}
+
+/// The body of an answer; an error item breaks the connection.
+pub enum SentBody {
+    /// All of it.
+    Whole(Option<Bytes>),
+    /// Chunks as they come.
+    Chunks(mpsc::Receiver<Result<Bytes, io::Error>>),
+    /// What came in, sent back.
+    Echo(Incoming),
+}
+
+impl SentBody {
+    /// A body that is here already.
+    pub fn whole(bytes: impl Into<Bytes>) -> Self {
+        Self::Whole(Some(bytes.into()))
+    }
+}
+
+impl Body for SentBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        match &mut *self {
+            Self::Whole(bytes) => Poll::Ready(bytes.take().map(|part| Ok(Frame::data(part)))),
+            Self::Chunks(receiver) => receiver
+                .poll_recv(context)
+                .map(|next| next.map(|chunk| chunk.map(Frame::data))),
+            Self::Echo(incoming) => Pin::new(incoming)
+                .poll_frame(context)
+                .map(|next| next.map(|frame| frame.map_err(io::Error::other))),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Self::Whole(None))
+    }
+
+    fn size_hint(&self) -> hyper::body::SizeHint {
+        match self {
+            Self::Whole(Some(bytes)) => hyper::body::SizeHint::with_exact(bytes.len() as u64),
+            Self::Echo(incoming) => incoming.size_hint(),
+            _ => hyper::body::SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/examples/shared/mod.rs
@@ -0,0 +1,10 @@
+//! Stand-ins for the world around the routers, used by the examples and the tests.
+
+#![allow(dead_code)]
+
+pub mod caller;
+pub mod endpoint;
+pub mod engine;
+pub mod plain;
+pub mod platform;
+pub mod site;
--- /dev/null
+++ b/examples/shared/plain.rs
@@ -0,0 +1,96 @@
+//! The stand-in plain service: `.../echo` sends the body back, `.../bytes/N` sends N bytes, and
+//! every other path answers with the count of executions of its `standin-id`.
+
+use std::io;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::header;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use serde_json::json;
+use tokio::sync::mpsc;
+use tokio::time;
+
+use super::endpoint::EndpointRole;
+use super::endpoint::EndpointShared;
+use super::endpoint::Misdeed;
+use super::endpoint::SentBody;
+use super::endpoint::misdeed;
+use super::endpoint::status;
+use super::endpoint::text_of;
+
+const CHUNK: usize = 16 * 1024;
+
+/// Answers one request to a plain service.
+pub async fn respond(
+    shared: Arc<EndpointShared>,
+    request: Request<Incoming>,
+) -> Response<SentBody> {
+    let EndpointRole::Plain { work, .. } = shared.role else {
+        return status(StatusCode::NOT_FOUND, "no plain service");
+    };
+    let Ok(_slot) = shared.slots.acquire().await else {
+        return status(StatusCode::SERVICE_UNAVAILABLE, "closed");
+    };
+    let execution = shared.count_execution(request.headers());
+    match misdeed(request.headers(), execution) {
+        Misdeed::Crash => {
+            shared.crash();
+            time::sleep(Duration::from_secs(1)).await;
+        }
+        Misdeed::Slow(wait) => time::sleep(wait).await,
+        Misdeed::Cut(after) => return sized(u64::MAX / 2, Some(after)),
+        Misdeed::Short => return sized(CHUNK as u64, Some(10)),
+        Misdeed::Refuse => return status(StatusCode::SERVICE_UNAVAILABLE, "busy"),
+        _ => {}
+    }
+    if work > Duration::ZERO {
+        time::sleep(work).await;
+    }
+    shared.served.fetch_add(1, Ordering::Relaxed);
+    let team = text_of(request.headers(), "standin-team");
+    *shared.by_team.lock().unwrap().entry(team).or_insert(0) += 1;
+    let path = request.uri().path();
+    if path.ends_with("/echo") {
+        return Response::new(SentBody::Echo(request.into_body()));
+    }
+    if let Some((_, count)) = path.rsplit_once("/bytes/") {
+        return sized(count.parse().unwrap_or(0), None);
+    }
+    let answer = json!({"path": path, "execution": execution});
+    let _ = request.into_body().collect().await;
+    Response::new(SentBody::whole(answer.to_string()))
+}
+
+/// So many bytes, with a stated length; broken off after `cut` of them.
+fn sized(length: u64, cut: Option<u64>) -> Response<SentBody> {
+    let (sender, receiver) = mpsc::channel(2);
+    tokio::spawn(async move {
+        let mut left = cut.unwrap_or(length);
+        while left > 0 {
+            let size = usize::try_from(left).unwrap_or(CHUNK).min(CHUNK);
+            if sender
+                .send(Ok(Bytes::from(vec![b'x'; size])))
+                .await
+                .is_err()
+            {
+                return;
+            }
+            left -= size as u64;
+        }
+        if cut.is_some() {
+            let _ = sender.send(Err(io::Error::other("cut"))).await;
+        }
+    });
+    let mut response = Response::new(SentBody::Chunks(receiver));
+    let fields = response.headers_mut();
+    fields.insert(header::CONTENT_LENGTH, HeaderValue::from(length));
+    response
+}
--- a/src/configs/mod.rs
+++ b/src/configs/mod.rs
@@ -7,6 +7,7 @@
 pub mod peers;
 pub mod reporting;
 pub mod tickets;
+pub mod traffic;
 
 use schemars::JsonSchema;
 use serde::Deserialize;
--- /dev/null
+++ b/src/endpoint/attempt.rs
@@ -0,0 +1,239 @@
+//! One attempt: the request goes to an endpoint, the answer comes back to the caller, and how it
+//! ended is told apart as exactly as the transport allows.
+
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicU64;
+use std::time::Duration;
+
+use http::HeaderMap;
+use http::HeaderValue;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::Uri;
+use http::header;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::SendRequest;
+use tokio::time;
+
+use crate::core::event::AttemptOutcome;
+use crate::core::event::CoreEvent;
+use crate::daemon::message::DispatchOrder;
+use crate::entry::caller::CallerSide;
+use crate::entry::context::EntryContext;
+use crate::entry::headers;
+use crate::entry::task::BodySource;
+use crate::units::RequestId;
+
+use super::body::OutgoingBody;
+use super::reader::AnswerReader;
+
+/// Unused connections that may turn out closed before a new one must do.
+const STALE_CONNECTIONS: u32 = 3;
+
+/// What the answer to a call looks like.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AnswerShape {
+    /// Server-sent events of an engine.
+    Events,
+    /// One JSON value of an engine.
+    Json,
+    /// Whatever a plain service answers.
+    Plain,
+}
+
+/// What an attempt needs to know.
+pub struct AttemptPlan<'a> {
+    /// What all requests share.
+    pub context: &'a EntryContext,
+    /// The request.
+    pub request: RequestId,
+    /// What the core decided.
+    pub order: DispatchOrder,
+    /// The call's method.
+    pub method: &'a Method,
+    /// Path and query.
+    pub target: &'a Uri,
+    /// Headers for the endpoint.
+    pub headers: HeaderMap,
+    /// What the answer looks like.
+    pub shape: AnswerShape,
+    /// Service so far, in service units; readable while the attempt runs and after it.
+    pub meter: &'a AtomicU64,
+}
+
+/// An attempt that is being made.
+pub struct AttemptRun<'a> {
+    plan: AttemptPlan<'a>,
+    body: &'a mut BodySource,
+    caller: &'a mut CallerSide,
+    can_resume: &'a mut bool,
+}
+
+enum SendFault {
+    /// No byte left; the body can be sent again.
+    NotSent(Option<OutgoingBody>),
+    /// It ended so.
+    Ended(AttemptOutcome),
+}
+
+impl<'a> AttemptRun<'a> {
+    /// An attempt. `can_resume` is set false if the endpoint's answer can't be resumed.
+    pub fn new(
+        plan: AttemptPlan<'a>,
+        body: &'a mut BodySource,
+        caller: &'a mut CallerSide,
+        can_resume: &'a mut bool,
+    ) -> Self {
+        Self {
+            plan,
+            body,
+            caller,
+            can_resume,
+        }
+    }
+
+    /// Makes it. Dropping the returned future cancels it: the connection is closed.
+    pub async fn run(mut self) -> AttemptOutcome {
+        let Some(address) = self.address() else {
+            return AttemptOutcome::NotSent;
+        };
+        for _ in 0..=STALE_CONNECTIONS {
+            match self.send(address).await {
+                Ok((sender, response)) => return self.read(address, sender, response).await,
+                Err(SendFault::Ended(outcome)) => return outcome,
+                Err(SendFault::NotSent(None)) => return AttemptOutcome::NotSent,
+                Err(SendFault::NotSent(Some(unread))) => self.body.put_back(unread),
+            }
+        }
+        AttemptOutcome::NotSent
+    }
+
+    fn address(&self) -> Option<SocketAddr> {
+        let catalog = self.plan.context.control.catalog.borrow();
+        let endpoint = catalog.fleet.endpoints.get(&self.plan.order.endpoint)?;
+        Some(endpoint.address)
+    }
+
+    async fn send(
+        &mut self,
+        address: SocketAddr,
+    ) -> Result<(SendRequest<OutgoingBody>, Response<Incoming>), SendFault> {
+        let context = self.plan.context;
+        let connected = context.connections.take(address).await;
+        let mut sender = connected.map_err(|report| {
+            spdlog::debug!("endpoint: {report}.");
+            SendFault::NotSent(None)
+        })?;
+        // A process that was paused between the core's decision and here would send what others
+        // have decided otherwise on since; seen as work on an endpoint that left long ago. The
+        // clock is read after the connection is open, just before the first byte. A pause after
+        // this line is not caught; at-most-once does not depend on it, for only this router
+        // sends this request.
+        if context.control.clock.now() > self.plan.order.not_after {
+            context.connections.give_back(address, sender);
+            return Err(SendFault::NotSent(None));
+        }
+        let body = self.body.take().ok_or(SendFault::NotSent(None))?;
+        let request = self.request(address, body);
+        let pause = Duration::from_millis(context.config.answer_pause_ms);
+        let sent = time::timeout(pause, sender.try_send_request(request)).await;
+        let Ok(sent) = sent else {
+            return Err(SendFault::Ended(AttemptOutcome::LostBeforeAnswer));
+        };
+        match sent {
+            Ok(response) => Ok((sender, response)),
+            Err(mut fault) => match fault.take_message() {
+                // The connection was closed before it took the request: nothing was written.
+                Some(unsent) => Err(SendFault::NotSent(Some(unsent.into_body()))),
+                None if fault.error().is_parse() => Err(SendFault::Ended(AttemptOutcome::Garbage)),
+                None => Err(SendFault::Ended(AttemptOutcome::LostBeforeAnswer)),
+            },
+        }
+    }
+
+    fn request(&self, address: SocketAddr, body: OutgoingBody) -> Request<OutgoingBody> {
+        let mut request = Request::new(body);
+        *request.method_mut() = self.plan.method.clone();
+        *request.uri_mut() = self.plan.target.clone();
+        let fields = request.headers_mut();
+        *fields = self.plan.headers.clone();
+        if let Ok(host) = HeaderValue::from_str(&address.to_string()) {
+            fields.insert(header::HOST, host);
+        }
+        let incarnation = self.plan.context.control.incarnation;
+        let DispatchOrder {
+            attempt, resume_at, ..
+        } = self.plan.order;
+        let id = format!("{:016x}-{}-{attempt}", incarnation.0, self.plan.request);
+        if let Ok(id) = HeaderValue::from_str(&id) {
+            fields.insert(headers::REQUEST, id);
+        }
+        if resume_at > 0 {
+            fields.insert(headers::RESUME_AT, HeaderValue::from(resume_at));
+        }
+        request
+    }
+
+    async fn read(
+        self,
+        address: SocketAddr,
+        sender: SendRequest<OutgoingBody>,
+        response: Response<Incoming>,
+    ) -> AttemptOutcome {
+        let AttemptPlan { request, order, .. } = self.plan;
+        let context = self.plan.context;
+        context.control.tell(CoreEvent::FirstByte {
+            request,
+            attempt: order.attempt,
+        });
+        if self.plan.shape != AnswerShape::Plain && refuses(response.status()) {
+            return AttemptOutcome::Refused;
+        }
+        let reader = AnswerReader {
+            context,
+            request,
+            order,
+            shape: self.plan.shape,
+            request_bytes: self.body.kept().len(),
+            meter: self.plan.meter,
+            caller: self.caller,
+            can_resume: self.can_resume,
+        };
+        let (outcome, rest) = reader.read(response).await;
+        if outcome == AttemptOutcome::Whole {
+            recycle(context, address, sender, rest);
+        }
+        outcome
+    }
+}
+
+/// By the published API an engine answers so before it admits a request. A plain service may
+/// have done a part of the work before it answers so, hence its answer is passed on.
+fn refuses(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
+    )
+}
+
+/// Keeps the connection for another request once the end of the answer was read.
+fn recycle(
+    context: &EntryContext,
+    address: SocketAddr,
+    sender: SendRequest<OutgoingBody>,
+    rest: Option<Incoming>,
+) {
+    let connections = context.connections.clone();
+    let Some(mut rest) = rest else {
+        connections.give_back(address, sender);
+        return;
+    };
+    tokio::spawn(async move {
+        let end = http_body_util::BodyExt::frame(&mut rest);
+        if let Ok(None) = time::timeout(Duration::from_secs(1), end).await {
+            connections.give_back(address, sender);
+        }
+    });
+}
--- /dev/null
+++ b/src/endpoint/body.rs
@@ -0,0 +1,74 @@
+//! The body of a request on its way to an endpoint.
+
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+
+use bytes::Bytes;
+use hyper::body::Body;
+use hyper::body::Frame;
+use hyper::body::SizeHint;
+
+use crate::entry::call::BodyFault;
+use crate::entry::call::CallBody;
+
+/// A kept part and what follows it.
+pub struct OutgoingBody {
+    kept: Option<Bytes>,
+    rest: Option<CallBody>,
+    left: Option<u64>,
+}
+
+impl OutgoingBody {
+    /// A body that is here whole.
+    #[must_use]
+    pub fn whole(bytes: Bytes) -> Self {
+        Self {
+            left: Some(bytes.len() as u64),
+            kept: Some(bytes).filter(|part| !part.is_empty()),
+            rest: None,
+        }
+    }
+
+    /// A body of which more comes, at most `limit` bytes in all; `length` if its sender said it.
+    #[must_use]
+    pub fn streamed(kept: Bytes, rest: CallBody, length: Option<u64>) -> Self {
+        Self {
+            kept: Some(kept),
+            rest: Some(rest),
+            left: length,
+        }
+    }
+}
+
+impl Body for OutgoingBody {
+    type Data = Bytes;
+    type Error = BodyFault;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyFault>>> {
+        let next = match (self.kept.take(), &mut self.rest) {
+            (Some(kept), _) => Some(Ok(kept)),
+            (None, None) => None,
+            (None, Some(rest)) => match rest.as_mut().poll_next(context) {
+                Poll::Pending => return Poll::Pending,
+                Poll::Ready(next) => next,
+            },
+        };
+        if let (Some(Ok(chunk)), Some(left)) = (&next, self.left) {
+            self.left = Some(left.saturating_sub(chunk.len() as u64));
+        }
+        Poll::Ready(next.map(|chunk| chunk.map(Frame::data)))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.kept.is_none() && self.rest.is_none()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.left
+            .map_or_else(SizeHint::default, SizeHint::with_exact)
+    }
+}
--- /dev/null
+++ b/src/endpoint/connections.rs
@@ -0,0 +1,141 @@
+//! Pooled connections to endpoints, over `hyper`'s connection API.
+//!
+//! The ready-made pool of `hyper-util` is not used: it opens a connection and writes the request
+//! in one step, so nothing could be checked in between, and it hides whether a request that
+//! failed had left. Both decide whether "not run" may be said.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use error_stack::Report;
+use error_stack::ResultExt;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::time;
+
+use crate::configs::traffic::TrafficConfig;
+
+use super::body::OutgoingBody;
+
+/// A step towards an endpoint that failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectStep {
+    /// Opening the connection.
+    Open,
+    /// Opening it took too long.
+    Timeout,
+    /// Starting HTTP on it.
+    Handshake,
+}
+
+/// A connection that could not be opened.
+#[derive(Debug)]
+pub struct ConnectError {
+    /// The step that failed.
+    pub step: ConnectStep,
+    /// The endpoint.
+    pub address: SocketAddr,
+}
+
+impl std::fmt::Display for ConnectError {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "connect to {}: {:?}", self.address, self.step)
+    }
+}
+
+impl std::error::Error for ConnectError {}
+
+#[derive(Debug)]
+struct IdleConnection {
+    sender: SendRequest<OutgoingBody>,
+    since: Instant,
+}
+
+/// Connections to all endpoints.
+#[derive(Debug, Clone)]
+pub struct EndpointConnections {
+    idle: Arc<Mutex<BTreeMap<SocketAddr, Vec<IdleConnection>>>>,
+    connect_within: Duration,
+    keep_for: Duration,
+    keep: usize,
+}
+
+impl EndpointConnections {
+    /// No connections yet.
+    #[must_use]
+    pub fn new(config: &TrafficConfig) -> Self {
+        Self {
+            idle: Arc::default(),
+            connect_within: Duration::from_millis(config.connect_ms),
+            keep_for: Duration::from_millis(config.idle_ms),
+            keep: config.idle_connections,
+        }
+    }
+
+    /// A connection that is ready for a request: an unused one or a new one.
+    ///
+    /// # Errors
+    /// If no connection could be opened. No byte of a request has left then.
+    pub async fn take(
+        &self,
+        address: SocketAddr,
+    ) -> Result<SendRequest<OutgoingBody>, Report<ConnectError>> {
+        if let Some(sender) = self.take_idle(address) {
+            return Ok(sender);
+        }
+        self.open(address).await
+    }
+
+    fn take_idle(&self, address: SocketAddr) -> Option<SendRequest<OutgoingBody>> {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let connections = idle.get_mut(&address)?;
+        connections.retain(|connection| {
+            !connection.sender.is_closed() && connection.since.elapsed() < self.keep_for
+        });
+        let newest = connections
+            .iter()
+            .rposition(|connection| connection.sender.is_ready())?;
+        Some(connections.swap_remove(newest).sender)
+    }
+
+    async fn open(
+        &self,
+        address: SocketAddr,
+    ) -> Result<SendRequest<OutgoingBody>, Report<ConnectError>> {
+        let fault = |step| ConnectError { step, address };
+        let stream = time::timeout(self.connect_within, TcpStream::connect(address))
+            .await
+            .change_context(fault(ConnectStep::Timeout))?
+            .change_context(fault(ConnectStep::Open))?;
+        // Small requests and events must not wait for the acknowledgement of earlier ones.
+        let _ = stream.set_nodelay(true);
+        let (sender, connection) = http1::Builder::new()
+            .handshake(TokioIo::new(stream))
+            .await
+            .change_context(fault(ConnectStep::Handshake))?;
+        tokio::spawn(connection);
+        Ok(sender)
+    }
+
+    /// Keeps a connection whose answer was read whole.
+    pub fn give_back(&self, address: SocketAddr, sender: SendRequest<OutgoingBody>) {
+        if sender.is_closed() {
+            return;
+        }
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let connections = idle.entry(address).or_default();
+        if connections.len() < self.keep {
+            connections.push(IdleConnection {
+                sender,
+                since: Instant::now(),
+            });
+        }
+    }
+}
--- /dev/null
+++ b/src/endpoint/events.rs
@@ -0,0 +1,142 @@
+//! Splitting a stream of server-sent events into whole events.
+
+use bytes::Bytes;
+use bytes::BytesMut;
+
+const SEPARATOR: &[u8] = b"\n\n";
+const DONE: &[u8] = b"data: [DONE]";
+/// Field names that a line of an event may begin with.
+const FIELDS: [&[u8]; 5] = [b"data", b"event", b"id", b"retry", b":"];
+
+/// A stream that is not one of server-sent events.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EventFault;
+
+/// Whole events, ready to pass on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EventBatch {
+    /// Their bytes.
+    pub bytes: Bytes,
+    /// How many carry a part of the answer.
+    pub count: u64,
+    /// True if the last one says that the answer is whole.
+    pub done: bool,
+}
+
+/// Cuts a stream at the ends of events, so that a caller never holds half of one and an answer
+/// can be resumed at a whole number of events.
+#[derive(Debug)]
+pub struct EventSplitter {
+    limit: usize,
+    partial: BytesMut,
+}
+
+impl EventSplitter {
+    /// A splitter for events of at most `limit` bytes.
+    #[must_use]
+    pub fn new(limit: usize) -> Self {
+        Self {
+            limit,
+            partial: BytesMut::new(),
+        }
+    }
+
+    /// Takes in a chunk and returns the events that are whole now. A chunk that holds only whole
+    /// events is not copied.
+    ///
+    /// # Errors
+    /// If a line is no field of an event, or an event is larger than the limit.
+    pub fn push(&mut self, chunk: Bytes) -> Result<Option<EventBatch>, EventFault> {
+        if self.partial.is_empty() && chunk.ends_with(SEPARATOR) {
+            return batch(chunk).map(Some);
+        }
+        self.partial.extend_from_slice(&chunk);
+        let end = self
+            .partial
+            .windows(SEPARATOR.len())
+            .rposition(|part| part == SEPARATOR);
+        let Some(end) = end else {
+            return self.check_partial().map(|()| None);
+        };
+        let whole = self.partial.split_to(end + SEPARATOR.len()).freeze();
+        self.check_partial()?;
+        batch(whole).map(Some)
+    }
+
+    /// True if an event has begun and not ended.
+    #[must_use]
+    pub fn holds_partial(&self) -> bool {
+        !self.partial.is_empty()
+    }
+
+    fn check_partial(&self) -> Result<(), EventFault> {
+        let longest = FIELDS.iter().map(|field| field.len()).max().unwrap_or(0);
+        let garbage = self.partial.len() >= longest && !begins_with_field(&self.partial);
+        if garbage || self.partial.len() > self.limit {
+            return Err(EventFault);
+        }
+        Ok(())
+    }
+}
+
+fn begins_with_field(line: &[u8]) -> bool {
+    FIELDS.iter().any(|field| line.starts_with(field))
+}
+
+fn batch(bytes: Bytes) -> Result<EventBatch, EventFault> {
+    let mut count = 0;
+    let mut done = false;
+    let mut carries = false;
+    for line in bytes.split(|byte| *byte == b'\n') {
+        if line.is_empty() {
+            count += u64::from(carries);
+            carries = false;
+            continue;
+        }
+        if !begins_with_field(line) {
+            return Err(EventFault);
+        }
+        if line.starts_with(DONE) {
+            done = true;
+        } else if line.starts_with(b"data") {
+            carries = true;
+        }
+    }
+    Ok(EventBatch { bytes, count, done })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn push_all(chunks: &[&str]) -> Result<Vec<EventBatch>, EventFault> {
+        let mut splitter = EventSplitter::new(64);
+        let mut batches = Vec::new();
+        for chunk in chunks {
+            batches.extend(splitter.push(Bytes::copy_from_slice(chunk.as_bytes()))?);
+        }
+        Ok(batches)
+    }
+
+    #[test]
+    fn events_are_cut_at_their_ends_wherever_chunks_end() {
+        let text = "data: a\n\ndata: b\n\n: note\n\ndata: [DONE]\n\n";
+        for cut in 1..text.len() {
+            let batches = push_all(&[&text[..cut], &text[cut..]]).unwrap();
+            let joined: Vec<u8> = batches
+                .iter()
+                .flat_map(|part| part.bytes.to_vec())
+                .collect();
+            assert_eq!(joined, text.as_bytes());
+            assert_eq!(batches.iter().map(|part| part.count).sum::<u64>(), 2);
+            assert!(batches.last().is_some_and(|part| part.done));
+        }
+    }
+
+    #[test]
+    fn what_is_no_event_is_refused() {
+        assert_eq!(push_all(&["<html>\n\n"]), Err(EventFault));
+        assert_eq!(push_all(&["<html><b"]), Err(EventFault));
+        assert_eq!(push_all(&["data: ", &"x".repeat(99)]), Err(EventFault));
+    }
+}
--- /dev/null
+++ b/src/endpoint/reader.rs
@@ -0,0 +1,277 @@
+//! Reading an endpoint's answer and passing it on. Nothing is read ahead of the caller by more
+//! than a few chunks, so a slow caller holds its endpoint back and not this router's memory.
+
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use http::HeaderMap;
+use http::HeaderValue;
+use http::Response;
+use http::StatusCode;
+use http::header;
+use http_body_util::BodyExt;
+use hyper::body::Body;
+use hyper::body::Incoming;
+use tokio::time;
+
+use crate::core::action::RunOutcome;
+use crate::core::event::AttemptOutcome;
+use crate::core::event::CoreEvent;
+use crate::daemon::message::DispatchOrder;
+use crate::entry::answers::AnswerHead;
+use crate::entry::caller::CallerSide;
+use crate::entry::context::EntryContext;
+use crate::entry::headers;
+use crate::units::RequestId;
+use crate::units::ServiceUnits;
+
+use super::attempt::AnswerShape;
+use super::events::EventSplitter;
+use super::service;
+
+/// How an attempt ended, and the rest of its body if its end was not read yet.
+pub type ReadResult = (AttemptOutcome, Option<Incoming>);
+
+/// Reads one answer.
+pub struct AnswerReader<'a> {
+    /// What all requests share.
+    pub context: &'a EntryContext,
+    /// The request.
+    pub request: RequestId,
+    /// What the core decided.
+    pub order: DispatchOrder,
+    /// What the answer shall look like.
+    pub shape: AnswerShape,
+    /// Bytes of the request's body.
+    pub request_bytes: usize,
+    /// Service so far.
+    pub meter: &'a AtomicU64,
+    /// Where the answer goes.
+    pub caller: &'a mut CallerSide,
+    /// Set false if the answer can't be resumed.
+    pub can_resume: &'a mut bool,
+}
+
+/// Why no more of an answer came.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ReadFault {
+    /// The connection broke, or nothing came for too long.
+    Lost,
+    /// It is larger than what is kept.
+    TooLarge,
+}
+
+impl AnswerReader<'_> {
+    /// Reads the answer to its end.
+    pub async fn read(mut self, response: Response<Incoming>) -> ReadResult {
+        let (parts, body) = response.into_parts();
+        let mut fields = parts.headers;
+        headers::strip_connection(&mut fields);
+        let head = AnswerHead {
+            status: parts.status,
+            headers: fields,
+        };
+        if head.status.is_informational() || head.status == StatusCode::SWITCHING_PROTOCOLS {
+            return (AttemptOutcome::Garbage, None);
+        }
+        match self.shape {
+            AnswerShape::Events if head.status.is_success() => self.read_events(head, body).await,
+            AnswerShape::Json | AnswerShape::Events => self.read_json(head, body).await,
+            AnswerShape::Plain => self.read_plain(head, body).await,
+        }
+    }
+
+    fn note_service(&self, units: ServiceUnits) {
+        self.meter.store(units.0, Ordering::Relaxed);
+    }
+
+    async fn next_chunk(&self, body: &mut Incoming) -> Result<Option<Bytes>, ReadFault> {
+        let pause = Duration::from_millis(self.context.config.answer_pause_ms);
+        loop {
+            let frame = time::timeout(pause, body.frame()).await;
+            let Ok(frame) = frame else {
+                return Err(ReadFault::Lost);
+            };
+            match frame {
+                None => return Ok(None),
+                Some(Err(_)) => return Err(ReadFault::Lost),
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        return Ok(Some(data));
+                    }
+                }
+            }
+        }
+    }
+
+    async fn read_all(&self, body: &mut Incoming, limit: usize) -> Result<Bytes, ReadFault> {
+        let mut first = Bytes::new();
+        let mut joined = BytesMut::new();
+        while let Some(chunk) = self.next_chunk(body).await? {
+            if first.is_empty() && joined.is_empty() {
+                first = chunk;
+                continue;
+            }
+            if joined.is_empty() {
+                joined.extend_from_slice(&first);
+            }
+            joined.extend_from_slice(&chunk);
+            if joined.len() > limit {
+                return Err(ReadFault::TooLarge);
+            }
+        }
+        Ok(if joined.is_empty() {
+            first
+        } else {
+            joined.freeze()
+        })
+    }
+
+    async fn read_json(&mut self, head: AnswerHead, mut body: Incoming) -> ReadResult {
+        let limit = self.context.config.engine_body_bytes;
+        let text = match self.read_all(&mut body, limit).await {
+            Ok(text) => text,
+            Err(ReadFault::Lost) => return (AttemptOutcome::LostBeforeAnswer, None),
+            Err(ReadFault::TooLarge) => return (AttemptOutcome::Garbage, None),
+        };
+        let tokens = service::answer_tokens(&text);
+        if head.status.is_success() && tokens.is_none() {
+            return (AttemptOutcome::Garbage, None);
+        }
+        let tokens = tokens.unwrap_or(0);
+        self.note_service(service::engine_service(self.request_bytes, tokens));
+        self.caller.give_whole(with_length(head, text.len()), text);
+        (AttemptOutcome::Whole, None)
+    }
+
+    async fn read_plain(&mut self, head: AnswerHead, mut body: Incoming) -> ReadResult {
+        self.note_service(ServiceUnits(service::PLAIN_CALL));
+        let length = body.size_hint().exact();
+        let kept = self.context.config.kept_answer_bytes as u64;
+        if length.is_some_and(|bytes| bytes <= kept) {
+            let Ok(text) = self.read_all(&mut body, usize::MAX).await else {
+                return (AttemptOutcome::LostBeforeAnswer, None);
+            };
+            self.caller.give_whole(with_outcome(head), text);
+            return (AttemptOutcome::Whole, None);
+        }
+        self.caller.begin(with_outcome(head));
+        let mut passed = 0;
+        loop {
+            // With a stated length the caller's connection is done at the last byte and its
+            // leaving then must not be taken for a cancel: the end is known without another read.
+            if length == Some(passed) {
+                return (AttemptOutcome::Whole, Some(body));
+            }
+            match self.next_chunk(&mut body).await {
+                Ok(Some(chunk)) => {
+                    passed += chunk.len() as u64;
+                    self.caller.push(chunk).await;
+                }
+                Ok(None) => return (AttemptOutcome::Whole, None),
+                Err(_) => return (AttemptOutcome::CutAt(passed), None),
+            }
+        }
+    }
+
+    async fn read_events(&mut self, head: AnswerHead, mut body: Incoming) -> ReadResult {
+        let begun = self.order.resume_at;
+        let at_fault = |passed: u64| match passed {
+            0 => AttemptOutcome::LostBeforeAnswer,
+            _ => AttemptOutcome::CutAt(passed),
+        };
+        if !is_event_stream(&head.headers) {
+            return (
+                match begun {
+                    0 => AttemptOutcome::Garbage,
+                    _ => AttemptOutcome::CutAt(begun),
+                },
+                None,
+            );
+        }
+        let resumed = resumed_at(&head.headers);
+        *self.can_resume = resumed.is_some();
+        // An endpoint that can't resume begins anew: passing that on would give the caller the
+        // beginning twice.
+        if begun > 0 && resumed != Some(begun) {
+            *self.can_resume = false;
+            return (AttemptOutcome::CutAt(begun), None);
+        }
+        let mut head = Some(head);
+        let mut splitter = EventSplitter::new(self.context.config.event_bytes);
+        let mut passed = begun;
+        let mut told = Instant::now();
+        loop {
+            let Ok(Some(chunk)) = self.next_chunk(&mut body).await else {
+                return (at_fault(passed), None);
+            };
+            let batch = match splitter.push(chunk) {
+                Ok(Some(batch)) => batch,
+                Ok(None) => continue,
+                Err(_) if passed == 0 => return (AttemptOutcome::Garbage, None),
+                Err(_) => return (AttemptOutcome::CutAt(passed), None),
+            };
+            if let Some(head) = head.take() {
+                self.caller.begin(without_length(head));
+            }
+            self.caller.push(batch.bytes).await;
+            passed += batch.count;
+            self.note_service(service::engine_service(self.request_bytes, passed - begun));
+            if batch.done {
+                return (AttemptOutcome::Whole, Some(body));
+            }
+            self.tell_progress(&mut told);
+        }
+    }
+
+    fn tell_progress(&self, told: &mut Instant) {
+        let interval = Duration::from_millis(self.context.config.progress_ms);
+        if told.elapsed() < interval {
+            return;
+        }
+        *told = Instant::now();
+        self.context.control.tell(CoreEvent::Progress {
+            request: self.request,
+            attempt: self.order.attempt,
+            service: ServiceUnits(self.meter.load(Ordering::Relaxed)),
+        });
+    }
+}
+
+fn is_event_stream(fields: &HeaderMap) -> bool {
+    fields
+        .get(header::CONTENT_TYPE)
+        .and_then(|value| value.to_str().ok())
+        .is_some_and(|text| text.starts_with("text/event-stream"))
+}
+
+fn resumed_at(fields: &HeaderMap) -> Option<u64> {
+    fields.get(headers::RESUMED_AT)?.to_str().ok()?.parse().ok()
+}
+
+fn without_length(mut head: AnswerHead) -> AnswerHead {
+    head.headers.remove(header::CONTENT_LENGTH);
+    head.headers.remove(headers::RESUMED_AT);
+    head
+}
+
+fn with_length(head: AnswerHead, length: usize) -> AnswerHead {
+    let mut head = with_outcome(head);
+    head.headers
+        .insert(header::CONTENT_LENGTH, HeaderValue::from(length));
+    head
+}
+
+/// An endpoint's own error answer means that the request reached it and ran as far as it says.
+fn with_outcome(mut head: AnswerHead) -> AnswerHead {
+    let is_error = head.status.is_client_error() || head.status.is_server_error();
+    if is_error {
+        let ran = headers::outcome_value(RunOutcome::Ran);
+        head.headers.insert(headers::OUTCOME, ran);
+    }
+    head
+}
--- /dev/null
+++ b/src/entry/admit.rs
@@ -0,0 +1,221 @@
+//! Taking a call in: key, path, kind, ticket and body are checked, then the core is told.
+
+use std::sync::Arc;
+
+use http::HeaderMap;
+use http::header;
+use tokio::sync::oneshot;
+use tokio_util::sync::CancellationToken;
+
+use crate::catalog::TeamEntry;
+use crate::core::action::RefusalReason;
+use crate::core::action::RunOutcome;
+use crate::core::event::RequestFacts;
+use crate::endpoint::attempt::AnswerShape;
+use crate::units::ConfigRevision;
+use crate::units::KindName;
+use crate::units::TeamId;
+use crate::units::TimeSpan;
+
+use super::body::StoredBody;
+use super::body::bounded_rest;
+use super::body::read_body;
+use super::call::CallAnswer;
+use super::call::CallOrigin;
+use super::call::IncomingCall;
+use super::caller::CallerSide;
+use super::catalog::EntryCatalog;
+use super::context::EntryContext;
+use super::headers;
+use super::refusal::CallFault;
+use super::route;
+use super::route::PathTarget;
+use super::task::BodySource;
+use super::task::RequestTask;
+use super::task::StoredCall;
+
+/// Answers a call, whichever way it came. Dropping the returned future or the answer's body
+/// tells that the caller left.
+pub async fn answer(context: &Arc<EntryContext>, call: IncomingCall) -> CallAnswer {
+    match admit(context, call).await {
+        Ok(answer) => answer,
+        Err(fault) => fault.into_answer(),
+    }
+}
+
+async fn admit(context: &Arc<EntryContext>, call: IncomingCall) -> Result<CallAnswer, CallFault> {
+    let catalog = Arc::clone(&context.control.catalog.borrow());
+    if catalog.revision() == ConfigRevision(0) {
+        return Err(CallFault::NotReady);
+    }
+    let task = take_in(context, &catalog, call).await?;
+    let (sender, receiver) = oneshot::channel();
+    let left = CancellationToken::new();
+    let guard = left.clone().drop_guard();
+    let request = task.facts.request;
+    tokio::spawn(task.run(CallerSide::new(sender, left)));
+    // A task that ended without an answer was stopped with the whole process.
+    let mut answer = receiver.await.map_err(|_| CallFault::Refused {
+        reason: RefusalReason::Draining,
+        outcome: RunOutcome::Unknown,
+        retry_after: TimeSpan(0),
+    })?;
+    spdlog::trace!(
+        "entry: request {request} answered with {}.",
+        answer.status()
+    );
+    answer.body_mut().watch(guard);
+    Ok(answer)
+}
+
+async fn take_in(
+    context: &Arc<EntryContext>,
+    catalog: &Arc<EntryCatalog>,
+    call: IncomingCall,
+) -> Result<RequestTask, CallFault> {
+    let path = call.target.path().to_owned();
+    let (team_id, team) = team_of(catalog, &call.origin, &call.headers)?;
+    let kind = kind_name(team, &call, &path)?;
+    let entry = team.kinds.get(&kind).ok_or(CallFault::UnknownKind)?;
+    let ticket = route::ticket_of(&context.signer, &call.headers)?;
+    let repeat = route::repeat_rule(team, entry, &call.method, &path, ticket);
+    let target = route::path_target(catalog, &call.method, &path)?;
+    let taken = take_body(context, catalog, target, &call.headers, call.body).await?;
+    let time_left = match &call.origin {
+        CallOrigin::Caller => entry.deadline,
+        CallOrigin::Peer(vouch) => vouch.time_left.min(entry.deadline),
+    };
+    let facts = RequestFacts {
+        request: context.next_request(),
+        team: team_id,
+        kind,
+        pool: taken.pool,
+        repeat,
+        deadline: context.control.clock.now() + time_left,
+        fingerprint: route::fingerprint(team_id, &call.method, &path, taken.body.kept()),
+        prefix: taken.prefix,
+        forwarded: call.origin != CallOrigin::Caller,
+        resumable: taken.shape == AnswerShape::Events,
+    };
+    Ok(RequestTask {
+        context: Arc::clone(context),
+        facts,
+        call: StoredCall {
+            method: call.method,
+            target: call.target,
+            headers: call.headers,
+            body: taken.body,
+            shape: taken.shape,
+        },
+    })
+}
+
+fn team_of<'a>(
+    catalog: &'a EntryCatalog,
+    origin: &CallOrigin,
+    fields: &HeaderMap,
+) -> Result<(TeamId, &'a TeamEntry), CallFault> {
+    let team = match origin {
+        CallOrigin::Peer(vouch) => Some(vouch.team),
+        CallOrigin::Caller => bearer_key(fields).and_then(|key| catalog.team_of_key(key)),
+    };
+    let team = team.ok_or(CallFault::UnknownKey)?;
+    let entry = catalog.fleet.teams.get(&team);
+    entry
+        .map(|entry| (team, entry))
+        .ok_or(CallFault::UnknownKey)
+}
+
+fn bearer_key(fields: &HeaderMap) -> Option<&[u8]> {
+    let value = fields.get(header::AUTHORIZATION)?.as_bytes();
+    let (scheme, key) = value.split_at_checked("Bearer ".len())?;
+    scheme.eq_ignore_ascii_case(b"Bearer ").then_some(key)
+}
+
+fn kind_name(team: &TeamEntry, call: &IncomingCall, path: &str) -> Result<KindName, CallFault> {
+    match &call.origin {
+        CallOrigin::Peer(vouch) => Ok(vouch.kind.clone()),
+        CallOrigin::Caller => {
+            route::kind_of(team, &call.method, path, &call.headers).map(|(name, _)| name.clone())
+        }
+    }
+}
+
+struct TakenBody {
+    pool: crate::units::PoolId,
+    body: BodySource,
+    shape: AnswerShape,
+    prefix: u64,
+}
+
+async fn take_body(
+    context: &EntryContext,
+    catalog: &EntryCatalog,
+    target: PathTarget,
+    fields: &HeaderMap,
+    body: super::call::CallBody,
+) -> Result<TakenBody, CallFault> {
+    let config = &context.config;
+    let length = content_length(fields);
+    match target {
+        PathTarget::Completion => {
+            let limit = config.engine_body_bytes;
+            let too_large = CallFault::BodyTooLarge(limit as u64);
+            if length.is_some_and(|bytes| bytes > limit as u64) {
+                return Err(too_large);
+            }
+            let StoredBody { kept, rest: None } = read_body(body, limit, config).await? else {
+                return Err(too_large);
+            };
+            let completion = route::completion_route(catalog, &kept)?;
+            Ok(TakenBody {
+                pool: completion.pool,
+                body: BodySource::Kept(kept),
+                shape: if completion.streamed {
+                    AnswerShape::Events
+                } else {
+                    AnswerShape::Json
+                },
+                prefix: completion.prefix,
+            })
+        }
+        PathTarget::Plain(pool) => {
+            let limit = config.plain_body_bytes;
+            if length.is_some_and(|bytes| bytes > limit) {
+                return Err(CallFault::BodyTooLarge(limit));
+            }
+            let read = read_body(body, config.kept_body_bytes, config).await?;
+            let body = match read.rest {
+                None => BodySource::Kept(read.kept),
+                Some(rest) => {
+                    let left = limit.saturating_sub(read.kept.len() as u64);
+                    let rest = bounded_rest(rest, left, config);
+                    BodySource::streamed(read.kept, rest, length)
+                }
+            };
+            Ok(TakenBody {
+                pool,
+                body,
+                shape: AnswerShape::Plain,
+                prefix: 0,
+            })
+        }
+    }
+}
+
+fn content_length(fields: &HeaderMap) -> Option<u64> {
+    fields
+        .get(header::CONTENT_LENGTH)?
+        .to_str()
+        .ok()?
+        .parse()
+        .ok()
+}
+
+/// The headers that go on to an endpoint.
+#[must_use]
+pub fn endpoint_headers(fields: &HeaderMap) -> HeaderMap {
+    let mut passed = headers::for_endpoint(fields);
+    passed.remove(header::CONTENT_LENGTH);
+    passed
+}
--- /dev/null
+++ b/src/entry/answers.rs
@@ -0,0 +1,186 @@
+//! Answers that are kept so that a resend with the same ticket gets them too.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::StatusCode;
+use tokio::sync::Notify;
+use tokio::sync::mpsc;
+
+use crate::units::RequestId;
+
+use super::call::cut_error;
+
+/// The head of an answer.
+#[derive(Debug, Clone)]
+pub struct AnswerHead {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its headers.
+    pub headers: HeaderMap,
+}
+
+/// Where a kept answer stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum RecordStage {
+    Open,
+    Whole,
+    Broken,
+}
+
+#[derive(Debug)]
+struct RecordState {
+    head: Option<AnswerHead>,
+    chunks: Vec<Bytes>,
+    bytes: usize,
+    stage: RecordStage,
+}
+
+/// One answer, kept while it comes and afterwards.
+#[derive(Debug)]
+pub struct AnswerRecord {
+    limit: usize,
+    state: Mutex<RecordState>,
+    changed: Notify,
+}
+
+impl AnswerRecord {
+    /// An empty record that keeps up to `limit` bytes.
+    #[must_use]
+    pub fn new(limit: usize) -> Self {
+        Self {
+            limit,
+            state: Mutex::new(RecordState {
+                head: None,
+                chunks: Vec::new(),
+                bytes: 0,
+                stage: RecordStage::Open,
+            }),
+            changed: Notify::new(),
+        }
+    }
+
+    fn change(&self, change: impl FnOnce(&mut RecordState)) {
+        change(&mut self.state.lock().unwrap_or_else(PoisonError::into_inner));
+        self.changed.notify_waiters();
+    }
+
+    /// Keeps the head.
+    pub fn set_head(&self, head: &AnswerHead) {
+        self.change(|state| state.head = Some(head.clone()));
+    }
+
+    /// Keeps a chunk. A record over its limit breaks: joiners are told so and get no part.
+    pub fn push(&self, chunk: &Bytes) {
+        self.change(|state| {
+            state.bytes += chunk.len();
+            if state.bytes > self.limit {
+                state.stage = RecordStage::Broken;
+                state.chunks.clear();
+            } else if state.stage == RecordStage::Open {
+                state.chunks.push(chunk.clone());
+            }
+        });
+    }
+
+    /// Bytes kept so far; `None` if the record broke.
+    #[must_use]
+    pub fn kept_bytes(&self) -> Option<usize> {
+        let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        (state.stage != RecordStage::Broken).then_some(state.bytes)
+    }
+
+    /// True if the whole answer is kept.
+    #[must_use]
+    pub fn is_whole(&self) -> bool {
+        let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.stage == RecordStage::Whole
+    }
+
+    /// Notes that the answer is whole (true) or never will be (false).
+    pub fn end(&self, whole: bool) {
+        self.change(|state| {
+            if state.stage == RecordStage::Open {
+                state.stage = if whole {
+                    RecordStage::Whole
+                } else {
+                    RecordStage::Broken
+                };
+            }
+        });
+    }
+
+    /// Waits for the head; `None` if there is none to come.
+    pub async fn head(&self) -> Option<AnswerHead> {
+        loop {
+            let changed = self.changed.notified();
+            {
+                let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+                match (state.stage, &state.head) {
+                    (RecordStage::Broken, _) | (RecordStage::Whole, None) => return None,
+                    (_, Some(head)) => return Some(head.clone()),
+                    (RecordStage::Open, None) => {}
+                }
+            }
+            changed.await;
+        }
+    }
+
+    /// Passes the whole answer on to a later caller.
+    pub async fn copy_to(&self, caller: &mpsc::Sender<Result<Bytes, io::Error>>) {
+        let mut next = 0;
+        loop {
+            let changed = self.changed.notified();
+            let (chunk, stage) = {
+                let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+                (state.chunks.get(next).cloned(), state.stage)
+            };
+            let item = match (chunk, stage) {
+                (_, RecordStage::Broken) => Err(cut_error()),
+                (Some(chunk), _) => Ok(chunk),
+                (None, RecordStage::Whole) => return,
+                (None, RecordStage::Open) => {
+                    changed.await;
+                    continue;
+                }
+            };
+            next += 1;
+            let broken = item.is_err();
+            if caller.send(item).await.is_err() || broken {
+                return;
+            }
+        }
+    }
+}
+
+/// The kept answers of this router.
+#[derive(Debug, Default)]
+pub struct AnswerStore {
+    records: Mutex<BTreeMap<RequestId, Arc<AnswerRecord>>>,
+}
+
+impl AnswerStore {
+    /// The record of a request's answer, begun if there is none. Whoever comes first begins it:
+    /// the request itself at its first attempt, or a resend that waits for its answer.
+    pub fn open(&self, request: RequestId, limit: usize) -> Arc<AnswerRecord> {
+        let mut records = self.lock();
+        let record = records
+            .entry(request)
+            .or_insert_with(|| Arc::new(AnswerRecord::new(limit)));
+        Arc::clone(record)
+    }
+
+    /// Drops the kept answer of a request.
+    pub fn forget(&self, request: RequestId) {
+        self.lock().remove(&request);
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, BTreeMap<RequestId, Arc<AnswerRecord>>> {
+        self.records.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/src/entry/context.rs
@@ -0,0 +1,43 @@
+//! What all requests of a router share on the traffic side.
+
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use crate::configs::traffic::TrafficConfig;
+use crate::daemon::control::ControlLink;
+use crate::endpoint::connections::EndpointConnections;
+use crate::tickets::TicketSigner;
+use crate::units::RequestId;
+
+/// Shared by all requests.
+#[derive(Debug)]
+pub struct EntryContext {
+    /// The way to the control thread.
+    pub control: ControlLink,
+    /// Connections to endpoints.
+    pub connections: EndpointConnections,
+    /// Limits.
+    pub config: TrafficConfig,
+    /// Makes and checks tickets.
+    pub signer: TicketSigner,
+    last_request: AtomicU64,
+}
+
+impl EntryContext {
+    /// A context for one router life.
+    #[must_use]
+    pub fn new(control: ControlLink, config: TrafficConfig) -> Self {
+        Self {
+            connections: EndpointConnections::new(&config),
+            signer: TicketSigner::random(control.incarnation),
+            control,
+            config,
+            last_request: AtomicU64::new(0),
+        }
+    }
+
+    /// A request id that this router life has not used.
+    pub fn next_request(&self) -> RequestId {
+        RequestId(self.last_request.fetch_add(1, Ordering::Relaxed) + 1)
+    }
+}
--- /dev/null
+++ b/src/entry/task.rs
@@ -0,0 +1,354 @@
+//! One request's task: it carries out what the core decides for the request, and tells the core
+//! what became of it.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::Method;
+use http::Uri;
+use tokio::sync::mpsc::UnboundedReceiver;
+
+use crate::core::action::RefusalReason;
+use crate::core::action::RunOutcome;
+use crate::core::event::AttemptOutcome;
+use crate::core::event::CoreEvent;
+use crate::core::event::RepeatRule;
+use crate::core::event::RequestFacts;
+use crate::daemon::message::DispatchOrder;
+use crate::daemon::message::RequestCommand;
+use crate::endpoint::attempt::AnswerShape;
+use crate::endpoint::attempt::AttemptPlan;
+use crate::endpoint::attempt::AttemptRun;
+use crate::endpoint::body::OutgoingBody;
+use crate::units::ByteSize;
+use crate::units::RequestId;
+use crate::units::ServiceUnits;
+use crate::units::TimeSpan;
+
+use super::admit::endpoint_headers;
+use super::call::CallBody;
+use super::caller::CallerSide;
+use super::context::EntryContext;
+use super::refusal::CallFault;
+
+/// The body of a call, for as many attempts as it can serve.
+pub enum BodySource {
+    /// Kept whole: any number of attempts.
+    Kept(Bytes),
+    /// Streamed through: one attempt that reads it.
+    Streamed {
+        /// What was read to recognise resends.
+        kept: Bytes,
+        /// All of it, until an attempt took it.
+        body: Option<OutgoingBody>,
+    },
+}
+
+impl BodySource {
+    /// A body whose beginning was read and the rest follows.
+    #[must_use]
+    pub fn streamed(kept: Bytes, rest: CallBody, length: Option<u64>) -> Self {
+        Self::Streamed {
+            kept: kept.clone(),
+            body: Some(OutgoingBody::streamed(kept, rest, length)),
+        }
+    }
+
+    /// What is kept of it.
+    #[must_use]
+    pub fn kept(&self) -> &[u8] {
+        match self {
+            Self::Kept(kept) | Self::Streamed { kept, .. } => kept,
+        }
+    }
+
+    /// The body for an attempt; `None` if an earlier attempt has read it.
+    pub fn take(&mut self) -> Option<OutgoingBody> {
+        match self {
+            Self::Kept(kept) => Some(OutgoingBody::whole(kept.clone())),
+            Self::Streamed { body, .. } => body.take(),
+        }
+    }
+
+    /// Puts back a body that no byte was read of.
+    pub fn put_back(&mut self, unread: OutgoingBody) {
+        if let Self::Streamed { body, .. } = self {
+            *body = Some(unread);
+        }
+    }
+}
+
+/// A call as it is sent to endpoints.
+pub struct StoredCall {
+    /// Its method.
+    pub method: Method,
+    /// Path and query.
+    pub target: Uri,
+    /// The caller's headers.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: BodySource,
+    /// What the answer looks like.
+    pub shape: AnswerShape,
+}
+
+/// One request.
+pub struct RequestTask {
+    /// What all requests share.
+    pub context: Arc<EntryContext>,
+    /// What the core is told of it.
+    pub facts: RequestFacts,
+    /// The call.
+    pub call: StoredCall,
+}
+
+struct RunningTask {
+    context: Arc<EntryContext>,
+    facts: RequestFacts,
+    call: StoredCall,
+    caller: CallerSide,
+    commands: UnboundedReceiver<RequestCommand>,
+    left_told: bool,
+}
+
+impl RequestTask {
+    /// Tells the core of the request and does what it says until the request has ended.
+    pub async fn run(self, caller: CallerSide) {
+        let commands = self.context.control.arrived(self.facts.clone());
+        let mut running = RunningTask {
+            context: self.context,
+            facts: self.facts,
+            call: self.call,
+            caller,
+            commands,
+            left_told: false,
+        };
+        while let Some(command) = running.next_command().await {
+            if running.obey(command).await {
+                return;
+            }
+        }
+    }
+}
+
+impl RunningTask {
+    /// The next command; `None` if the core has forgotten the request.
+    async fn next_command(&mut self) -> Option<RequestCommand> {
+        let left = self.caller.left();
+        loop {
+            tokio::select! {
+                biased;
+                command = self.commands.recv() => return command,
+                () = left.cancelled(), if !self.left_told => self.tell_left(),
+            }
+        }
+    }
+
+    fn tell_left(&mut self) {
+        self.left_told = true;
+        self.context
+            .control
+            .tell(CoreEvent::CallerLeft(self.facts.request));
+    }
+
+    /// Carries out a command; true if it was the last one.
+    async fn obey(&mut self, command: RequestCommand) -> bool {
+        match command {
+            RequestCommand::Dispatch(order) => {
+                if let Some(next) = self.attempt(order).await {
+                    return Box::pin(self.obey(next)).await;
+                }
+                return false;
+            }
+            RequestCommand::Cancel(_) => return false,
+            RequestCommand::Complete => self.caller.end(),
+            RequestCommand::Refuse {
+                reason,
+                outcome,
+                retry_after,
+            } => self.refuse(reason, outcome, retry_after).await,
+            RequestCommand::OfferTicket(ticket) => {
+                let text = self.context.signer.sign(ticket);
+                self.caller.fail(CallFault::TicketNeeded(text)).await;
+            }
+            RequestCommand::JoinAnswer(original) => self.join(original).await,
+            RequestCommand::Forward(_) => {
+                self.caller
+                    .fail(CallFault::PeerLost(RunOutcome::NotRun))
+                    .await;
+            }
+        }
+        true
+    }
+
+    async fn refuse(&mut self, reason: RefusalReason, outcome: RunOutcome, retry_after: TimeSpan) {
+        let request = self.facts.request;
+        let team = self.facts.team;
+        spdlog::debug!("entry: request {request} team {team} refused: {reason:?}, {outcome:?}.");
+        self.context.control.answers.forget(request);
+        let fault = CallFault::Refused {
+            reason,
+            outcome,
+            retry_after,
+        };
+        self.caller.fail(fault).await;
+    }
+
+    /// Makes an attempt. Returns a command that ended it early, if one did.
+    async fn attempt(&mut self, order: DispatchOrder) -> Option<RequestCommand> {
+        let request = self.facts.request;
+        self.open_record();
+        let left = self.caller.left();
+        let meter = AtomicU64::new(0);
+        let plan = AttemptPlan {
+            context: &self.context,
+            request,
+            order,
+            method: &self.call.method,
+            target: &self.call.target,
+            headers: endpoint_headers(&self.call.headers),
+            shape: self.call.shape,
+            meter: &meter,
+        };
+        let mut can_resume = true;
+        let ended = {
+            let run = AttemptRun::new(plan, &mut self.call.body, &mut self.caller, &mut can_resume);
+            let running = run.run();
+            tokio::pin!(running);
+            loop {
+                tokio::select! {
+                    biased;
+                    outcome = &mut running => break Ok(outcome),
+                    command = self.commands.recv() => match command {
+                        Some(RequestCommand::Cancel(attempt)) if attempt != order.attempt => {}
+                        other => break Err(other),
+                    },
+                    () = left.cancelled(), if !self.left_told => {
+                        self.left_told = true;
+                        self.context.control.tell(CoreEvent::CallerLeft(request));
+                    }
+                }
+            }
+        };
+        let service = ServiceUnits(meter.load(Ordering::Relaxed));
+        match ended {
+            Ok(outcome) => {
+                self.report(order, outcome, service, can_resume).await;
+                None
+            }
+            Err(command) => {
+                self.tell_ended(order, AttemptOutcome::Cancelled, service);
+                command.filter(|command| !matches!(command, RequestCommand::Cancel(_)))
+            }
+        }
+    }
+
+    async fn report(
+        &mut self,
+        order: DispatchOrder,
+        outcome: AttemptOutcome,
+        service: ServiceUnits,
+        can_resume: bool,
+    ) {
+        let request = self.facts.request;
+        if outcome == AttemptOutcome::Whole {
+            self.caller.end();
+            self.tell_kept();
+        } else {
+            let (attempt, endpoint) = (order.attempt, order.endpoint);
+            let team = self.facts.team;
+            spdlog::info!(
+                "endpoint: request {request} team {team} attempt {attempt} on {endpoint} ended: {outcome:?}."
+            );
+        }
+        self.tell_ended(order, outcome, service);
+        let lost = matches!(outcome, AttemptOutcome::CutAt(_)) && !can_resume;
+        if lost && !self.left_told {
+            // What the caller has can't be continued. The rest must not be run again for nobody,
+            // and the caller must see at once that the answer is cut.
+            let fault = CallFault::PeerLost(RunOutcome::Unknown);
+            self.caller.fail(fault).await;
+            self.tell_left();
+        }
+    }
+
+    fn tell_ended(&self, order: DispatchOrder, outcome: AttemptOutcome, service: ServiceUnits) {
+        self.context.control.tell(CoreEvent::AttemptEnded {
+            request: self.facts.request,
+            attempt: order.attempt,
+            outcome,
+            service,
+        });
+    }
+
+    fn open_record(&mut self) {
+        let minter = self.context.control.incarnation;
+        let RepeatRule::Unrepeatable(Some(ticket)) = self.facts.repeat else {
+            return;
+        };
+        if ticket.minter == minter && self.caller.record().is_none() {
+            let limit = self.context.config.stored_answer_bytes;
+            let answers = &self.context.control.answers;
+            self.caller.keep_in(answers.open(self.facts.request, limit));
+        }
+    }
+
+    fn tell_kept(&self) {
+        let Some(record) = self.caller.record() else {
+            return;
+        };
+        let request = self.facts.request;
+        let bytes = record.kept_bytes().map(|bytes| ByteSize(bytes as u64));
+        if bytes.is_none() {
+            self.context.control.answers.forget(request);
+        }
+        self.context
+            .control
+            .tell(CoreEvent::AnswerKept { request, bytes });
+    }
+
+    /// Answers with what another request of the same ticket gets or got.
+    async fn join(&mut self, original: RequestId) {
+        let limit = self.context.config.stored_answer_bytes;
+        let record = self.context.control.answers.open(original, limit);
+        let mut ended = None;
+        let head = loop {
+            tokio::select! {
+                biased;
+                head = record.head() => break head,
+                command = self.next_command(), if ended.is_none() => match command {
+                    Some(RequestCommand::Complete) if record.is_whole() => {}
+                    other => {
+                        ended = Some(other);
+                        break None;
+                    }
+                },
+            }
+        };
+        if let Some(head) = head {
+            self.caller.begin(head);
+            self.caller.copy(&record).await;
+            return;
+        }
+        match ended {
+            Some(Some(RequestCommand::Refuse {
+                reason,
+                outcome,
+                retry_after,
+            })) => self.refuse(reason, outcome, retry_after).await,
+            Some(None) => {}
+            Some(Some(_)) => {
+                self.context.control.answers.forget(original);
+                let (reason, later) = (RefusalReason::TicketGone, TimeSpan(0));
+                self.refuse(reason, RunOutcome::Ran, later).await;
+            }
+            None => {
+                let (reason, later) = (RefusalReason::TicketGone, TimeSpan(0));
+                self.refuse(reason, RunOutcome::Unknown, later).await;
+            }
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,7 +6,10 @@
 pub mod catalog;
 pub mod configs;
 pub mod core;
+pub mod daemon;
 pub mod document;
+pub mod endpoint;
+pub mod entry;
 pub mod peers;
 pub mod platform;
 pub mod publication;
