--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod peers;
 pub mod platform;
 pub mod publication;
+pub mod report;
 pub mod settings;
 pub mod tickets;
 pub mod units;
--- /dev/null
+++ b/src/report/samples.rs
@@ -0,0 +1,122 @@
+//! What a router looks like at one moment, kept over time.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::core::state::CoreState;
+use crate::core::tables::entry_pool::VIRTUAL_SCALE;
+use crate::core::tables::owned_pool::OwnedPool;
+use crate::units::PoolName;
+
+/// Seconds between two samples.
+pub const SAMPLE_EVERY_S: u64 = 10;
+
+/// Samples kept: an hour's.
+const MOST_SAMPLES: usize = 360;
+
+/// A pool as its owner sees it over the whole fleet.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PoolSample {
+    /// Teams that wait somewhere.
+    pub backlogged: u32,
+    /// Between any two of them, the largest difference of service received per unit of share,
+    /// in service units.
+    pub gap_units: u64,
+    /// Slots of all endpoints that get new work.
+    pub slots: u32,
+    /// Slots leased to entry routers.
+    pub leased: u32,
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+}
+
+/// One moment of one router.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RouterSample {
+    /// When, in seconds since 1970.
+    pub at_s: u64,
+    /// Pools that the router owned then.
+    pub pools: BTreeMap<PoolName, PoolSample>,
+    /// Bytes of control traffic that it has sent since its start.
+    pub control_bytes: u64,
+    /// Requests that came in at it and have not ended.
+    pub requests: u64,
+}
+
+impl RouterSample {
+    /// Takes a sample of the decision core's state.
+    #[must_use]
+    pub fn of(state: &CoreState, at_s: u64, control_bytes: u64) -> Self {
+        let catalog = &state.catalog;
+        let pools = state
+            .owned
+            .iter()
+            .filter_map(|(id, pool)| {
+                let name = catalog.pools.get(id)?.name.clone();
+                Some((name, pool_sample(pool)))
+            })
+            .collect();
+        Self {
+            at_s,
+            pools,
+            control_bytes,
+            requests: state.requests.len() as u64,
+        }
+    }
+}
+
+/// The owner's view of a pool.
+#[must_use]
+pub fn pool_sample(pool: &OwnedPool) -> PoolSample {
+    let times = || {
+        let waiting = pool.accounts.values().filter(|account| account.waits);
+        waiting.map(|account| account.time)
+    };
+    let demands = || {
+        let members = pool.members.values();
+        members.flat_map(|member| member.teams.values())
+    };
+    let gap = match (times().min(), times().max()) {
+        (Some(least), Some(most)) => most.saturating_sub(least) / VIRTUAL_SCALE,
+        _ => 0,
+    };
+    PoolSample {
+        backlogged: u32::try_from(times().count()).unwrap_or(u32::MAX),
+        gap_units: u64::try_from(gap).unwrap_or(0),
+        slots: pool.total(),
+        leased: pool.claimed.values().sum(),
+        running: demands().map(|demand| demand.running).sum(),
+        waiting: demands().map(|demand| demand.waiting).sum(),
+    }
+}
+
+/// The samples of the last hour.
+#[derive(Debug, Default)]
+pub struct SampleHistory {
+    samples: Mutex<VecDeque<RouterSample>>,
+}
+
+impl SampleHistory {
+    /// Adds a sample and forgets the oldest if there are too many.
+    pub fn push(&self, sample: RouterSample) {
+        let mut samples = self.samples.lock().unwrap_or_else(PoisonError::into_inner);
+        samples.push_back(sample);
+        if samples.len() > MOST_SAMPLES {
+            samples.pop_front();
+        }
+    }
+
+    /// All samples, oldest first.
+    #[must_use]
+    pub fn all(&self) -> Vec<RouterSample> {
+        let samples = self.samples.lock().unwrap_or_else(PoisonError::into_inner);
+        samples.iter().cloned().collect()
+    }
+}
