verbenactl: check, render, diff, schema, key, completions; all faults of all steps at once

Change: only the faulty value is left out, and an entry only if it can't be read without it. Tests: 20 wrong publications with all paths, doubled names, colliding hashes, cuts at every byte, and three properties (2,000 cases each, fixed seed): no panic on any bytes or JSON.

--- /dev/null
+++ b/src/ctl/command.rs
@@ -0,0 +1,155 @@
+//! The command line.
+
+use clap::Arg;
+use clap::ArgAction;
+use clap::ArgMatches;
+use clap::Command;
+use clap::value_parser;
+use clap_complete::Shell;
+use clap_complete::generate;
+
+use super::exit::CtlError;
+use super::exit::ExitKind;
+use super::output::OutputWriter;
+
+/// All subcommands and options.
+#[must_use]
+pub fn command() -> Command {
+    Command::new("verbenactl")
+        .about("Checks and compares publications, and asks routers what they do")
+        .version(env!("CARGO_PKG_VERSION"))
+        .after_help(exit_help())
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .args(global_arguments())
+        .subcommands([
+            check(),
+            render(),
+            diff(),
+            schema(),
+            key(),
+            completions_command(),
+        ])
+}
+
+fn exit_help() -> String {
+    ExitKind::ALL
+        .iter()
+        .fold("Exit codes:".to_owned(), |text, kind| {
+            format!("{text}\n  {}  {}", kind.code(), kind.meaning())
+        })
+}
+
+fn global_arguments() -> Vec<Arg> {
+    vec![
+        Arg::new("json")
+            .long("json")
+            .global(true)
+            .action(ArgAction::SetTrue)
+            .help("Print JSON; the same as --format json"),
+        Arg::new("format")
+            .long("format")
+            .global(true)
+            .value_parser(["auto", "table", "plain", "json"])
+            .default_value("auto")
+            .help("auto: aligned tables at a terminal, columns parted by tabs in a pipe"),
+        Arg::new("color")
+            .long("color")
+            .global(true)
+            .value_parser(["auto", "always", "never"])
+            .default_value("auto")
+            .help("Colour in tables; auto heeds NO_COLOR"),
+    ]
+}
+
+fn file(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .value_name("FILE")
+        .value_parser(value_parser!(std::path::PathBuf))
+        .required(true)
+        .help(help)
+}
+
+fn check() -> Command {
+    Command::new("check")
+        .about("Checks a publication, settings or a host list and names every fault")
+        .arg(file("file", "The file; - reads standard input"))
+        .arg(
+            Arg::new("as")
+                .long("as")
+                .value_parser(["publication", "settings", "hosts"])
+                .default_value("publication")
+                .help("What the file holds"),
+        )
+}
+
+fn render() -> Command {
+    Command::new("render")
+        .about("Shows a publication with every template and default filled in, as JSON")
+        .arg(file("file", "The publication; - reads standard input"))
+        .arg(
+            Arg::new("team")
+                .long("team")
+                .value_name("NAME")
+                .help("Only this team"),
+        )
+}
+
+fn diff() -> Command {
+    Command::new("diff")
+        .about("Shows what a publication would change; exits with 1 if anything")
+        .arg(file(
+            "before",
+            "The publication before; - reads standard input",
+        ))
+        .arg(file("after", "The publication after"))
+}
+
+fn schema() -> Command {
+    Command::new("schema")
+        .about("Prints the JSON schema of a document")
+        .arg(
+            Arg::new("document")
+                .required(true)
+                .value_parser(["publication", "settings", "hosts"])
+                .help("Which document"),
+        )
+}
+
+fn key() -> Command {
+    Command::new("key").about("Makes a new key and the hash to publish for it")
+}
+
+fn completions_command() -> Command {
+    Command::new("completions")
+        .about("Prints completions for a shell")
+        .arg(
+            Arg::new("shell")
+                .required(true)
+                .value_parser(value_parser!(Shell)),
+        )
+}
+
+/// Prints completions.
+///
+/// # Errors
+/// If standard output is closed.
+pub fn completions(matches: &ArgMatches, writer: &mut OutputWriter) -> Result<ExitKind, CtlError> {
+    let Some(shell) = matches.get_one::<Shell>("shell") else {
+        return Ok(ExitKind::Usage);
+    };
+    let mut text = Vec::new();
+    generate(*shell, &mut command(), "verbenactl", &mut text);
+    writer.print(&String::from_utf8_lossy(&text))?;
+    Ok(ExitKind::Good)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_command_line_is_consistent() {
+        command().debug_assert();
+    }
+}
--- /dev/null
+++ b/src/ctl/schemas.rs
@@ -0,0 +1,46 @@
+//! JSON schemas of the documents that people write.
+
+use clap::ArgMatches;
+use serde_json::Value;
+
+use crate::document::schema_of;
+use crate::platform::HostList;
+use crate::publication::document::PublicationDocument;
+use crate::settings::ProcessSettings;
+
+use super::exit::CtlError;
+use super::exit::ExitKind;
+use super::output::OutputWriter;
+
+/// The schema of a document: `publication`, `settings` or `hosts`.
+#[must_use]
+pub fn schema_named(document: &str) -> Option<Value> {
+    match document {
+        "publication" => Some(schema_of::<PublicationDocument>()),
+        "settings" => Some(schema_of::<ProcessSettings>()),
+        "hosts" => Some(schema_of::<HostList>()),
+        _ => None,
+    }
+}
+
+/// A schema as it is printed and committed.
+#[must_use]
+pub fn schema_text(document: &str) -> Option<String> {
+    let schema = schema_named(document)?;
+    serde_json::to_string_pretty(&schema)
+        .ok()
+        .map(|text| text + "\n")
+}
+
+/// Prints a schema.
+///
+/// # Errors
+/// If standard output is closed.
+pub fn schema(matches: &ArgMatches, writer: &mut OutputWriter) -> Result<ExitKind, CtlError> {
+    let document = matches.get_one::<String>("document").map(String::as_str);
+    let Some(text) = document.and_then(schema_text) else {
+        return Ok(ExitKind::Usage);
+    };
+    writer.print(&text)?;
+    Ok(ExitKind::Good)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod catalog;
 pub mod configs;
 pub mod core;
+pub mod ctl;
 pub mod daemon;
 pub mod document;
 pub mod endpoint;
--- a/src/publication/mod.rs
+++ b/src/publication/mod.rs
@@ -7,8 +7,10 @@
 
 pub mod document;
 pub mod render;
+pub mod rendered;
 pub mod rules;
 
+use serde_json::Map;
 use serde_json::Value;
 
 use crate::catalog::FleetCatalog;
@@ -27,8 +29,6 @@
 /// Largest publication, in bytes: what the platform's service holds in one value.
 pub const MAX_PUBLICATION_BYTES: usize = 1_048_576;
 
-const SECTIONS: [&str; 5] = ["limits", "templates", "teams", "pools", "endpoints"];
-
 /// Reads and checks a publication.
 ///
 /// # Errors
@@ -43,9 +43,10 @@
         return Err(FaultList::from(vec![DocumentFault::new("", message)]));
     }
     let mut tree = tree::parse(text)?;
-    let mut faults = shape::check(&schema_of::<PublicationDocument>(), &tree);
+    let schema = schema_of::<PublicationDocument>();
+    let mut faults = shape::check(&schema, &tree);
     let declared = DeclaredNames::of(&tree);
-    prune(&mut tree, &faults);
+    prune(&mut tree, &schema, &faults);
     match typed::<PublicationDocument>(tree) {
         Ok(document) => {
             faults.extend(rules::check(&document, &declared));
@@ -66,27 +67,49 @@
     read_publication(text).map(|document| render::render(revision, &document))
 }
 
-/// Takes out the entries whose shape is wrong, so that the rules can be checked on the rest and
-/// an operator learns of all faults in one go.
-fn prune(tree: &mut Value, faults: &[DocumentFault]) {
-    let Some(root) = tree.as_object_mut() else {
-        *tree = Value::Object(serde_json::Map::new());
+/// Takes out what has a wrong shape, so that the rules can be checked on the rest and an
+/// operator learns of all faults in one go: first the faulty values themselves, then the entries
+/// that can't be read without them.
+fn prune(tree: &mut Value, schema: &Value, faults: &[DocumentFault]) {
+    if !tree.is_object() {
+        *tree = Value::Object(Map::new());
+    }
+    drop_faulty("", tree, faults);
+    let rest = shape::check(schema, tree);
+    let entries = tree.as_object_mut().into_iter().flatten();
+    for (section, value) in entries {
+        if let Some(entries) = value.as_object_mut() {
+            entries.retain(|key, _| !lies_within(&rest, &join(section, key)));
+        }
+    }
+}
+
+/// Drops values that a fault names. A list goes whole, so that the places in it stay right; a
+/// kind stays without its parts, so that it does not show as missing as well.
+fn drop_faulty(path: &str, value: &mut Value, faults: &[DocumentFault]) {
+    let Some(map) = value.as_object_mut() else {
         return;
     };
-    let within = |path: &str| {
-        faults.iter().any(|fault| {
-            let rest = fault.path.strip_prefix(path);
-            rest.is_some_and(|rest| rest.is_empty() || rest.starts_with('.'))
-        })
-    };
-    root.retain(|key, _| !within(key) || SECTIONS.contains(&key.as_str()));
-    for (section, value) in root.iter_mut() {
-        match value.as_object_mut() {
-            Some(entries) => entries.retain(|key, _| !within(&join(section, key))),
-            None if SECTIONS.contains(&section.as_str()) => {
-                *value = Value::Object(serde_json::Map::new());
-            }
-            None => {}
+    let named = |path: &str| faults.iter().any(|fault| fault.path == path);
+    map.retain(|key, part| {
+        let below = join(path, key);
+        let named_here = match part {
+            Value::Array(_) => lies_within(faults, &below),
+            _ => named(&below),
+        };
+        if named_here && path.rsplit('.').next() == Some("kinds") {
+            *part = Value::Object(Map::new());
+            return true;
         }
-    }
+        drop_faulty(&below, part, faults);
+        !named_here
+    });
+}
+
+/// True if a fault is at a path or below it.
+fn lies_within(faults: &[DocumentFault], path: &str) -> bool {
+    faults.iter().any(|fault| {
+        let rest = fault.path.strip_prefix(path);
+        rest.is_some_and(|rest| rest.is_empty() || rest.starts_with('.'))
+    })
 }
--- /dev/null
+++ b/src/publication/rendered.rs
@@ -0,0 +1,257 @@
+//! A rendered publication as people read it: names instead of ids, nothing left to a template
+//! or a default. And what one publication would change in another.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::fmt::Write;
+use std::net::SocketAddr;
+
+use serde::Serialize;
+use serde_json::Value;
+use smol_str::SmolStr;
+
+use crate::catalog::EndpointEntry;
+use crate::catalog::FenceCheck;
+use crate::catalog::FleetCatalog;
+use crate::catalog::KindEntry;
+use crate::catalog::PoolEntry;
+use crate::catalog::PoolProtocol;
+use crate::catalog::TeamEntry;
+use crate::catalog::UrgencyClass;
+use crate::units::DomainName;
+use crate::units::EndpointName;
+use crate::units::KindName;
+use crate::units::PoolName;
+use crate::units::TeamName;
+
+use super::document::LimitsDocument;
+
+/// A rendered publication.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct RenderedPublication {
+    /// Limits that every router sets its callers.
+    pub limits: LimitsDocument,
+    /// Teams.
+    pub teams: BTreeMap<TeamName, RenderedTeam>,
+    /// Pools.
+    pub pools: BTreeMap<PoolName, RenderedPool>,
+    /// Endpoints.
+    pub endpoints: BTreeMap<EndpointName, RenderedEndpoint>,
+}
+
+/// A team.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct RenderedTeam {
+    /// Its share of every pool.
+    pub share: u32,
+    /// Requests that it may have waiting at one router.
+    pub queue_limit: u32,
+    /// The first eight digits of its keys' hashes.
+    pub keys: Vec<String>,
+    /// The kind of a request that names and matches none.
+    pub default_kind: KindName,
+    /// Its kinds.
+    pub kinds: BTreeMap<KindName, RenderedKind>,
+}
+
+/// A kind.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct RenderedKind {
+    /// `interactive` or `batch`.
+    pub urgency: &'static str,
+    /// True if a second execution does harm.
+    pub unrepeatable: bool,
+    /// Milliseconds that a request may take in all.
+    pub deadline_ms: u64,
+    /// Milliseconds within which an answer counts as good.
+    pub goal_ms: u64,
+    /// Answers in a thousand that shall be good.
+    pub objective_per_mille: u16,
+    /// Only requests with this method, if set.
+    pub method: Option<SmolStr>,
+    /// Only requests whose path starts with this, if set.
+    pub path_prefix: Option<SmolStr>,
+}
+
+/// A pool.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct RenderedPool {
+    /// `engine` or `plain`.
+    pub protocol: &'static str,
+    /// Path prefix of a plain service.
+    pub prefix: Option<SmolStr>,
+    /// Slots of all its endpoints that do not leave.
+    pub slots: u64,
+}
+
+/// An endpoint.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct RenderedEndpoint {
+    /// IP number and port.
+    pub address: SocketAddr,
+    /// The pools that it can serve.
+    pub pools: Vec<PoolName>,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// `checked` or `ignored`.
+    pub fencing: &'static str,
+    /// True if it gets no new work.
+    pub leaving: bool,
+}
+
+impl RenderedPublication {
+    /// Puts names to a catalog.
+    #[must_use]
+    pub fn of(catalog: &FleetCatalog) -> Self {
+        let limits = &catalog.caller_limits;
+        Self {
+            limits: LimitsDocument {
+                header_bytes: limits.header_bytes,
+                body_bytes: limits.body_bytes,
+                body_idle_ms: limits.body_idle.as_millis(),
+                answer_idle_ms: limits.answer_idle.as_millis(),
+            },
+            teams: catalog
+                .teams
+                .values()
+                .map(|entry| (entry.name.clone(), team(entry)))
+                .collect(),
+            pools: catalog
+                .pools
+                .values()
+                .map(|entry| (entry.name.clone(), pool(catalog, entry)))
+                .collect(),
+            endpoints: catalog
+                .endpoints
+                .values()
+                .map(|entry| (entry.name.clone(), endpoint(catalog, entry)))
+                .collect(),
+        }
+    }
+}
+
+fn team(entry: &TeamEntry) -> RenderedTeam {
+    RenderedTeam {
+        share: entry.share.0,
+        queue_limit: entry.queue_limit,
+        keys: entry.key_hashes.iter().map(hash_start).collect(),
+        default_kind: entry.default_kind.clone(),
+        kinds: entry
+            .kinds
+            .iter()
+            .map(|(name, entry)| (name.clone(), kind(entry)))
+            .collect(),
+    }
+}
+
+fn hash_start(hash: &[u8; 32]) -> String {
+    let mut text = String::new();
+    for byte in &hash[..4] {
+        let _ = write!(text, "{byte:02x}");
+    }
+    text
+}
+
+fn kind(entry: &KindEntry) -> RenderedKind {
+    RenderedKind {
+        urgency: match entry.urgency {
+            UrgencyClass::Interactive => "interactive",
+            UrgencyClass::Batch => "batch",
+        },
+        unrepeatable: entry.unrepeatable,
+        deadline_ms: entry.deadline.as_millis(),
+        goal_ms: entry.goal.as_millis(),
+        objective_per_mille: entry.objective_per_mille,
+        method: entry.method.clone(),
+        path_prefix: entry.path_prefix.clone(),
+    }
+}
+
+fn pool(catalog: &FleetCatalog, entry: &PoolEntry) -> RenderedPool {
+    let endpoints = entry.endpoints.iter();
+    let staying = endpoints
+        .filter_map(|id| catalog.endpoints.get(id))
+        .filter(|endpoint| !endpoint.leaving);
+    let slots = staying.map(|endpoint| u64::from(endpoint.slots.0)).sum();
+    match &entry.protocol {
+        PoolProtocol::Engine => RenderedPool {
+            protocol: "engine",
+            prefix: None,
+            slots,
+        },
+        PoolProtocol::Plain { prefix } => RenderedPool {
+            protocol: "plain",
+            prefix: Some(prefix.clone()),
+            slots,
+        },
+    }
+}
+
+fn endpoint(catalog: &FleetCatalog, entry: &EndpointEntry) -> RenderedEndpoint {
+    let pools = entry.pools.iter();
+    RenderedEndpoint {
+        address: entry.address,
+        pools: pools
+            .filter_map(|id| Some(catalog.pools.get(id)?.name.clone()))
+            .collect(),
+        domain: entry.domain.clone(),
+        slots: entry.slots.0,
+        fencing: match entry.fence_check {
+            FenceCheck::Checked => "checked",
+            FenceCheck::Ignored => "ignored",
+        },
+        leaving: entry.leaving,
+    }
+}
+
+/// One difference.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct PublicationChange {
+    /// Where, such as `teams.nadi-clinic.share`.
+    pub path: String,
+    /// What it was; nothing if it is new.
+    pub before: Option<Value>,
+    /// What it becomes; nothing if it goes.
+    pub after: Option<Value>,
+}
+
+/// What would change, in the order of the paths.
+#[must_use]
+pub fn changes(
+    before: &RenderedPublication,
+    after: &RenderedPublication,
+) -> Vec<PublicationChange> {
+    let mut changes = Vec::new();
+    compare(
+        String::new(),
+        serde_json::to_value(before).ok(),
+        serde_json::to_value(after).ok(),
+        &mut changes,
+    );
+    changes
+}
+
+fn compare(
+    path: String,
+    before: Option<Value>,
+    after: Option<Value>,
+    changes: &mut Vec<PublicationChange>,
+) {
+    match (before, after) {
+        (before, after) if before == after => {}
+        (Some(Value::Object(mut before)), Some(Value::Object(mut after))) => {
+            let keys: BTreeSet<String> = before.keys().chain(after.keys()).cloned().collect();
+            for key in keys {
+                let below = crate::document::fault::join(&path, &key);
+                compare(below, before.remove(&key), after.remove(&key), changes);
+            }
+        }
+        (before, after) => changes.push(PublicationChange {
+            path,
+            before,
+            after,
+        }),
+    }
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -9,13 +9,18 @@
 use schemars::JsonSchema;
 use serde::Deserialize;
 use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
 use smol_str::SmolStr;
 
 use crate::configs::CoreConfig;
 use crate::document::DocumentFault;
 use crate::document::FaultList;
-use crate::document::read_document;
+use crate::document::schema_of;
+use crate::document::shape;
 use crate::document::shape::ADDRESS_FORMAT;
+use crate::document::tree;
+use crate::document::typed;
 use crate::units::DomainName;
 use crate::units::HostName;
 
@@ -200,7 +205,13 @@
     /// The address that other routers dial.
     #[must_use]
     pub fn peer_address(&self) -> SocketAddr {
-        self.peers.advertised.unwrap_or(self.peers.listen)
+        self.peers.dialled()
+    }
+}
+
+impl PeerSettings {
+    fn dialled(&self) -> SocketAddr {
+        self.advertised.unwrap_or(self.listen)
     }
 }
 
@@ -216,34 +227,50 @@
         );
         return Err(FaultList::from(vec![DocumentFault::new("", message)]));
     }
-    let settings: ProcessSettings = read_document(text)?;
-    let faults = check(&settings);
+    let tree = tree::parse(text)?;
+    let mut faults = shape::check(&schema_of::<ProcessSettings>(), &tree);
+    if let Some(platform) = section(&tree, "platform", &faults) {
+        faults.extend(platform_faults(&platform));
+    }
+    if let Some(peers) = section(&tree, "peers", &faults) {
+        faults.extend(peer_fault(&peers));
+    }
     if faults.is_empty() {
-        Ok(settings)
+        typed(tree)
     } else {
         Err(FaultList::from(faults))
     }
 }
 
-fn check(settings: &ProcessSettings) -> Vec<DocumentFault> {
-    let platform = &settings.platform;
-    let mut faults = Vec::new();
-    faults.extend(one_source(
+/// A section whose shape is right, so that its rules are checked whatever is wrong elsewhere.
+fn section<T: DeserializeOwned>(tree: &Value, name: &str, faults: &[DocumentFault]) -> Option<T> {
+    if faults.iter().any(|fault| fault.path.starts_with(name)) {
+        return None;
+    }
+    serde_json::from_value(tree.get(name)?.clone()).ok()
+}
+
+fn platform_faults(platform: &PlatformSettings) -> Vec<DocumentFault> {
+    let config = one_source(
         "platform.config",
         platform.config_url.as_deref(),
         platform.config_file.is_some(),
-    ));
-    faults.extend(one_source(
+    );
+    let hosts = one_source(
         "platform.hosts",
         platform.hosts_url.as_deref(),
         platform.hosts_file.is_some(),
-    ));
-    let dialled = settings.peer_address();
-    if dialled.ip().is_unspecified() || dialled.port() == 0 {
-        let message = format!("is {dialled}, which no peer can dial; set an IP number and a port");
-        faults.push(DocumentFault::new("peers.advertised", message));
+    );
+    config.into_iter().chain(hosts).collect()
+}
+
+fn peer_fault(peers: &PeerSettings) -> Option<DocumentFault> {
+    let dialled = peers.dialled();
+    if !dialled.ip().is_unspecified() && dialled.port() != 0 {
+        return None;
     }
-    faults
+    let message = format!("is {dialled}, which no peer can dial; set an IP number and a port");
+    Some(DocumentFault::new("peers.advertised", message))
 }
 
 /// Each source is a URL or a file, and not both.
--- a/tests/publication.rs
+++ b/tests/publication.rs
@@ -1,7 +1,12 @@
 //! Publications and settings that are wrong, and what their authors are told.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use serde_json::Value;
+
 use verbenaturn::document::FaultList;
 use verbenaturn::publication::MAX_PUBLICATION_BYTES;
 use verbenaturn::publication::adopt;
@@ -105,3 +110,290 @@
     let faults = adopt(ConfigRevision(1), &text).unwrap_err();
     assert!(faults.to_string().contains("1048577 bytes"), "{faults}");
 }
+
+/// An edit of the sample, and the paths of all faults that it makes.
+type FaultyEdit<'a> = (&'a str, &'a str, &'a [&'a str]);
+
+fn assert_named(edits: &[FaultyEdit<'_>]) {
+    for (from, to, expected) in edits {
+        let faults = faults(from, to);
+        assert_eq!(&paths(&faults), expected, "{from} to {to}:\n{faults}");
+    }
+}
+
+#[test]
+fn faults_of_teams_and_templates_are_named() {
+    let longer = format!("\"{KEY_B}\", \"{KEY_A}\"");
+    let named = [
+        "teams.labasa-clinic.template",
+        "teams.nadi-clinic.template",
+        "template",
+    ];
+    assert_named(&[
+        (
+            "\"goal_ms\": 2000",
+            "\"gaol_ms\": 2000",
+            &["templates.clinic.kinds.query.gaol_ms"],
+        ),
+        (
+            "\"template\": \"clinic\", \"keys\"",
+            "\"template\": \"ward\", \"keys\"",
+            &named[..2],
+        ),
+        (KEY_B, KEY_A, &["teams.nadi-clinic.keys.0"]),
+        (
+            &format!("\"{KEY_B}\""),
+            &longer,
+            &["teams.nadi-clinic.keys.0"],
+        ),
+        (KEY_A, "secret", &["teams.nadi-clinic.keys.0"]),
+        (
+            "\"keys\": [\"ca",
+            "\"keys\": [], \"was\": [\"ca",
+            &["teams.nadi-clinic.keys", "teams.nadi-clinic.was"],
+        ),
+        (
+            "\"default_kind\": \"query\"",
+            "\"default_kind\": \"other\"",
+            &["templates.clinic.default_kind"],
+        ),
+        (
+            "\"goal_ms\": 1000",
+            "\"goal_ms\": 31000",
+            &["teams.labasa-clinic.kinds.query.goal_ms"],
+        ),
+        (
+            "\"method\": \"POST\"",
+            "\"method\": \"post\"",
+            &["templates.clinic.kinds.tag.method"],
+        ),
+        ("\"nadi-clinic\"", "\"nadi clinic\"", &["teams.nadi clinic"]),
+        ("\"templates\"", "\"template\"", &named),
+    ]);
+}
+
+#[test]
+fn faults_of_pools_and_endpoints_are_named() {
+    let pools = [
+        "endpoints.portal-1.pools.0",
+        "endpoints.portal-1.pools.2",
+        "endpoints.portal-1.pools.2",
+        "endpoints.portal-1.pools.3",
+    ];
+    assert_named(&[
+        (
+            "127.0.0.1:9002",
+            "127.0.0.1:9001",
+            &["endpoints.portal-1.address"],
+        ),
+        (
+            "127.0.0.1:9002",
+            "localhost:9002",
+            &["endpoints.portal-1.address"],
+        ),
+        (
+            "127.0.0.1:9002",
+            "0.0.0.0:0",
+            &["endpoints.portal-1.address"],
+        ),
+        (
+            "[\"portal\"]",
+            "[\"portal\", \"reviewer\", \"portal\", \"x\"]",
+            &pools,
+        ),
+        (
+            "\"prefix\": \"/portal\"",
+            "\"prefix\": \"portal/\"",
+            &["pools.portal.prefix"],
+        ),
+        (
+            "\"prefix\": \"/portal\"",
+            "\"prefix\": \"/v1/x\"",
+            &["pools.portal.prefix"],
+        ),
+        (", \"prefix\": \"/portal\"", "", &["pools.portal.prefix"]),
+        (
+            "\"protocol\": \"engine\"",
+            "\"protocol\": \"grpc\"",
+            &["pools.reviewer.protocol"],
+        ),
+        (
+            "\"slots\": 8",
+            "\"slots\": 0",
+            &["endpoints.engine-1.slots"],
+        ),
+    ]);
+}
+
+// An operator mends one fault, publishes, and is told of the next: each costs a round while the
+// fleet stays on the old publication. So faults of the shape and of the rules come together.
+#[test]
+fn faults_of_all_steps_come_together() {
+    let text = publication(
+        "\"method\": \"POST\"",
+        "\"method\": \"post\", \"colour\": 1",
+    )
+    .replace("\"share\": 30", "\"share\": -30")
+    .replace("9002", "9001")
+    .replace("\"query\": {\"goal_ms\": 1000}", "\"query\": 7");
+    let faults = adopt(ConfigRevision(1), text.as_bytes()).unwrap_err();
+    let expected = [
+        "endpoints.portal-1.address",
+        "teams.labasa-clinic.kinds.query",
+        "teams.labasa-clinic.share",
+        "templates.clinic.kinds.tag.colour",
+        "templates.clinic.kinds.tag.method",
+    ];
+    assert_eq!(paths(&faults), expected, "{faults}");
+}
+
+#[test]
+fn names_that_stand_twice_are_refused() {
+    let text = publication("\"labasa-clinic\"", "\"nadi-clinic\"");
+    let faults = adopt(ConfigRevision(1), text.as_bytes()).unwrap_err();
+    assert_eq!(paths(&faults), ["teams.nadi-clinic"]);
+}
+
+// On the wire a team goes by 32 bits of its name's hash. Two teams with one hash would share a
+// queue and a ledger, and one would pay for the other; nobody could see why.
+#[test]
+fn two_names_with_one_hash_are_refused() {
+    let mut seen = BTreeMap::new();
+    let (first, second) = (0..)
+        .find_map(|number: u32| {
+            let name = format!("t{number}");
+            let id = TeamId::from(&name.parse::<TeamName>().unwrap());
+            seen.insert(id, name.clone()).map(|first| (first, name))
+        })
+        .unwrap();
+    let text = publication("nadi-clinic", &first).replace("labasa-clinic", &second);
+    let faults = adopt(ConfigRevision(1), text.as_bytes()).unwrap_err();
+    assert_eq!(faults.faults().len(), 1, "{faults}");
+    assert!(faults.to_string().contains("same hash"), "{faults}");
+}
+
+#[test]
+fn a_publication_cut_anywhere_is_refused() {
+    let text = publication("", "");
+    for end in 0..text.len() - 1 {
+        assert!(
+            adopt(ConfigRevision(1), &text.as_bytes()[..end]).is_err(),
+            "cut at {end}"
+        );
+    }
+}
+
+const SETTINGS: &str = r#"{"host": "h1", "domain": "suva-a",
+  "callers": {"listen": "127.0.0.1:8080"},
+  "peers": {"listen": "0.0.0.0:8081", "key_files": []},
+  "admin": {"listen": "127.0.0.1", "credential_file": "admin.key"},
+  "platform": {"config_url": "ftp://x", "hosts_file": "hosts.json", "hosts_url": "http://h/hosts"},
+  "log": {"level": "loud"}, "colour": "red",
+  "core": {"admission": {"queue_limit": -1}}}"#;
+
+#[test]
+fn every_fault_of_settings_is_named() {
+    let faults = read_settings(SETTINGS.as_bytes()).unwrap_err();
+    let expected = [
+        "admin.listen",
+        "colour",
+        "core.admission.queue_limit",
+        "log.level",
+        "peers.key_files",
+        "platform.config_url",
+        "platform.hosts_url",
+    ];
+    assert_eq!(paths(&faults), expected, "{faults}");
+    let other = SETTINGS
+        .replace("[]", "[\"k\"]")
+        .replace("ftp://x", "http://x/c");
+    let faults = read_settings(other.as_bytes()).unwrap_err();
+    assert!(paths(&faults).contains(&"peers.advertised"), "{faults}");
+    assert!(!paths(&faults).contains(&"platform.config_url"), "{faults}");
+}
+
+fn config(cases: u32) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        rng_seed: RngSeed::Fixed(0x7665_7262),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+/// Any JSON, with the words of a publication among its keys and texts.
+fn any_json() -> impl Strategy<Value = Value> {
+    let word = prop::sample::select(vec![
+        "templates",
+        "teams",
+        "pools",
+        "endpoints",
+        "limits",
+        "kinds",
+        "share",
+        "keys",
+        "clinic",
+        "query",
+        "address",
+        "127.0.0.1:9",
+        "prefix",
+        "/portal",
+        "plain",
+        "engine",
+        "protocol",
+        "template",
+        "default_kind",
+        "goal_ms",
+        "domain",
+        "slots",
+        KEY_A,
+        "a.b",
+        "",
+    ]);
+    let leaf = prop_oneof![
+        Just(Value::Null),
+        any::<bool>().prop_map(Value::from),
+        any::<i64>().prop_map(Value::from),
+        any::<f64>().prop_map(Value::from),
+        word.clone().prop_map(Value::from),
+    ];
+    leaf.prop_recursive(5, 64, 6, move |inner| {
+        prop_oneof![
+            prop::collection::vec(inner.clone(), 0..4).prop_map(Value::from),
+            prop::collection::btree_map(word.clone().prop_map(str::to_owned), inner, 0..6)
+                .prop_map(|map| Value::Object(map.into_iter().collect())),
+        ]
+    })
+}
+
+proptest! {
+    #![proptest_config(config(2_000))]
+
+    #[test]
+    fn any_bytes_are_read_without_panic(text in prop::collection::vec(any::<u8>(), 0..200)) {
+        prop_assert!(adopt(ConfigRevision(1), &text).is_err());
+        prop_assert!(read_settings(&text).is_err());
+    }
+
+    #[test]
+    fn any_json_is_checked_without_panic(value in any_json()) {
+        let text = value.to_string();
+        let once = adopt(ConfigRevision(1), text.as_bytes());
+        prop_assert_eq!(&once, &adopt(ConfigRevision(1), text.as_bytes()));
+        if let Err(faults) = once {
+            prop_assert!(!faults.faults().is_empty());
+        }
+        let _ = read_settings(text.as_bytes());
+    }
+
+    /// One byte of a good publication is changed: it is refused, or it renders.
+    #[test]
+    fn a_changed_byte_never_panics(at in any::<prop::sample::Index>(), byte in any::<u8>()) {
+        let mut text = publication("", "").into_bytes();
+        let at = at.index(text.len());
+        text[at] = byte;
+        if let Ok(catalog) = adopt(ConfigRevision(1), &text) {
+            prop_assert!(catalog.teams.values().all(|team| team.share.0 > 0));
+        }
+    }
+}
