Limits: endpoints get less under pressure, callers are refused early; lowered targets come into force

Cause: endpoints got their published slots however late they answered or held back, and both sides of a partition gave out all of them. A router with a backlog never gave back slots above its target, since it started new requests on them first.

Admission refuses, true and at once, what would not end before its deadline. Dispatch gives back slots far above the target before it starts anything.

--- a/src/configs/mod.rs
+++ b/src/configs/mod.rs
@@ -3,6 +3,7 @@
 pub mod admission;
 pub mod attempts;
 pub mod dispatch;
+pub mod limits;
 pub mod ownership;
 pub mod peers;
 pub mod reporting;
@@ -16,6 +17,7 @@
 use self::admission::AdmissionConfig;
 use self::attempts::AttemptsConfig;
 use self::dispatch::DispatchConfig;
+use self::limits::LimitsConfig;
 use self::ownership::OwnershipConfig;
 use self::reporting::ReportingConfig;
 use self::tickets::TicketsConfig;
@@ -30,6 +32,8 @@
     pub attempts: AttemptsConfig,
     /// Picking the next request.
     pub dispatch: DispatchConfig,
+    /// How much endpoints are given.
+    pub limits: LimitsConfig,
     /// Sharing out a pool's slots.
     pub ownership: OwnershipConfig,
     /// Telling owners of demand.
--- a/src/core/action.rs
+++ b/src/core/action.rs
@@ -23,6 +23,8 @@
     QueueFull,
     /// The retry budget of the team or endpoint is spent.
     RetryBudget,
+    /// It would not end before its deadline: too much waits before it.
+    Overloaded,
     /// The deadline passed.
     DeadlinePassed,
     /// The request crashed endpoints and is refused for a time.
--- a/src/core/state.rs
+++ b/src/core/state.rs
@@ -28,6 +28,7 @@
 use super::tables::owned_pool::OwnedPool;
 use super::tables::requests::RequestTable;
 use super::tables::retry_budgets::RetryBudgets;
+use super::tables::slot_limits::SlotLimits;
 use super::tables::tickets::TicketTable;
 
 /// The tables of one router's core, and what its systems want done.
@@ -57,6 +58,8 @@
     pub entries: BTreeMap<PoolId, EntryPool>,
     /// Pools that this router owns.
     pub owned: BTreeMap<PoolId, OwnedPool>,
+    /// Limits of endpoints.
+    pub slot_limits: SlotLimits,
     /// What requests cost, per team and kind.
     pub estimates: CostEstimates,
     /// Retries that teams have earned.
@@ -96,6 +99,7 @@
             tickets: TicketTable::default(),
             entries: BTreeMap::new(),
             owned: BTreeMap::new(),
+            slot_limits: SlotLimits::default(),
             estimates: CostEstimates::default(),
             retry_budgets: RetryBudgets::default(),
             backoffs: BTreeSet::new(),
--- a/src/core/systems/admission.rs
+++ b/src/core/systems/admission.rs
@@ -11,6 +11,7 @@
 use crate::core::systems::attempts;
 use crate::core::systems::dispatch;
 use crate::core::systems::draining;
+use crate::core::systems::limits;
 use crate::core::systems::tickets;
 use crate::core::systems::tickets::TicketVerdict;
 use crate::core::tables::requests::RequestEntry;
@@ -28,6 +29,15 @@
     }
 }
 
+/// Why a request can't be taken in, and when its caller should come back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EarlyRefusal {
+    /// Why.
+    pub reason: RefusalReason,
+    /// When to come back.
+    pub retry_after: TimeSpan,
+}
+
 fn arrived(state: &mut CoreState, facts: &RequestFacts) {
     if draining::turn_away(state, facts) {
         return;
@@ -38,8 +48,11 @@
     let urgency = urgency_of(state, facts);
     let entry = RequestEntry::new(facts.clone(), urgency, state.now);
     state.requests.insert(entry);
-    if let Some(reason) = reason_to_refuse(state, facts) {
-        let retry_after = TimeSpan::from_millis(state.config.admission.retry_after_ms);
+    if let Some(refusal) = reason_to_refuse(state, facts) {
+        let EarlyRefusal {
+            reason,
+            retry_after,
+        } = refusal;
         finish::refuse(
             state,
             facts.request,
@@ -64,12 +77,19 @@
 
 /// Why a request could not be taken in now, if so.
 #[must_use]
-pub fn reason_to_refuse(state: &CoreState, facts: &RequestFacts) -> Option<RefusalReason> {
+pub fn reason_to_refuse(state: &CoreState, facts: &RequestFacts) -> Option<EarlyRefusal> {
+    let soon = TimeSpan::from_millis(state.config.admission.retry_after_ms);
+    let refusal = |reason, retry_after| {
+        Some(EarlyRefusal {
+            reason,
+            retry_after,
+        })
+    };
     let Some(pool) = state.entries.get(&facts.pool) else {
-        return Some(RefusalReason::NoEndpoint);
+        return refusal(RefusalReason::NoEndpoint, soon);
     };
     let Some(team) = state.catalog.teams.get(&facts.team) else {
-        return Some(RefusalReason::NotReady);
+        return refusal(RefusalReason::NotReady, soon);
     };
     // A flood fills only its own team's queue: the limit is per team. The limit over all teams
     // bounds memory when very many teams flood at once.
@@ -79,7 +99,18 @@
         .map_or(0, |usage| usage.queue.len());
     let full = waiting >= team.queue_limit as usize;
     let crowded = state.requests.len() > state.config.admission.queue_limit as usize;
-    (full || crowded).then_some(RefusalReason::QueueFull)
+    if full || crowded {
+        return refusal(RefusalReason::QueueFull, soon);
+    }
+    // A request that can't be answered in time would wait for nothing and, once started, take
+    // a slot from one that can. Its caller is told at once, and when to come back.
+    let needed = limits::time_to_end(state, facts, urgency_of(state, facts));
+    let left = facts.deadline.since(state.now);
+    if needed > left {
+        let later = TimeSpan(needed.0 - left.0).max(soon);
+        return refusal(RefusalReason::Overloaded, later);
+    }
+    None
 }
 
 /// Puts a request at the back of its team's queue.
--- a/src/core/systems/attempts.rs
+++ b/src/core/systems/attempts.rs
@@ -10,13 +10,16 @@
 use crate::core::state::CoreState;
 use crate::core::systems::admission;
 use crate::core::systems::dispatch;
+use crate::core::systems::limits;
 use crate::core::tables::requests::RequestEntry;
 use crate::core::tables::requests::RequestStage;
 use crate::units::AttemptNumber;
 use crate::units::EndpointId;
 use crate::units::Moment;
+use crate::units::PoolId;
 use crate::units::RequestId;
 use crate::units::ServiceUnits;
+use crate::units::TeamId;
 use crate::units::TimeSpan;
 
 /// Longest rest of an endpoint after failures, as a doubling of the first backoff.
@@ -89,24 +92,40 @@
     };
     // An answer of an older attempt that comes late must not end the newer attempt: the caller
     // would get it twice or mixed. Attempts are numbered and only the running one counts.
-    let RequestStage::Running { endpoint, .. } = entry.stage else {
+    let RequestStage::Running {
+        endpoint, since, ..
+    } = entry.stage
+    else {
         return;
     };
     if !entry.runs_attempt(attempt) {
         return;
     }
     let (team, kind) = (entry.facts.team, entry.facts.kind.clone());
+    let pool_id = entry.facts.pool;
     settle(state, request, units(service));
     release(state, request);
     note_endpoint(state, endpoint, outcome);
+    if outcome == AttemptOutcome::Refused {
+        limits::note_answer(state, pool_id, endpoint, true);
+    }
     if outcome == AttemptOutcome::Whole {
         state.estimates.learn(team, &kind, units(service));
+        note_run(state, pool_id, team, since);
         finish::complete(state, request);
         return;
     }
     retry_or_refuse(state, request, outcome);
 }
 
+fn note_run(state: &mut CoreState, pool_id: PoolId, team: TeamId, since: Moment) {
+    let span = state.now.since(since);
+    let pool = state.entries.get_mut(&pool_id);
+    if let Some(usage) = pool.and_then(|pool| pool.teams.get_mut(&team)) {
+        usage.pace.note_run(span);
+    }
+}
+
 /// Frees the slot of a request whose attempt ended or was cancelled.
 pub fn release(state: &mut CoreState, request: RequestId) {
     let Some(entry) = state.requests.get_mut(request) else {
--- a/src/core/systems/dispatch.rs
+++ b/src/core/systems/dispatch.rs
@@ -23,6 +23,10 @@
 /// Virtual time in one step of the `lead` and `floor` fields of an allotment.
 pub const LEAD_STEP: i64 = 10_000;
 
+/// A router with a backlog keeps one slot above its target, and one more for this many slots of
+/// the target.
+const EXCESS_PART: u32 = 8;
+
 /// Takes in allotments, then runs what can run in every pool that something happened to.
 pub fn run(state: &mut CoreState, event: &CoreEvent) {
     if let CoreEvent::Message {
@@ -35,6 +39,7 @@
         take_allotment(state, from, *incarnation, allotment);
     }
     for pool in state.woken.clone() {
+        give_back_excess(state, pool);
         run_waiting(state, pool);
         give_back_surplus(state, pool);
     }
@@ -195,7 +200,9 @@
     };
     let (deadline, resume_at, prefix) = (entry.facts.deadline, entry.passed_on, entry.facts.prefix);
     if let Some(pool) = state.entries.get_mut(&pool_id) {
-        pool.teams.entry(team).or_default().running += 1;
+        let usage = pool.teams.entry(team).or_default();
+        usage.running += 1;
+        usage.pace.note_start(now, !usage.queue.is_empty());
         pool.change_slots(endpoint, |hold| hold.busy += 1);
         pool.charge(team, estimate);
         let most = state.config.dispatch.prefix_memory as usize;
@@ -212,6 +219,23 @@
     });
 }
 
+/// Gives back free slots far above the target before anything is started on them. Without this
+/// a router with a backlog would start new requests on its slots for ever, and a lower target or
+/// a lower limit would never come into force. A target that moves by one to and fro costs no
+/// messages.
+fn give_back_excess(state: &mut CoreState, pool_id: PoolId) {
+    let Some(pool) = state.entries.get_mut(&pool_id) else {
+        return;
+    };
+    let most = pool.target + 1 + pool.target / EXCESS_PART;
+    while pool.held > most {
+        let Some((_, endpoint)) = pool.open.first().copied() else {
+            return;
+        };
+        pool.give_back(endpoint);
+    }
+}
+
 /// Gives back free slots above the target, and every free slot while others wait for lack of
 /// slots and nothing waits here.
 fn give_back_surplus(state: &mut CoreState, pool_id: PoolId) {
--- /dev/null
+++ b/src/core/systems/limits.rs
@@ -0,0 +1,276 @@
+//! How much an endpoint is given: the published slots, less while it shows pressure or runs
+//! requests that this side of the fleet did not send; and who is refused early because the
+//! answer could not come in time.
+
+use std::collections::BTreeSet;
+
+use crate::catalog::PoolProtocol;
+use crate::catalog::UrgencyClass;
+use crate::core::action::CoreAction;
+use crate::core::event::CoreEvent;
+use crate::core::event::RequestFacts;
+use crate::core::state::CoreState;
+use crate::core::tables::endpoints::LoadWatcher;
+use crate::core::tables::requests::RequestStage;
+use crate::core::tables::slot_limits::SlotLimit;
+use crate::units::AttemptNumber;
+use crate::units::EndpointId;
+use crate::units::HostName;
+use crate::units::PoolId;
+use crate::units::RequestId;
+use crate::units::TimeSpan;
+use crate::wire::demand::DemandReport;
+
+/// Takes in load reports and first bytes; moves limits at intervals.
+pub fn run(state: &mut CoreState, event: &CoreEvent) {
+    match event {
+        CoreEvent::EndpointLoad { .. } => take_load(state, event),
+        CoreEvent::FirstByte { request, attempt } => first_byte(state, *request, *attempt),
+        CoreEvent::Tick => move_if_due(state),
+        _ => {}
+    }
+}
+
+fn take_load(state: &mut CoreState, event: &CoreEvent) {
+    let CoreEvent::EndpointLoad {
+        endpoint,
+        running,
+        waiting,
+        active,
+        life,
+        fence,
+    } = event
+    else {
+        return;
+    };
+    let now = state.now;
+    let row = state.endpoints.row(*endpoint);
+    row.active = Some(*active);
+    row.life = *life;
+    row.fence = row.fence.max(*fence);
+    row.reported_running = *running;
+    row.reported_at = Some(now);
+    let ours: u32 = state
+        .owned
+        .values()
+        .filter_map(|pool| pool.claimed.get(endpoint))
+        .sum();
+    let limit = state.slot_limits.limits.entry(*endpoint).or_default();
+    limit.note_foreign(running.saturating_sub(ours), now);
+    limit.held_back |= *waiting > 0;
+}
+
+/// Tallies whether the first byte came in time, and sees to it that the owner hears of a turn.
+fn first_byte(state: &mut CoreState, request: RequestId, attempt: AttemptNumber) {
+    let Some(entry) = state.requests.get(request) else {
+        return;
+    };
+    let RequestStage::Running {
+        endpoint, since, ..
+    } = entry.stage
+    else {
+        return;
+    };
+    if !entry.runs_attempt(attempt) {
+        return;
+    }
+    let (pool_id, goal) = (entry.facts.pool, goal_of(state, &entry.facts));
+    let late = state.now.since(since) > goal;
+    note_answer(state, pool_id, endpoint, late);
+}
+
+/// Tallies one answer: late, or in time. A refusal for lack of room counts as late.
+pub fn note_answer(state: &mut CoreState, pool_id: PoolId, endpoint: EndpointId, late: bool) {
+    let tally = state.slot_limits.tallies.entry(endpoint).or_default();
+    tally.note(late);
+    let is_late = tally.per_mille() >= state.config.limits.slow_per_mille;
+    if is_late == tally.told_late {
+        return;
+    }
+    tally.told_late = is_late;
+    if let Some(pool) = state.entries.get_mut(&pool_id) {
+        let next = pool.report_sequence + 1;
+        pool.change_slots(endpoint, |hold| hold.told_in = next);
+    }
+}
+
+/// Within what span the first byte of a request's answer is in time.
+fn goal_of(state: &CoreState, facts: &RequestFacts) -> TimeSpan {
+    let first = TimeSpan::from_millis(state.config.limits.first_byte_ms);
+    let kind = state
+        .catalog
+        .teams
+        .get(&facts.team)
+        .and_then(|team| team.kinds.get(&facts.kind));
+    let Some(kind) = kind else {
+        return first;
+    };
+    let engine = state
+        .catalog
+        .pools
+        .get(&facts.pool)
+        .is_some_and(|pool| pool.protocol == PoolProtocol::Engine);
+    if engine && kind.urgency == UrgencyClass::Interactive {
+        first.min(kind.goal)
+    } else {
+        kind.goal
+    }
+}
+
+/// Takes in what an entry router says of late answers. Only for reports in sequence.
+pub fn take_pressure(state: &mut CoreState, from: &HostName, report: &DemandReport) {
+    let most = state.config.limits.slow_per_mille;
+    for (endpoint, pressure) in report.endpoints.iter().zip(&report.pressure) {
+        let limits = &mut state.slot_limits.limits;
+        let limit = limits.entry(EndpointId(*endpoint)).or_default();
+        if *pressure >= most {
+            limit.late_at.insert(from.clone());
+        } else {
+            limit.late_at.remove(from);
+        }
+    }
+}
+
+fn move_if_due(state: &mut CoreState) {
+    let wait = TimeSpan::from_millis(state.config.limits.adjust_ms);
+    if state.now.since(state.slot_limits.moved_at) < wait {
+        return;
+    }
+    state.slot_limits.moved_at = state.now;
+    let endpoints = owned_endpoints(state);
+    watch_owned(state, &endpoints);
+    for endpoint in endpoints {
+        forget_gone_routers(state, endpoint);
+        move_limit(state, endpoint);
+    }
+}
+
+fn owned_endpoints(state: &CoreState) -> BTreeSet<EndpointId> {
+    state
+        .owned
+        .keys()
+        .filter_map(|pool| state.catalog.pools.get(pool))
+        .flat_map(|pool| pool.endpoints.iter().copied())
+        .collect()
+}
+
+/// Owners read the load of their endpoints; nobody else does without need.
+fn watch_owned(state: &mut CoreState, endpoints: &BTreeSet<EndpointId>) {
+    let before: Vec<EndpointId> = state
+        .endpoints
+        .iter()
+        .filter(|(_, row)| row.watchers.contains(&LoadWatcher::Owner))
+        .map(|(endpoint, _)| endpoint)
+        .collect();
+    for endpoint in before {
+        if !endpoints.contains(&endpoint) {
+            watch_load(state, endpoint, LoadWatcher::Owner, false);
+            state.slot_limits.limits.remove(&endpoint);
+        }
+    }
+    for endpoint in endpoints {
+        watch_load(state, *endpoint, LoadWatcher::Owner, true);
+    }
+}
+
+/// Starts or stops reading an endpoint's load for one of the systems that need it.
+pub fn watch_load(state: &mut CoreState, endpoint: EndpointId, watcher: LoadWatcher, on: bool) {
+    let watchers = &mut state.endpoints.row(endpoint).watchers;
+    let before = !watchers.is_empty();
+    if on {
+        watchers.insert(watcher);
+    } else {
+        watchers.remove(&watcher);
+    }
+    let after = !watchers.is_empty();
+    if before != after {
+        state.act(CoreAction::WatchLoad {
+            endpoint,
+            on: after,
+        });
+    }
+}
+
+/// A router that is gone can't take back what it said of late answers.
+fn forget_gone_routers(state: &mut CoreState, endpoint: EndpointId) {
+    let Some(limit) = state.slot_limits.limits.get_mut(&endpoint) else {
+        return;
+    };
+    let members = &state.members;
+    limit.late_at.retain(|host| members.is_live(host));
+}
+
+/// Down by a part of itself under pressure, up by a part of the published slots without: the
+/// way down is fast, and from the least it is back at the published slots after
+/// `100 / step_up_percent` moves at most.
+fn move_limit(state: &mut CoreState, endpoint: EndpointId) {
+    let Some(row) = state.catalog.endpoints.get(&endpoint) else {
+        return;
+    };
+    let config = &state.config.limits;
+    let published = f64::from(row.slots.0);
+    let part = |percent: u32| published * f64::from(percent) / 100.0;
+    let Some(limit) = state.slot_limits.limits.get_mut(&endpoint) else {
+        return;
+    };
+    let held_back = std::mem::take(&mut limit.held_back);
+    let late = !limit.late_at.is_empty();
+    let allowed = limit.allowed.unwrap_or(published);
+    // Late answers alone may come from long prompts, which fewer slots would not cure, so they
+    // lower the limit to a part only.
+    let least = if held_back {
+        part(config.least_percent)
+    } else {
+        part(config.least_late_percent)
+    };
+    let next = if held_back || late {
+        let down = allowed * f64::from(config.step_down_percent) / 100.0;
+        down.max(least.min(allowed))
+    } else {
+        allowed + part(config.step_up_percent).max(0.5)
+    };
+    limit.allowed = (next < published).then_some(next);
+}
+
+/// The slots of an endpoint that its owner may share out now.
+///
+/// During a partition both sides have an owner for the endpoint. Each subtracts what the other
+/// side runs, down to half of the slots, so that both settle at half and neither starves.
+#[must_use]
+pub fn allowed_slots(state: &CoreState, endpoint: EndpointId, published: u32) -> u32 {
+    let Some(limit) = state.slot_limits.limits.get(&endpoint) else {
+        return published;
+    };
+    let own = allowed_alone(limit, published);
+    let fresh = TimeSpan::from_millis(state.config.limits.load_fresh_ms);
+    let known = limit
+        .foreign_at()
+        .is_some_and(|at| state.now.since(at) <= fresh);
+    let foreign = if known { limit.foreign() } else { 0 };
+    own.saturating_sub(foreign).max(own.div_ceil(2))
+}
+
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn allowed_alone(limit: &SlotLimit, published: u32) -> u32 {
+    let Some(allowed) = limit.allowed else {
+        return published;
+    };
+    (allowed.floor().max(0.0) as u32).clamp(1.min(published), published)
+}
+
+/// How long a new request would take from now to its end; zero if nothing is ahead of it.
+#[must_use]
+pub fn time_to_end(state: &CoreState, facts: &RequestFacts, urgency: UrgencyClass) -> TimeSpan {
+    let pool = state.entries.get(&facts.pool);
+    let Some(usage) = pool.and_then(|pool| pool.teams.get(&facts.team)) else {
+        return TimeSpan(0);
+    };
+    let ahead = usage.queue.ahead_of(urgency);
+    let estimate = usage.pace.time_to_end(ahead, state.now);
+    TimeSpan(
+        estimate
+            .0
+            .saturating_mul(state.config.limits.estimate_percent)
+            / 100,
+    )
+}
--- a/src/core/systems/mod.rs
+++ b/src/core/systems/mod.rs
@@ -5,6 +5,7 @@
 pub mod attempts;
 pub mod dispatch;
 pub mod draining;
+pub mod limits;
 pub mod membership;
 pub mod ownership;
 pub mod publication;
@@ -29,6 +30,8 @@
     Attempts,
     /// Handing over and finishing before the router ends.
     Draining,
+    /// How much endpoints are given.
+    Limits,
     /// Sharing out the slots of owned pools.
     Ownership,
     /// Taking in allotments and picking who runs next.
@@ -39,13 +42,14 @@
 
 impl CoreSystem {
     /// The order in which an event passes the systems.
-    pub const ORDER: [Self; 9] = [
+    pub const ORDER: [Self; 10] = [
         Self::Membership,
         Self::Publication,
         Self::Tickets,
         Self::Admission,
         Self::Attempts,
         Self::Draining,
+        Self::Limits,
         Self::Ownership,
         Self::Dispatch,
         Self::Reporting,
@@ -60,6 +64,7 @@
             Self::Admission => admission::run(state, event),
             Self::Attempts => attempts::run(state, event),
             Self::Draining => draining::run(state, event),
+            Self::Limits => limits::run(state, event),
             Self::Ownership => ownership::run(state, event),
             Self::Dispatch => dispatch::run(state, event),
             Self::Reporting => reporting::run(state, event),
--- a/src/core/systems/ownership.rs
+++ b/src/core/systems/ownership.rs
@@ -12,6 +12,7 @@
 use crate::core::share::water_fill;
 use crate::core::state::CoreState;
 use crate::core::systems::dispatch::LEAD_STEP;
+use crate::core::systems::limits;
 use crate::core::systems::reporting::CHARGE_STEP;
 use crate::core::tables::entry_pool::epoch_of;
 use crate::core::tables::entry_pool::virtual_time;
@@ -91,6 +92,12 @@
         member.draining = report.draining;
     }
     take_slots(pool, from, report);
+    if fresh {
+        limits::take_pressure(state, from, report);
+    }
+    let Some(pool) = state.owned.get_mut(&PoolId(report.pool)) else {
+        return;
+    };
     if fresh {
         let charges = take_teams(pool, from, report);
         for (team, charge) in charges {
@@ -223,7 +230,8 @@
         let active = known.and_then(|known| known.active).or(home);
         let leaving = row.leaving || known.is_some_and(|known| known.leaving);
         let open = active == Some(pool_id) && !leaving;
-        limits.insert(*endpoint, if open { row.slots.0 } else { 0 });
+        let allowed = limits::allowed_slots(state, *endpoint, row.slots.0);
+        limits.insert(*endpoint, if open { allowed } else { 0 });
     }
     let Some(pool) = state.owned.get_mut(&pool_id) else {
         return;
--- a/src/core/systems/reporting.rs
+++ b/src/core/systems/reporting.rs
@@ -8,6 +8,9 @@
 use crate::core::tables::entry_pool::OwnerLink;
 use crate::core::tables::entry_pool::SlotHold;
 use crate::core::tables::entry_pool::epoch_of;
+use crate::core::tables::slot_limits::FirstByteTally;
+use crate::core::tables::slot_limits::SlotLimits;
+use crate::units::EndpointId;
 use crate::units::Moment;
 use crate::units::PoolId;
 use crate::units::TimeSpan;
@@ -121,6 +124,7 @@
     };
     let mut report = build(pool, pool_id, owner.epoch, now);
     report.draining = state.draining;
+    add_pressure(&state.slot_limits, &mut report);
     if urgent && owner.host != state.identity.host {
         let bytes = report.encoded_len() as u64 + FRAME_BYTES;
         state.urgent_bytes = state.urgent_bytes.saturating_sub(bytes);
@@ -147,6 +151,16 @@
     report
 }
 
+/// Adds how late first bytes were, for the endpoints that the report names.
+fn add_pressure(limits: &SlotLimits, report: &mut DemandReport) {
+    report.pressure = report
+        .endpoints
+        .iter()
+        .map(|endpoint| limits.tallies.get(&EndpointId(*endpoint)))
+        .map(|tally| tally.map_or(0, FirstByteTally::per_mille))
+        .collect();
+}
+
 /// Adds the teams whose numbers the owner has not acknowledged.
 fn add_teams(pool: &mut EntryPool, report: &mut DemandReport) {
     let (sequence, acked) = (pool.report_sequence, pool.report_acked);
--- a/src/core/systems/tickets.rs
+++ b/src/core/systems/tickets.rs
@@ -74,8 +74,13 @@
         draining::refuse(state, facts.request);
         return;
     }
-    if let Some(reason) = admission::reason_to_refuse(state, facts) {
-        refuse(state, facts.request, reason, RunOutcome::NotRun);
+    if let Some(refusal) = admission::reason_to_refuse(state, facts) {
+        state.act(CoreAction::Refuse {
+            request: facts.request,
+            reason: refusal.reason,
+            outcome: RunOutcome::NotRun,
+            retry_after: refusal.retry_after,
+        });
         return;
     }
     offer(state, facts);
--- a/src/core/tables/endpoints.rs
+++ b/src/core/tables/endpoints.rs
@@ -1,11 +1,21 @@
 //! What this router knows of endpoints beyond the publication.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use crate::units::EndpointId;
 use crate::units::Moment;
 use crate::units::PoolId;
 
+/// A system that needs an endpoint's load reports.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum LoadWatcher {
+    /// The owner of a pool of the endpoint.
+    Owner,
+    /// A router that lost an attempt there and wants to know whether the endpoint crashed.
+    CrashCheck,
+}
+
 /// One endpoint.
 #[derive(Debug, Clone, Default)]
 pub struct EndpointState {
@@ -23,6 +33,8 @@
     pub reported_running: u32,
     /// When it last reported.
     pub reported_at: Option<Moment>,
+    /// Who reads its load.
+    pub watchers: BTreeSet<LoadWatcher>,
     /// No new work before this moment, after a failure to connect.
     pub rest_until: Moment,
     /// Failures to connect in a row.
--- a/src/core/tables/entry_pool.rs
+++ b/src/core/tables/entry_pool.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use crate::core::tables::start_pace::StartPace;
 use crate::core::tables::team_queue::TeamQueue;
 use crate::units::EndpointId;
 use crate::units::HostName;
@@ -64,6 +65,8 @@
 pub struct TeamUsage {
     /// What waits.
     pub queue: TeamQueue,
+    /// How fast what waits is started.
+    pub pace: StartPace,
     /// Attempts that run.
     pub running: u32,
     /// Service charged since this router's start; estimates of running attempts included.
--- a/src/core/tables/mod.rs
+++ b/src/core/tables/mod.rs
@@ -7,6 +7,8 @@
 pub mod owned_pool;
 pub mod requests;
 pub mod retry_budgets;
+pub mod slot_limits;
+pub mod start_pace;
 pub mod team_queue;
 pub mod team_shelf;
 pub mod tickets;
--- /dev/null
+++ b/src/core/tables/start_pace.rs
@@ -0,0 +1,89 @@
+//! How fast a team's waiting requests are started, to tell how long a new one would wait.
+
+use crate::units::Moment;
+use crate::units::TimeSpan;
+
+/// Each new sample moves a mean by one part in this many: slots often free up in batches, and
+/// the mean has to span several of them.
+const SMOOTHING: u64 = 32;
+
+/// Mean time between two starts of a backlogged team, and mean time that its attempts run.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct StartPace {
+    last: Option<Moment>,
+    backlogged: bool,
+    gap: Option<u64>,
+    run: Option<u64>,
+}
+
+impl StartPace {
+    /// Notes a start; `more_wait` is true if further requests wait behind it.
+    pub fn note_start(&mut self, now: Moment, more_wait: bool) {
+        if let Some(last) = self.last {
+            let passed = now.since(last).0;
+            // Without a backlog the gap is that of the arrivals, which bounds the pace from
+            // one side only. Without this an old, slow pace would never be forgotten: callers
+            // would go on being refused after the overload.
+            self.gap = match (self.backlogged, self.gap) {
+                (true, gap) => Some(smooth(gap, passed)),
+                (false, gap) => gap.map(|gap| gap.min(passed)),
+            };
+        }
+        self.last = Some(now);
+        self.backlogged = more_wait;
+    }
+
+    /// Notes how long a whole answer took.
+    pub fn note_run(&mut self, span: TimeSpan) {
+        self.run = Some(smooth(self.run, span.0));
+    }
+
+    /// How long a request with `ahead` others before it would take to its end; zero if none is
+    /// ahead of it, so that an estimate can't keep everybody out and never be corrected.
+    #[must_use]
+    pub fn time_to_end(&self, ahead: usize, now: Moment) -> TimeSpan {
+        let Some(gap) = self.gap.filter(|_| ahead > 0) else {
+            return TimeSpan(0);
+        };
+        let since = self.last.map_or(0, |last| now.since(last).0);
+        let stalled = if self.backlogged {
+            since.saturating_sub(gap)
+        } else {
+            0
+        };
+        let starts = u64::try_from(ahead).unwrap_or(u64::MAX).saturating_add(1);
+        let wait = gap.saturating_mul(starts).saturating_add(stalled);
+        TimeSpan(wait.saturating_add(self.run.unwrap_or(0)))
+    }
+}
+
+fn smooth(mean: Option<u64>, sample: u64) -> u64 {
+    mean.map_or(sample, |mean| (mean * (SMOOTHING - 1) + sample) / SMOOTHING)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_wait_is_the_pace_times_those_ahead() {
+        let mut pace = StartPace::default();
+        for turn in 0..5 {
+            pace.note_start(Moment(turn * 1_000), true);
+        }
+        pace.note_run(TimeSpan(500));
+        let now = Moment(4_000);
+        assert_eq!(pace.time_to_end(9, now), TimeSpan(10_500));
+        assert_eq!(pace.time_to_end(0, now), TimeSpan(0));
+        assert_eq!(pace.time_to_end(1, Moment(9_000)), TimeSpan(6_500));
+    }
+
+    #[test]
+    fn a_slow_pace_is_forgotten_without_a_backlog() {
+        let mut pace = StartPace::default();
+        pace.note_start(Moment(0), true);
+        pace.note_start(Moment(1_000_000), false);
+        pace.note_start(Moment(1_000_100), false);
+        assert_eq!(pace.time_to_end(1, Moment(1_000_100)), TimeSpan(200));
+    }
+}
--- a/src/core/tables/team_queue.rs
+++ b/src/core/tables/team_queue.rs
@@ -47,6 +47,15 @@
         true
     }
 
+    /// How many would go before a new request.
+    #[must_use]
+    pub fn ahead_of(&self, urgency: UrgencyClass) -> usize {
+        match urgency {
+            UrgencyClass::Interactive => self.interactive.len(),
+            UrgencyClass::Batch => self.len(),
+        }
+    }
+
     /// How many wait.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/src/entry/refusal.rs
+++ b/src/entry/refusal.rs
@@ -65,7 +65,9 @@
             Self::TicketNeeded(_) => StatusCode::PRECONDITION_REQUIRED,
             Self::PeerLost(_) => StatusCode::BAD_GATEWAY,
             Self::Refused { reason, .. } => match reason {
-                RefusalReason::QueueFull => StatusCode::TOO_MANY_REQUESTS,
+                RefusalReason::QueueFull | RefusalReason::Overloaded => {
+                    StatusCode::TOO_MANY_REQUESTS
+                }
                 RefusalReason::RetryBudget
                 | RefusalReason::Draining
                 | RefusalReason::NotReady
@@ -102,6 +104,7 @@
             Self::TicketNeeded(_) => "Ticket needed",
             Self::PeerLost(_) => "Peer lost",
             Self::Refused { reason, .. } => match reason {
+                RefusalReason::Overloaded => "Too busy to answer in time",
                 RefusalReason::QueueFull => "Too many requests waiting",
                 RefusalReason::RetryBudget => "Retries used up",
                 RefusalReason::DeadlinePassed => "Deadline passed",
@@ -193,6 +196,9 @@
     };
     let cause = match reason {
         RefusalReason::QueueFull => "Wait as Retry-After says.",
+        RefusalReason::Overloaded => {
+            "It would not have been answered before its deadline. Wait as Retry-After says."
+        }
         RefusalReason::RetryBudget => "Endpoints failed several times. Wait as Retry-After says.",
         RefusalReason::DeadlinePassed => "No endpoint was free in time.",
         RefusalReason::Quarantined => "Endpoints crashed while they ran it. Change the request.",
