Daemon: platform, peers, forwarding, signals; three routers in one process are tested

Cause: the thin path knew neither peers nor the platform and did not run as a program. Change: verbenaturnd reads settings, follows the platform, joins the mesh, forwards requests and answers forwarded ones, drains on the first signal and says what a second one or the deadline cuts. An answer is whole only if its sender said so, so a task that dies can't make a part look whole. Found on the way: a request that may have run here and is then handed to a peer must not be told "not run" by that peer's refusal; its outcome is now corrected to "unknown". Before: one router, publication handed in.

--- /dev/null
+++ b/examples/shared/fleet.rs
@@ -0,0 +1,121 @@
+//! Some routers in one process, with a stand-in of the platform, on loopback.
+
+use std::time::Duration;
+
+use serde_json::json;
+
+use verbenaturn::configs::CoreConfig;
+use verbenaturn::configs::peers::PeersConfig;
+use verbenaturn::configs::traffic::TrafficConfig;
+use verbenaturn::core::tables::members::MemberState;
+use verbenaturn::daemon::router::PeerParts;
+use verbenaturn::daemon::router::Router;
+use verbenaturn::daemon::router::RouterParts;
+use verbenaturn::peers::keys::PeerKeys;
+use verbenaturn::settings::PlatformSettings;
+use verbenaturn::settings::PlatformTiming;
+use verbenaturn::units::ConfigRevision;
+use verbenaturn::units::RouterIncarnation;
+
+use super::platform::StandinPlatform;
+use super::site::Site;
+
+/// Routers and their platform.
+pub struct LocalFleet {
+    /// The platform.
+    pub platform: StandinPlatform,
+    /// The routers.
+    pub routers: Vec<Router>,
+}
+
+/// The parts of router `index`, without its platform.
+pub fn router_parts(index: usize) -> RouterParts {
+    let peers = PeerParts {
+        listen: "127.0.0.1:0".parse().unwrap(),
+        advertised: None,
+        keys: PeerKeys::new(vec![b"a key that all routers of this fleet share".to_vec()]).unwrap(),
+        tls: None,
+        config: PeersConfig::default(),
+    };
+    RouterParts {
+        host: format!("entry-{index}").parse().unwrap(),
+        domain: format!("suva-{}", index % 3).parse().unwrap(),
+        incarnation: RouterIncarnation(rand::random()),
+        callers: "127.0.0.1:0".parse().unwrap(),
+        peers: Some(peers),
+        platform: None,
+        core: CoreConfig::default(),
+        traffic: TrafficConfig::default(),
+        seed: index as u64,
+    }
+}
+
+impl LocalFleet {
+    /// Starts so many routers that all know each other and the publication of `site`.
+    pub async fn start(count: usize, site: &Site) -> Self {
+        let platform = StandinPlatform::start(None).await.unwrap();
+        platform.publish(site.publication(1).to_string());
+        let mut routers = Vec::new();
+        for index in 0..count {
+            let mut parts = router_parts(index);
+            parts.platform = Some(PlatformSettings {
+                config_url: Some(platform.config_url().into()),
+                hosts_url: Some(platform.hosts_url().into()),
+                timing: PlatformTiming {
+                    hosts_poll_ms: 100,
+                    ..PlatformTiming::default()
+                },
+                ..PlatformSettings::default()
+            });
+            routers.push(Router::start(parts).await.unwrap());
+        }
+        let fleet = Self { platform, routers };
+        fleet.list_hosts(None);
+        fleet.wait_joined().await;
+        fleet
+    }
+
+    /// Lists all routers, `leaving` as leaving.
+    pub fn list_hosts(&self, leaving: Option<usize>) {
+        let rows: Vec<_> = self
+            .routers
+            .iter()
+            .enumerate()
+            .map(|(index, router)| {
+                json!({
+                    "host": format!("entry-{index}"),
+                    "address": router.mesh.as_ref().map(|mesh| mesh.address().to_string()),
+                    "domain": format!("suva-{}", index % 3),
+                    "leaving": leaving == Some(index),
+                })
+            })
+            .collect();
+        let list = json!({"routers": rows, "endpoints": []});
+        self.platform.list_hosts(list.to_string());
+    }
+
+    /// Waits until every router has a publication and sees all others alive.
+    pub async fn wait_joined(&self) {
+        for router in &self.routers {
+            let count = self.routers.len();
+            loop {
+                let joined = router.control().inspect(move |state| {
+                    let alive = state.members.iter();
+                    let alive = alive.filter(|(_, row)| row.state == MemberState::Alive);
+                    alive.count() == count && state.catalog.revision > ConfigRevision(0)
+                });
+                if joined.await == Some(true) {
+                    break;
+                }
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        }
+    }
+
+    /// Ends all routers.
+    pub async fn stop(self) {
+        for router in self.routers {
+            router.stop().await;
+        }
+    }
+}
--- a/examples/shared/mod.rs
+++ b/examples/shared/mod.rs
@@ -5,6 +5,7 @@
 pub mod caller;
 pub mod endpoint;
 pub mod engine;
+pub mod fleet;
 pub mod plain;
 pub mod platform;
 pub mod site;
--- a/src/configs/traffic.rs
+++ b/src/configs/traffic.rs
@@ -8,18 +8,12 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(default, deny_unknown_fields)]
 pub struct TrafficConfig {
-    /// Bytes of a caller's request line and headers.
-    pub header_bytes: usize,
     /// Milliseconds within which a caller's headers must have come.
     pub header_ms: u64,
-    /// Bytes of a call's body to a model engine.
+    /// Bytes of a call's body to a model engine, if the published limit is not lower.
     pub engine_body_bytes: usize,
-    /// Bytes of a call's body to a plain service.
-    pub plain_body_bytes: u64,
     /// Bytes of a body to a plain service that are kept for another attempt.
     pub kept_body_bytes: usize,
-    /// Milliseconds that a body may pause.
-    pub body_pause_ms: u64,
     /// Milliseconds within which the kept part of a body must have come.
     pub body_ms: u64,
     /// Bytes of an unstreamed answer that are read before any of it is passed on.
@@ -45,12 +39,9 @@
 impl Default for TrafficConfig {
     fn default() -> Self {
         Self {
-            header_bytes: 16 * 1024,
             header_ms: 10_000,
             engine_body_bytes: 4 * 1024 * 1024,
-            plain_body_bytes: 1024 * 1024 * 1024,
             kept_body_bytes: 64 * 1024,
-            body_pause_ms: 10_000,
             body_ms: 60_000,
             kept_answer_bytes: 64 * 1024,
             event_bytes: 1024 * 1024,
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -1,6 +1,11 @@
 //! One router as a process: the control thread, the traffic tasks and what joins them.
 
 pub mod control;
+pub mod files;
+pub mod logs;
+pub mod mesh;
 pub mod message;
 pub mod outside;
+pub mod platform;
+pub mod process;
 pub mod router;
--- a/src/daemon/outside.rs
+++ b/src/daemon/outside.rs
@@ -3,57 +3,77 @@
 use std::sync::Arc;
 
 use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
-use crate::core::event::CoreEvent;
 use crate::endpoint::load::LoadWatches;
 use crate::endpoint::orders::order_model;
 use crate::entry::context::EntryContext;
-use crate::publication;
+use crate::peers::mesh::PeerMesh;
+use crate::platform::ConfigText;
+use crate::platform::follow::WatchOrder;
 
 use super::message::OutsideCommand;
+use super::platform::adopt;
 
-/// Carries out commands until `closing` is cancelled or the control thread ends.
-pub async fn run(
-    context: Arc<EntryContext>,
-    mut commands: UnboundedReceiver<OutsideCommand>,
-    closing: CancellationToken,
-) {
-    let mut watches = LoadWatches::default();
-    loop {
-        let command = tokio::select! {
-            () = closing.cancelled() => return,
-            command = commands.recv() => command,
-        };
-        let Some(command) = command else {
-            return;
-        };
+/// Carries out commands.
+#[derive(Debug)]
+pub struct OutsideHands {
+    /// What all requests share.
+    pub context: Arc<EntryContext>,
+    /// Connections to peers; absent in a router without peers.
+    pub mesh: Option<PeerMesh>,
+    /// Whether the configuration service is watched.
+    pub watch: watch::Sender<WatchOrder>,
+    /// Ends everything.
+    pub closing: CancellationToken,
+}
+
+impl OutsideHands {
+    /// Carries out commands until `closing` is cancelled or the control thread ends.
+    pub async fn run(self, mut commands: UnboundedReceiver<OutsideCommand>) {
+        let mut watches = LoadWatches::default();
+        let closing = self.closing.clone();
+        while let Some(Some(command)) = closing.run_until_cancelled(commands.recv()).await {
+            self.carry_out(command, &mut watches);
+        }
+    }
+
+    fn carry_out(&self, command: OutsideCommand, watches: &mut LoadWatches) {
+        let context = &self.context;
         match command {
             OutsideCommand::WatchLoad { endpoint, on } => {
-                watches.switch(&context, endpoint, on, &closing);
+                watches.switch(context, endpoint, on, &self.closing);
             }
             OutsideCommand::OrderModel {
                 endpoint,
                 pool,
                 fence,
             } => {
-                tokio::spawn(order_model(Arc::clone(&context), endpoint, pool, fence));
+                tokio::spawn(order_model(Arc::clone(context), endpoint, pool, fence));
             }
             OutsideCommand::AdoptText { revision, text } => {
-                match publication::adopt(revision, &text) {
-                    Ok(catalog) => context.control.tell(CoreEvent::Published {
-                        catalog: Arc::new(catalog),
-                        text,
-                    }),
-                    Err(faults) => {
-                        spdlog::warn!("config: revision {revision} from a peer refused: {faults}.");
-                    }
-                }
+                adopt(&context.control, ConfigText { revision, text });
             }
+            OutsideCommand::WatchPlatform(on) => self.watch.send_modify(|order| {
+                order.on = on;
+                order.after = context.control.catalog.borrow().revision();
+            }),
             OutsideCommand::Send { .. }
             | OutsideCommand::Connect { .. }
-            | OutsideCommand::Disconnect(_)
-            | OutsideCommand::WatchPlatform(_) => {}
+            | OutsideCommand::Disconnect(_) => self.tell_mesh(command),
+        }
+    }
+
+    fn tell_mesh(&self, command: OutsideCommand) {
+        let Some(mesh) = &self.mesh else {
+            return;
+        };
+        match command {
+            OutsideCommand::Send { host, message } => mesh.send(&host, message),
+            OutsideCommand::Connect { host, address } => mesh.connect(&host, &address),
+            OutsideCommand::Disconnect(host) => mesh.disconnect(&host),
+            _ => {}
         }
     }
 }
--- /dev/null
+++ b/src/daemon/platform.rs
@@ -0,0 +1,94 @@
+//! What the platform says, for the core.
+
+use std::sync::Arc;
+
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::core::event::CoreEvent;
+use crate::platform::ConfigText;
+use crate::platform::PlatformConfig;
+use crate::platform::PlatformHosts;
+use crate::platform::follow::ConfigNews;
+use crate::platform::follow::HostNews;
+use crate::platform::follow::WatchOrder;
+use crate::platform::follow::follow_config;
+use crate::platform::follow::follow_hosts;
+use crate::publication;
+use crate::settings::PlatformSettings;
+use crate::units::ConfigRevision;
+
+use super::control::ControlLink;
+
+/// News that wait for the control thread.
+const WAITING_NEWS: usize = 4;
+
+/// Follows the configuration service and the host list. The service is watched while `order`
+/// says so.
+pub fn follow(
+    settings: &PlatformSettings,
+    control: &ControlLink,
+    order: watch::Receiver<WatchOrder>,
+    tasks: &TaskTracker,
+    closing: &CancellationToken,
+) {
+    let timing = settings.timing.clone();
+    let (sender, news) = mpsc::channel(WAITING_NEWS);
+    let source = PlatformConfig::new(settings);
+    let following = follow_config(source, timing.clone(), order, sender, closing.clone());
+    tasks.spawn(following);
+    tasks.spawn(take_config(control.clone(), news));
+    let (sender, news) = mpsc::channel(WAITING_NEWS);
+    let source = PlatformHosts::new(settings);
+    tasks.spawn(follow_hosts(source, timing, sender, closing.clone()));
+    tasks.spawn(take_hosts(control.clone(), news));
+}
+
+async fn take_config(control: ControlLink, mut news: mpsc::Receiver<ConfigNews>) {
+    while let Some(news) = news.recv().await {
+        let answered = match news {
+            ConfigNews::Newer(text) => {
+                adopt(&control, text);
+                true
+            }
+            ConfigNews::Unchanged => true,
+            ConfigNews::Failed(report) => {
+                spdlog::warn!("config: {report}.");
+                false
+            }
+        };
+        control.tell(CoreEvent::PlatformAnswered(answered));
+    }
+}
+
+/// Checks and renders a publication and tells the core; a bad one is refused whole and logged.
+pub fn adopt(control: &ControlLink, text: ConfigText) {
+    let ConfigText { revision, text } = text;
+    if revision <= control.catalog.borrow().revision() {
+        return;
+    }
+    match publication::adopt(revision, &text) {
+        Ok(catalog) => {
+            spdlog::info!("config: revision {revision} taken.");
+            control.tell(CoreEvent::Published {
+                catalog: Arc::new(catalog),
+                text,
+            });
+        }
+        Err(faults) => {
+            let kept: ConfigRevision = control.catalog.borrow().revision();
+            spdlog::error!("config: revision {revision} refused, {kept} stays in force: {faults}.");
+        }
+    }
+}
+
+async fn take_hosts(control: ControlLink, mut news: mpsc::Receiver<HostNews>) {
+    while let Some(news) = news.recv().await {
+        match news {
+            HostNews::Listed(list) => control.tell(list.event()),
+            HostNews::Failed(report) => spdlog::warn!("hosts: {report}."),
+        }
+    }
+}
--- /dev/null
+++ b/src/daemon/process.rs
@@ -0,0 +1,114 @@
+//! The life of a router process: start, signals, drain, end.
+
+use std::fmt;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use error_stack::Report;
+use error_stack::ResultExt;
+use tokio::signal::unix::Signal;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use tokio::time;
+
+use crate::settings::ProcessSettings;
+use crate::units::RouterIncarnation;
+
+use super::files::peer_parts;
+use super::router::Router;
+use super::router::RouterParts;
+
+/// Exit code after a shutdown that cut requests.
+pub const EXIT_CUT: u8 = 3;
+
+/// A process that could not start.
+#[derive(Debug)]
+pub struct ProcessError;
+
+impl fmt::Display for ProcessError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("the router does not start")
+    }
+}
+
+impl std::error::Error for ProcessError {}
+
+struct StopSignals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl StopSignals {
+    fn listen() -> Result<Self, std::io::Error> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+        })
+    }
+
+    async fn next(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
+}
+
+/// The parts of the router that checked settings describe.
+///
+/// # Errors
+/// If a key or certificate can't be read.
+pub fn router_parts(settings: &ProcessSettings) -> Result<RouterParts, Report<ProcessError>> {
+    let peers =
+        peer_parts(&settings.peers, settings.peer_config.clone()).change_context(ProcessError)?;
+    Ok(RouterParts {
+        host: settings.host.clone(),
+        domain: settings.domain.clone(),
+        incarnation: RouterIncarnation(rand::random()),
+        callers: settings.callers.listen,
+        peers: Some(peers),
+        platform: Some(settings.platform.clone()),
+        core: settings.core.clone(),
+        traffic: settings.traffic.clone(),
+        seed: rand::random(),
+    })
+}
+
+/// Runs a router until a signal has ended it.
+///
+/// # Errors
+/// If it does not start.
+pub async fn run(settings: &ProcessSettings) -> Result<ExitCode, Report<ProcessError>> {
+    let mut signals = StopSignals::listen().change_context(ProcessError)?;
+    let parts = router_parts(settings)?;
+    let incarnation = parts.incarnation;
+    let router = Router::start(parts).await.change_context(ProcessError)?;
+    let (host, callers) = (&settings.host, router.callers);
+    spdlog::info!("daemon: {host} incarnation {incarnation} takes calls on {callers}.");
+    signals.next().await;
+    spdlog::info!("daemon: drain begins; a second signal ends it at once.");
+    let deadline = Duration::from_secs(settings.shutdown.deadline_s);
+    tokio::select! {
+        () = router.drain() => {}
+        () = signals.next() => return Ok(cut(&router, "second signal").await),
+        () = time::sleep(deadline) => return Ok(cut(&router, "deadline").await),
+    }
+    spdlog::info!("daemon: nothing is left in flight.");
+    router.stop().await;
+    spdlog::info!("daemon: ended.");
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Ends without waiting; says which requests that cuts.
+async fn cut(router: &Router, cause: &str) -> ExitCode {
+    let requests = router.in_flight().await;
+    spdlog::error!("daemon: {cause}: {} requests are cut.", requests.len());
+    for (request, team) in &requests {
+        spdlog::error!("daemon: request {request} team {team} is cut.");
+    }
+    if requests.is_empty() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::from(EXIT_CUT)
+    }
+}
--- a/src/daemon/router.rs
+++ b/src/daemon/router.rs
@@ -7,27 +7,58 @@
 
 use error_stack::Report;
 use error_stack::ResultExt;
+use smol_str::SmolStr;
+use smol_str::ToSmolStr;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::configs::CoreConfig;
+use crate::configs::peers::PeersConfig;
 use crate::configs::traffic::TrafficConfig;
 use crate::core::RouterIdentity;
 use crate::core::event::CoreEvent;
 use crate::entry::context::EntryContext;
 use crate::entry::front::CallerFront;
+use crate::peers::MeshSettings;
+use crate::peers::forward_server::ForwardedCall;
+use crate::peers::keys::PeerKeys;
+use crate::peers::mesh::PeerEvent;
+use crate::peers::mesh::PeerMesh;
+use crate::peers::tls::PeerTls;
+use crate::platform::follow::WatchOrder;
+use crate::settings::PlatformSettings;
+use crate::units::DomainName;
+use crate::units::HostName;
+use crate::units::RequestId;
+use crate::units::RouterIncarnation;
+use crate::units::TeamId;
 
 use super::control;
 use super::control::ControlLink;
-use super::outside;
+use super::mesh;
+use super::outside::OutsideHands;
+use super::platform;
+
+/// Events of the mesh that wait for the control thread.
+const WAITING_EVENTS: usize = 1_024;
 
 /// What a router is made of.
 #[derive(Debug, Clone)]
 pub struct RouterParts {
-    /// Who it is.
-    pub identity: RouterIdentity,
+    /// Its host.
+    pub host: HostName,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// This life of it.
+    pub incarnation: RouterIncarnation,
     /// IP number and port for callers.
     pub callers: SocketAddr,
+    /// How it speaks with peers; absent for a router alone.
+    pub peers: Option<PeerParts>,
+    /// Where the platform is; absent if publications are handed in.
+    pub platform: Option<PlatformSettings>,
     /// Settings of the decision core.
     pub core: CoreConfig,
     /// Settings of the traffic side.
@@ -36,11 +67,28 @@
     pub seed: u64,
 }
 
+/// How a router speaks with peers.
+#[derive(Debug, Clone)]
+pub struct PeerParts {
+    /// IP number and port to listen on.
+    pub listen: SocketAddr,
+    /// IP number and port that peers dial, if not the one listened on.
+    pub advertised: Option<SocketAddr>,
+    /// Keys that all routers share.
+    pub keys: PeerKeys,
+    /// Certificates, if connections are encrypted.
+    pub tls: Option<PeerTls>,
+    /// Sizes and times.
+    pub config: PeersConfig,
+}
+
 /// A step of a start that failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StartStep {
     /// Starting the control thread.
     ControlThread,
+    /// Listening for peers.
+    PeerListener,
     /// Listening for callers.
     CallerListener,
 }
@@ -54,7 +102,11 @@
 
 impl std::fmt::Display for StartError {
     fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(formatter, "start failed at {:?}", self.step)
+        formatter.write_str(match self.step {
+            StartStep::ControlThread => "the control thread does not start",
+            StartStep::PeerListener => "the peer listener does not open",
+            StartStep::CallerListener => "the caller listener does not open",
+        })
     }
 }
 
@@ -67,11 +119,21 @@
     pub context: Arc<EntryContext>,
     /// Where callers reach it.
     pub callers: SocketAddr,
+    /// Connections to peers.
+    pub mesh: Option<PeerMesh>,
+    accepting: CancellationToken,
     closing: CancellationToken,
+    fronts: TaskTracker,
     tasks: TaskTracker,
     thread: JoinHandle<()>,
 }
 
+struct StartedMesh {
+    mesh: PeerMesh,
+    events: mpsc::Receiver<PeerEvent>,
+    calls: mpsc::Receiver<ForwardedCall>,
+}
+
 impl Router {
     /// Starts a router on the current runtime.
     ///
@@ -79,27 +141,54 @@
     /// At the step that failed.
     pub async fn start(parts: RouterParts) -> Result<Self, Report<StartError>> {
         let fault = |step| StartError { step };
-        let started = control::start(parts.identity, parts.core, parts.seed)
+        let closing = CancellationToken::new();
+        let started = start_mesh(&parts, &closing).await?;
+        let mesh = started.as_ref().map(|started| started.mesh.clone());
+        let identity = RouterIdentity {
+            host: parts.host.clone(),
+            incarnation: parts.incarnation,
+            domain: parts.domain.clone(),
+            address: peer_address(&parts, mesh.as_ref()),
+        };
+        let thread = control::start(identity, parts.core, parts.seed)
             .change_context(fault(StartStep::ControlThread))?;
-        let context = Arc::new(EntryContext::new(started.link, parts.traffic));
-        let front = bind_front(parts.callers, &context)
+        let forwards = mesh.as_ref().map(PeerMesh::forward_client);
+        let context = Arc::new(EntryContext::new(thread.link, parts.traffic, forwards));
+        let (front, callers) = bind_front(parts.callers, &context)
             .await
             .change_context(fault(StartStep::CallerListener))?;
-        let (front, callers) = front;
-        let closing = CancellationToken::new();
-        let tasks = TaskTracker::new();
-        tasks.spawn(front.serve(closing.clone()));
-        tasks.spawn(outside::run(
-            Arc::clone(&context),
-            started.commands,
-            closing.clone(),
-        ));
+        let (fronts, tasks) = (TaskTracker::new(), TaskTracker::new());
+        let accepting = CancellationToken::new();
+        fronts.spawn(front.serve(accepting.clone()));
+        if let Some(StartedMesh { events, calls, .. }) = started {
+            let taking = mesh::take_events(context.control.clone(), events);
+            tasks.spawn(closing.clone().run_until_cancelled_owned(taking));
+            let taking = mesh::take_calls(Arc::clone(&context), calls);
+            tasks.spawn(closing.clone().run_until_cancelled_owned(taking));
+        }
+        let (watch, order) = watch::channel(WatchOrder {
+            on: true,
+            ..WatchOrder::default()
+        });
+        if let Some(settings) = &parts.platform {
+            platform::follow(settings, &context.control, order, &tasks, &closing);
+        }
+        let hands = OutsideHands {
+            context: Arc::clone(&context),
+            mesh: mesh.clone(),
+            watch,
+            closing: closing.clone(),
+        };
+        tasks.spawn(hands.run(thread.commands));
         Ok(Self {
             context,
             callers,
+            mesh,
+            accepting,
             closing,
+            fronts,
             tasks,
-            thread: started.handle,
+            thread: thread.handle,
         })
     }
 
@@ -116,8 +205,24 @@
         let _ = drained.wait_for(|drained| *drained).await;
     }
 
-    /// Takes no more calls, lets every answer end, and ends the control thread.
+    /// Requests that have not ended.
+    pub async fn in_flight(&self) -> Vec<(RequestId, TeamId)> {
+        let requests = self.control().inspect(|state| {
+            let rows = state.requests.iter();
+            rows.map(|(request, entry)| (*request, entry.facts.team))
+                .collect()
+        });
+        requests.await.unwrap_or_default()
+    }
+
+    /// Takes no more calls, lets every answer end, and ends everything.
     pub async fn stop(self) {
+        // Peers stay connected while answers end: a forwarded one comes over them.
+        self.accepting.cancel();
+        self.fronts.close();
+        self.fronts.wait().await;
+        self.context.tasks.close();
+        self.context.tasks.wait().await;
         self.closing.cancel();
         self.tasks.close();
         self.tasks.wait().await;
@@ -126,6 +231,39 @@
     }
 }
 
+fn peer_address(parts: &RouterParts, mesh: Option<&PeerMesh>) -> SmolStr {
+    let advertised = parts.peers.as_ref().and_then(|peers| peers.advertised);
+    let address = advertised.or(mesh.map(PeerMesh::address));
+    address.map_or_else(SmolStr::default, |address| address.to_smolstr())
+}
+
+async fn start_mesh(
+    parts: &RouterParts,
+    closing: &CancellationToken,
+) -> Result<Option<StartedMesh>, Report<StartError>> {
+    let Some(peers) = &parts.peers else {
+        return Ok(None);
+    };
+    let settings = MeshSettings {
+        host: parts.host.clone(),
+        incarnation: parts.incarnation,
+        listen: peers.listen,
+        keys: peers.keys.clone(),
+        tls: peers.tls.clone(),
+        config: peers.config.clone(),
+    };
+    let (sender, events) = mpsc::channel(WAITING_EVENTS);
+    let started = PeerMesh::start(settings, closing.clone(), sender).await;
+    let (mesh, calls) = started.change_context(StartError {
+        step: StartStep::PeerListener,
+    })?;
+    Ok(Some(StartedMesh {
+        mesh,
+        events,
+        calls,
+    }))
+}
+
 async fn bind_front(
     address: SocketAddr,
     context: &Arc<EntryContext>,
--- a/src/endpoint/body.rs
+++ b/src/endpoint/body.rs
@@ -1,6 +1,9 @@
 //! The body of a request on its way to an endpoint.
 
 use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
 
@@ -17,6 +20,7 @@
     kept: Option<Bytes>,
     rest: Option<CallBody>,
     left: Option<u64>,
+    broken: Option<Arc<AtomicBool>>,
 }
 
 impl OutgoingBody {
@@ -27,16 +31,24 @@
             left: Some(bytes.len() as u64),
             kept: Some(bytes).filter(|part| !part.is_empty()),
             rest: None,
+            broken: None,
         }
     }
 
-    /// A body of which more comes, at most `limit` bytes in all; `length` if its sender said it.
+    /// A body of which more comes; `length` if its sender said it. `broken` is set if it breaks
+    /// off.
     #[must_use]
-    pub fn streamed(kept: Bytes, rest: CallBody, length: Option<u64>) -> Self {
+    pub fn streamed(
+        kept: Bytes,
+        rest: CallBody,
+        length: Option<u64>,
+        broken: Arc<AtomicBool>,
+    ) -> Self {
         Self {
             kept: Some(kept),
             rest: Some(rest),
             left: length,
+            broken: Some(broken),
         }
     }
 }
@@ -60,6 +72,9 @@
         if let (Some(Ok(chunk)), Some(left)) = (&next, self.left) {
             self.left = Some(left.saturating_sub(chunk.len() as u64));
         }
+        if let (Some(Err(_)), Some(broken)) = (&next, &self.broken) {
+            broken.store(true, Ordering::Relaxed);
+        }
         Poll::Ready(next.map(|chunk| chunk.map(Frame::data)))
     }
 
--- a/src/entry/admit.rs
+++ b/src/entry/admit.rs
@@ -1,6 +1,7 @@
 //! Taking a call in: key, path, kind, ticket and body are checked, then the core is told.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use http::HeaderMap;
 use http::header;
@@ -14,15 +15,19 @@
 use crate::endpoint::attempt::AnswerShape;
 use crate::units::ConfigRevision;
 use crate::units::KindName;
+use crate::units::PoolId;
 use crate::units::TeamId;
 use crate::units::TimeSpan;
 
+use super::body::BodyTime;
 use super::body::StoredBody;
 use super::body::bounded_rest;
 use super::body::read_body;
 use super::call::CallAnswer;
+use super::call::CallBody;
 use super::call::CallOrigin;
 use super::call::IncomingCall;
+use super::caller::CallerLinks;
 use super::caller::CallerSide;
 use super::catalog::EntryCatalog;
 use super::context::EntryContext;
@@ -48,12 +53,19 @@
     if catalog.revision() == ConfigRevision(0) {
         return Err(CallFault::NotReady);
     }
-    let task = take_in(context, &catalog, call).await?;
-    let (sender, receiver) = oneshot::channel();
     let left = CancellationToken::new();
     let guard = left.clone().drop_guard();
+    let links = CallerLinks {
+        left,
+        abort: call.abort.clone(),
+        idle: catalog.fleet.caller_limits.answer_idle.as_duration(),
+    };
+    let task = take_in(context, &catalog, call).await?;
+    let (sender, receiver) = oneshot::channel();
     let request = task.facts.request;
-    tokio::spawn(task.run(CallerSide::new(sender, left)));
+    context
+        .tasks
+        .spawn(task.run(CallerSide::new(sender, links)));
     // A task that ended without an answer was stopped with the whole process.
     let mut answer = receiver.await.map_err(|_| CallFault::Refused {
         reason: RefusalReason::Draining,
@@ -142,7 +154,7 @@
 }
 
 struct TakenBody {
-    pool: crate::units::PoolId,
+    pool: PoolId,
     body: BodySource,
     shape: AnswerShape,
     prefix: u64,
@@ -153,18 +165,23 @@
     catalog: &EntryCatalog,
     target: PathTarget,
     fields: &HeaderMap,
-    body: super::call::CallBody,
+    body: CallBody,
 ) -> Result<TakenBody, CallFault> {
     let config = &context.config;
+    let limits = &catalog.fleet.caller_limits;
+    let time = BodyTime {
+        pause: limits.body_idle.as_duration(),
+        whole: Duration::from_millis(config.body_ms),
+    };
     let length = content_length(fields);
     match target {
         PathTarget::Completion => {
-            let limit = config.engine_body_bytes;
+            let limit = config.engine_body_bytes.min(to_size(limits.body_bytes));
             let too_large = CallFault::BodyTooLarge(limit as u64);
             if length.is_some_and(|bytes| bytes > limit as u64) {
                 return Err(too_large);
             }
-            let StoredBody { kept, rest: None } = read_body(body, limit, config).await? else {
+            let StoredBody { kept, rest: None } = read_body(body, limit, time).await? else {
                 return Err(too_large);
             };
             let completion = route::completion_route(catalog, &kept)?;
@@ -180,16 +197,17 @@
             })
         }
         PathTarget::Plain(pool) => {
-            let limit = config.plain_body_bytes;
+            let limit = limits.body_bytes;
             if length.is_some_and(|bytes| bytes > limit) {
                 return Err(CallFault::BodyTooLarge(limit));
             }
-            let read = read_body(body, config.kept_body_bytes, config).await?;
+            let kept = config.kept_body_bytes.min(to_size(limit));
+            let read = read_body(body, kept, time).await?;
             let body = match read.rest {
                 None => BodySource::Kept(read.kept),
                 Some(rest) => {
                     let left = limit.saturating_sub(read.kept.len() as u64);
-                    let rest = bounded_rest(rest, left, config);
+                    let rest = bounded_rest(rest, left, time.pause);
                     BodySource::streamed(read.kept, rest, length)
                 }
             };
@@ -203,6 +221,10 @@
     }
 }
 
+fn to_size(bytes: u64) -> usize {
+    usize::try_from(bytes).unwrap_or(usize::MAX)
+}
+
 fn content_length(fields: &HeaderMap) -> Option<u64> {
     fields
         .get(header::CONTENT_LENGTH)?
--- a/src/entry/answers.rs
+++ b/src/entry/answers.rs
@@ -1,7 +1,6 @@
 //! Answers that are kept so that a resend with the same ticket gets them too.
 
 use std::collections::BTreeMap;
-use std::io;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
@@ -14,8 +13,6 @@
 
 use crate::units::RequestId;
 
-use super::call::cut_error;
-
 /// The head of an answer.
 #[derive(Debug, Clone)]
 pub struct AnswerHead {
@@ -131,8 +128,8 @@
         }
     }
 
-    /// Passes the whole answer on to a later caller.
-    pub async fn copy_to(&self, caller: &mpsc::Sender<Result<Bytes, io::Error>>) {
+    /// Passes the answer on to a later caller; true if it was whole.
+    pub async fn copy_to(&self, caller: &mpsc::Sender<Bytes>) -> bool {
         let mut next = 0;
         loop {
             let changed = self.changed.notified();
@@ -140,19 +137,18 @@
                 let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
                 (state.chunks.get(next).cloned(), state.stage)
             };
-            let item = match (chunk, stage) {
-                (_, RecordStage::Broken) => Err(cut_error()),
-                (Some(chunk), _) => Ok(chunk),
-                (None, RecordStage::Whole) => return,
+            let chunk = match (chunk, stage) {
+                (_, RecordStage::Broken) => return false,
+                (Some(chunk), _) => chunk,
+                (None, RecordStage::Whole) => return true,
                 (None, RecordStage::Open) => {
                     changed.await;
                     continue;
                 }
             };
             next += 1;
-            let broken = item.is_err();
-            if caller.send(item).await.is_err() || broken {
-                return;
+            if caller.send(chunk).await.is_err() {
+                return false;
             }
         }
     }
--- a/src/entry/body.rs
+++ b/src/entry/body.rs
@@ -9,7 +9,6 @@
 use futures_util::stream;
 use tokio::time;
 
-use crate::configs::traffic::TrafficConfig;
 use crate::core::action::RunOutcome;
 
 use super::call::BodyFault;
@@ -24,6 +23,15 @@
     pub rest: Option<CallBody>,
 }
 
+/// How long a body may take.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BodyTime {
+    /// Longest pause between two chunks.
+    pub pause: Duration,
+    /// Longest time for what is kept of it.
+    pub whole: Duration,
+}
+
 /// Reads up to `limit` bytes. Chunks that come in one piece are not copied.
 ///
 /// # Errors
@@ -31,14 +39,12 @@
 pub async fn read_body(
     mut body: CallBody,
     limit: usize,
-    config: &TrafficConfig,
+    limits: BodyTime,
 ) -> Result<StoredBody, CallFault> {
-    let pause = Duration::from_millis(config.body_pause_ms);
-    let whole = Duration::from_millis(config.body_ms);
-    let read = read_kept(&mut body, limit, pause);
+    let read = read_kept(&mut body, limit, limits.pause);
     // A sender that gives a byte now and then would hold a request's memory for hours: seen as
     // routers full of requests that never arrive. The time for the kept part is bounded.
-    let (kept, ended) = time::timeout(whole, read)
+    let (kept, ended) = time::timeout(limits.whole, read)
         .await
         .map_err(|_| CallFault::SlowBody(RunOutcome::NotRun))??;
     let rest = (!ended).then_some(body);
@@ -84,8 +90,7 @@
 
 /// What follows the kept part of a body, with its pauses and size bounded.
 #[must_use]
-pub fn bounded_rest(rest: CallBody, left: u64, config: &TrafficConfig) -> CallBody {
-    let pause = Duration::from_millis(config.body_pause_ms);
+pub fn bounded_rest(rest: CallBody, left: u64, pause: Duration) -> CallBody {
     Box::pin(stream::unfold(
         Some((rest, left)),
         move |state| async move {
--- a/src/entry/call.rs
+++ b/src/entry/call.rs
@@ -4,6 +4,9 @@
 use std::fmt;
 use std::io;
 use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
 
@@ -14,6 +17,7 @@
 use http::Response;
 use http::Uri;
 use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
 use tokio_util::sync::DropGuard;
 
 use crate::units::KindName;
@@ -50,6 +54,8 @@
     pub body: CallBody,
     /// Who sent it here.
     pub origin: CallOrigin,
+    /// Cancelled to close the connection that it came over.
+    pub abort: CancellationToken,
 }
 
 /// Who sent a call here.
@@ -86,7 +92,7 @@
 #[derive(Debug)]
 enum AnswerSource {
     Full(Option<Bytes>),
-    Chunks(mpsc::Receiver<Result<Bytes, io::Error>>),
+    Chunks(mpsc::Receiver<Bytes>, Arc<AtomicBool>),
 }
 
 /// The body of an answer. An error item means that the answer is not whole: the transport to
@@ -107,11 +113,12 @@
         }
     }
 
-    /// A body in chunks as they come.
+    /// A body in chunks as they come. It is whole only if `whole` is set when the chunks end: a
+    /// sender that is dropped for any other reason has cut it.
     #[must_use]
-    pub fn chunks(receiver: mpsc::Receiver<Result<Bytes, io::Error>>) -> Self {
+    pub fn chunks(receiver: mpsc::Receiver<Bytes>, whole: Arc<AtomicBool>) -> Self {
         Self {
-            source: AnswerSource::Chunks(receiver),
+            source: AnswerSource::Chunks(receiver, whole),
             watch: None,
         }
     }
@@ -130,13 +137,17 @@
             AnswerSource::Full(bytes) => {
                 Poll::Ready(bytes.take().filter(|part| !part.is_empty()).map(Ok))
             }
-            AnswerSource::Chunks(receiver) => receiver.poll_recv(context),
+            AnswerSource::Chunks(receiver, whole) => match receiver.poll_recv(context) {
+                Poll::Pending => Poll::Pending,
+                Poll::Ready(Some(chunk)) => Poll::Ready(Some(Ok(chunk))),
+                Poll::Ready(None) if whole.load(Ordering::Acquire) => Poll::Ready(None),
+                Poll::Ready(None) => Poll::Ready(Some(Err(cut_error()))),
+            },
         }
     }
 }
 
 /// The error that makes a transport abort an answer.
-#[must_use]
-pub fn cut_error() -> io::Error {
+fn cut_error() -> io::Error {
     io::Error::new(io::ErrorKind::ConnectionAborted, "the answer is not whole")
 }
--- a/src/entry/caller.rs
+++ b/src/entry/caller.rs
@@ -1,12 +1,15 @@
 //! The caller's side of one request: it gets a head, chunks and an end, or an error, once.
 
-use std::io;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::Response;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
+use tokio::time;
 use tokio_util::sync::CancellationToken;
 
 use super::answers::AnswerHead;
@@ -14,13 +17,12 @@
 use super::call::ANSWER_CHUNKS;
 use super::call::AnswerBody;
 use super::call::CallAnswer;
-use super::call::cut_error;
 use super::refusal::CallFault;
 
 #[derive(Debug)]
 enum CallerStage {
     Waiting(oneshot::Sender<CallAnswer>),
-    Streaming(mpsc::Sender<Result<Bytes, io::Error>>),
+    Streaming(mpsc::Sender<Bytes>),
     Ended,
 }
 
@@ -28,18 +30,30 @@
 #[derive(Debug)]
 pub struct CallerSide {
     stage: CallerStage,
-    left: CancellationToken,
+    links: CallerLinks,
+    whole: Arc<AtomicBool>,
     record: Option<Arc<AnswerRecord>>,
 }
 
+/// What ties a caller to its connection.
+#[derive(Debug)]
+pub struct CallerLinks {
+    /// Cancelled when the caller leaves.
+    pub left: CancellationToken,
+    /// Cancelled to close the caller's connection.
+    pub abort: CancellationToken,
+    /// Longest pause of a caller that reads its answer.
+    pub idle: Duration,
+}
+
 impl CallerSide {
-    /// A caller that waits for the head at the other end of `sender`; `left` is cancelled when
-    /// it leaves.
+    /// A caller that waits for the head at the other end of `sender`.
     #[must_use]
-    pub fn new(sender: oneshot::Sender<CallAnswer>, left: CancellationToken) -> Self {
+    pub fn new(sender: oneshot::Sender<CallAnswer>, links: CallerLinks) -> Self {
         Self {
             stage: CallerStage::Waiting(sender),
-            left,
+            links,
+            whole: Arc::default(),
             record: None,
         }
     }
@@ -59,7 +73,7 @@
     /// Cancelled when the caller leaves.
     #[must_use]
     pub fn left(&self) -> CancellationToken {
-        self.left.clone()
+        self.links.left.clone()
     }
 
     /// True if a part of the answer may have reached the caller.
@@ -79,20 +93,27 @@
             return;
         };
         let (chunks, receiver) = mpsc::channel(ANSWER_CHUNKS);
-        let answer = answer_of(head, AnswerBody::chunks(receiver));
+        let answer = answer_of(head, AnswerBody::chunks(receiver, Arc::clone(&self.whole)));
         if sender.send(answer).is_ok() {
             self.stage = CallerStage::Streaming(chunks);
         }
     }
 
-    /// Gives a chunk; waits while the caller reads slowly.
+    /// Gives a chunk; waits while the caller reads slowly. One that reads nothing at all for too
+    /// long would hold its endpoint's slot for ever: its connection is closed.
     pub async fn push(&mut self, chunk: Bytes) {
         if let Some(record) = &self.record {
             record.push(&chunk);
         }
-        if let CallerStage::Streaming(sender) = &self.stage
-            && sender.send(Ok(chunk)).await.is_err()
-        {
+        let CallerStage::Streaming(sender) = &self.stage else {
+            return;
+        };
+        let Err(full) = sender.try_send(chunk) else {
+            return;
+        };
+        let sent = time::timeout(self.links.idle, sender.send(full.into_inner())).await;
+        if !matches!(sent, Ok(Ok(()))) {
+            self.links.abort.cancel();
             self.stage = CallerStage::Ended;
         }
     }
@@ -114,41 +135,30 @@
         if let Some(record) = &self.record {
             record.end(true);
         }
+        self.whole.store(true, Ordering::Release);
         self.stage = CallerStage::Ended;
     }
 
     /// Tells the caller of a fault: as an error answer, or, if the answer has begun, by aborting
     /// the transport. A caller must never take a part for the whole.
-    pub async fn fail(&mut self, fault: CallFault) {
+    pub fn fail(&mut self, fault: CallFault) {
         if let Some(record) = &self.record {
             record.end(false);
         }
-        match std::mem::replace(&mut self.stage, CallerStage::Ended) {
-            CallerStage::Waiting(sender) => {
-                let _ = sender.send(fault.into_answer());
-            }
-            CallerStage::Streaming(sender) => {
-                let _ = sender.send(Err(cut_error())).await;
-            }
-            CallerStage::Ended => {}
+        let stage = std::mem::replace(&mut self.stage, CallerStage::Ended);
+        if let CallerStage::Waiting(sender) = stage {
+            let _ = sender.send(fault.into_answer());
         }
     }
 
     /// Passes another request's kept answer on.
     pub async fn copy(&mut self, record: &AnswerRecord) {
         if let CallerStage::Streaming(sender) = &self.stage {
-            record.copy_to(sender).await;
+            let whole = record.copy_to(sender).await;
+            self.whole.store(whole, Ordering::Release);
         }
         self.stage = CallerStage::Ended;
     }
-
-    /// Passes on the answer of a peer as it is.
-    pub fn give_answer(&mut self, answer: CallAnswer) {
-        if let CallerStage::Waiting(sender) = std::mem::replace(&mut self.stage, CallerStage::Ended)
-        {
-            let _ = sender.send(answer);
-        }
-    }
 }
 
 fn answer_of(head: AnswerHead, body: AnswerBody) -> CallAnswer {
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -3,9 +3,12 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
+use tokio_util::task::TaskTracker;
+
 use crate::configs::traffic::TrafficConfig;
 use crate::daemon::control::ControlLink;
 use crate::endpoint::connections::EndpointConnections;
+use crate::peers::forward::ForwardClient;
 use crate::tickets::TicketSigner;
 use crate::units::RequestId;
 
@@ -20,18 +23,28 @@
     pub config: TrafficConfig,
     /// Makes and checks tickets.
     pub signer: TicketSigner,
+    /// The way to peers for forwarded requests; absent in a router without peers.
+    pub forwards: Option<ForwardClient>,
+    /// Tasks of requests, waited for at a shutdown.
+    pub tasks: TaskTracker,
     last_request: AtomicU64,
 }
 
 impl EntryContext {
     /// A context for one router life.
     #[must_use]
-    pub fn new(control: ControlLink, config: TrafficConfig) -> Self {
+    pub fn new(
+        control: ControlLink,
+        config: TrafficConfig,
+        forwards: Option<ForwardClient>,
+    ) -> Self {
         Self {
             connections: EndpointConnections::new(&config),
             signer: TicketSigner::random(control.incarnation),
             control,
             config,
+            forwards,
+            tasks: TaskTracker::new(),
             last_request: AtomicU64::new(0),
         }
     }
--- a/src/entry/front.rs
+++ b/src/entry/front.rs
@@ -98,9 +98,19 @@
     closing: CancellationToken,
 ) {
     let _ = stream.set_nodelay(true);
-    let header_bytes = context.config.header_bytes.max(LEAST_BUFFER);
+    let limit = context
+        .control
+        .catalog
+        .borrow()
+        .fleet
+        .caller_limits
+        .header_bytes;
+    let header_bytes = usize::try_from(limit)
+        .unwrap_or(LEAST_BUFFER)
+        .max(LEAST_BUFFER);
+    let abort = CancellationToken::new();
     let header_time = Duration::from_millis(context.config.header_ms);
-    let service = TowerToHyperService::new(warp::service(filter(context)));
+    let service = TowerToHyperService::new(warp::service(filter(context, abort.clone())));
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
@@ -111,18 +121,20 @@
         // A caller that breaks off ends its connection with an error; its request is told so
         // by the drop of its answer.
         _ = connection.as_mut() => return,
+        () = abort.cancelled() => return,
         () = closing.cancelled() => connection.as_mut().graceful_shutdown(),
     }
-    let _ = connection.await;
+    let _ = abort.run_until_cancelled(connection).await;
 }
 
 /// Every method and path, with the body as a stream.
 fn filter(
     context: Arc<EntryContext>,
+    abort: CancellationToken,
 ) -> impl Filter<Extract = (warp::reply::Response,), Error = Rejection> + Clone {
     let query = warp::query::raw().or(warp::any().map(String::new)).unify();
     warp::any()
-        .map(move || Arc::clone(&context))
+        .map(move || (Arc::clone(&context), abort.clone()))
         .and(warp::method())
         .and(warp::path::full())
         .and(query)
@@ -132,7 +144,7 @@
 }
 
 async fn take_call<B: Buf>(
-    context: Arc<EntryContext>,
+    (context, abort): (Arc<EntryContext>, CancellationToken),
     method: Method,
     path: FullPath,
     query: String,
@@ -157,6 +169,7 @@
         headers,
         body: Box::pin(chunks),
         origin: CallOrigin::Caller,
+        abort,
     };
     reply(answer(&context, call).await)
 }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -10,6 +10,7 @@
 pub mod caller;
 pub mod catalog;
 pub mod context;
+pub mod forwarding;
 pub mod front;
 pub mod headers;
 pub mod refusal;
--- a/src/entry/task.rs
+++ b/src/entry/task.rs
@@ -2,6 +2,7 @@
 //! what became of it.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
@@ -24,6 +25,7 @@
 use crate::endpoint::attempt::AttemptRun;
 use crate::endpoint::body::OutgoingBody;
 use crate::units::ByteSize;
+use crate::units::HostName;
 use crate::units::RequestId;
 use crate::units::ServiceUnits;
 use crate::units::TimeSpan;
@@ -32,6 +34,7 @@
 use super::call::CallBody;
 use super::caller::CallerSide;
 use super::context::EntryContext;
+use super::forwarding::Forwarding;
 use super::refusal::CallFault;
 
 /// The body of a call, for as many attempts as it can serve.
@@ -44,6 +47,8 @@
         kept: Bytes,
         /// All of it, until an attempt took it.
         body: Option<OutgoingBody>,
+        /// Set once its sender broke off or paused too long.
+        broken: Arc<AtomicBool>,
     },
 }
 
@@ -51,9 +56,21 @@
     /// A body whose beginning was read and the rest follows.
     #[must_use]
     pub fn streamed(kept: Bytes, rest: CallBody, length: Option<u64>) -> Self {
+        let broken = Arc::<AtomicBool>::default();
+        let body = OutgoingBody::streamed(kept.clone(), rest, length, Arc::clone(&broken));
         Self::Streamed {
-            kept: kept.clone(),
-            body: Some(OutgoingBody::streamed(kept, rest, length)),
+            kept,
+            body: Some(body),
+            broken,
+        }
+    }
+
+    /// True if its sender broke off or paused too long.
+    #[must_use]
+    pub fn has_broken(&self) -> bool {
+        match self {
+            Self::Kept(_) => false,
+            Self::Streamed { broken, .. } => broken.load(Ordering::Relaxed),
         }
     }
 
@@ -112,6 +129,7 @@
     caller: CallerSide,
     commands: UnboundedReceiver<RequestCommand>,
     left_told: bool,
+    may_have_run: bool,
 }
 
 impl RequestTask {
@@ -125,6 +143,7 @@
             caller,
             commands,
             left_told: false,
+            may_have_run: false,
         };
         while let Some(command) = running.next_command().await {
             if running.obey(command).await {
@@ -169,22 +188,18 @@
                 reason,
                 outcome,
                 retry_after,
-            } => self.refuse(reason, outcome, retry_after).await,
+            } => self.refuse(reason, outcome, retry_after),
             RequestCommand::OfferTicket(ticket) => {
                 let text = self.context.signer.sign(ticket);
-                self.caller.fail(CallFault::TicketNeeded(text)).await;
+                self.caller.fail(CallFault::TicketNeeded(text));
             }
             RequestCommand::JoinAnswer(original) => self.join(original).await,
-            RequestCommand::Forward(_) => {
-                self.caller
-                    .fail(CallFault::PeerLost(RunOutcome::NotRun))
-                    .await;
-            }
+            RequestCommand::Forward(host) => self.forward(host).await,
         }
         true
     }
 
-    async fn refuse(&mut self, reason: RefusalReason, outcome: RunOutcome, retry_after: TimeSpan) {
+    fn refuse(&mut self, reason: RefusalReason, outcome: RunOutcome, retry_after: TimeSpan) {
         let request = self.facts.request;
         let team = self.facts.team;
         spdlog::debug!("entry: request {request} team {team} refused: {reason:?}, {outcome:?}.");
@@ -194,7 +209,7 @@
             outcome,
             retry_after,
         };
-        self.caller.fail(fault).await;
+        self.caller.fail(fault);
     }
 
     /// Makes an attempt. Returns a command that ended it early, if one did.
@@ -236,7 +251,7 @@
         let service = ServiceUnits(meter.load(Ordering::Relaxed));
         match ended {
             Ok(outcome) => {
-                self.report(order, outcome, service, can_resume).await;
+                self.report(order, outcome, service, can_resume);
                 None
             }
             Err(command) => {
@@ -246,7 +261,7 @@
         }
     }
 
-    async fn report(
+    fn report(
         &mut self,
         order: DispatchOrder,
         outcome: AttemptOutcome,
@@ -254,6 +269,9 @@
         can_resume: bool,
     ) {
         let request = self.facts.request;
+        if !matches!(outcome, AttemptOutcome::NotSent | AttemptOutcome::Refused) {
+            self.may_have_run = true;
+        }
         if outcome == AttemptOutcome::Whole {
             self.caller.end();
             self.tell_kept();
@@ -265,12 +283,17 @@
             );
         }
         self.tell_ended(order, outcome, service);
+        if self.call.body.has_broken() && outcome != AttemptOutcome::Whole {
+            self.caller.fail(CallFault::SlowBody(RunOutcome::Unknown));
+            self.tell_left();
+            return;
+        }
         let lost = matches!(outcome, AttemptOutcome::CutAt(_)) && !can_resume;
         if lost && !self.left_told {
             // What the caller has can't be continued. The rest must not be run again for nobody,
             // and the caller must see at once that the answer is cut.
             let fault = CallFault::PeerLost(RunOutcome::Unknown);
-            self.caller.fail(fault).await;
+            self.caller.fail(fault);
             self.tell_left();
         }
     }
@@ -310,6 +333,18 @@
             .tell(CoreEvent::AnswerKept { request, bytes });
     }
 
+    /// Lets a peer answer.
+    async fn forward(&mut self, host: HostName) {
+        let forwarding = Forwarding {
+            context: &self.context,
+            facts: &self.facts,
+            call: &mut self.call,
+            caller: &mut self.caller,
+            may_have_run: self.may_have_run,
+        };
+        forwarding.run(host).await;
+    }
+
     /// Answers with what another request of the same ticket gets or got.
     async fn join(&mut self, original: RequestId) {
         let limit = self.context.config.stored_answer_bytes;
@@ -338,16 +373,16 @@
                 reason,
                 outcome,
                 retry_after,
-            })) => self.refuse(reason, outcome, retry_after).await,
+            })) => self.refuse(reason, outcome, retry_after),
             Some(None) => {}
             Some(Some(_)) => {
                 self.context.control.answers.forget(original);
                 let (reason, later) = (RefusalReason::TicketGone, TimeSpan(0));
-                self.refuse(reason, RunOutcome::Ran, later).await;
+                self.refuse(reason, RunOutcome::Ran, later);
             }
             None => {
                 let (reason, later) = (RefusalReason::TicketGone, TimeSpan(0));
-                self.refuse(reason, RunOutcome::Unknown, later).await;
+                self.refuse(reason, RunOutcome::Unknown, later);
             }
         }
     }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -14,6 +14,8 @@
 use smol_str::SmolStr;
 
 use crate::configs::CoreConfig;
+use crate::configs::peers::PeersConfig;
+use crate::configs::traffic::TrafficConfig;
 use crate::document::DocumentFault;
 use crate::document::FaultList;
 use crate::document::schema_of;
@@ -52,6 +54,12 @@
     /// The decision core, one part a system.
     #[serde(default)]
     pub core: CoreConfig,
+    /// Limits towards callers and endpoints.
+    #[serde(default)]
+    pub traffic: TrafficConfig,
+    /// Sizes and times between routers.
+    #[serde(default)]
+    pub peer_config: PeersConfig,
 }
 
 /// The listener for callers.
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -7,7 +7,6 @@
 
 use verbenaturn::configs::CoreConfig;
 use verbenaturn::configs::traffic::TrafficConfig;
-use verbenaturn::core::RouterIdentity;
 use verbenaturn::core::event::CoreEvent;
 use verbenaturn::daemon::router::Router;
 use verbenaturn::daemon::router::RouterParts;
@@ -34,13 +33,12 @@
 
 fn parts(traffic: TrafficConfig) -> RouterParts {
     RouterParts {
-        identity: RouterIdentity {
-            host: "entry-1".parse().unwrap(),
-            incarnation: RouterIncarnation(7),
-            domain: "suva-1".parse().unwrap(),
-            address: "127.0.0.1:0".into(),
-        },
+        host: "entry-1".parse().unwrap(),
+        incarnation: RouterIncarnation(7),
+        domain: "suva-1".parse().unwrap(),
         callers: "127.0.0.1:0".parse().unwrap(),
+        peers: None,
+        platform: None,
         core: CoreConfig::default(),
         traffic,
         seed: 1,
