Membership: pings, suspicion and refutation in place of open and closed connections

Cause: a lost connection made a router dead at once, a silent one never, and a process that slept could bury the fleet. With real membership an owner can lose and regain a pool while its counts stay; entry routers then began anew alone, and both ends believed the other had the slots. Change: systems/membership (host list as seed, direct evidence, news merged by rank, limits) and systems/probing (shuffled turns, help by others, bounded news). Slot counts carry a term; an owner that has no counts of it asks for a new one.

--- a/src/configs/mod.rs
+++ b/src/configs/mod.rs
@@ -4,8 +4,10 @@
 pub mod attempts;
 pub mod dispatch;
 pub mod limits;
+pub mod membership;
 pub mod ownership;
 pub mod peers;
+pub mod probing;
 pub mod reporting;
 pub mod tickets;
 pub mod traffic;
@@ -18,7 +20,9 @@
 use self::attempts::AttemptsConfig;
 use self::dispatch::DispatchConfig;
 use self::limits::LimitsConfig;
+use self::membership::MembershipConfig;
 use self::ownership::OwnershipConfig;
+use self::probing::ProbingConfig;
 use self::reporting::ReportingConfig;
 use self::tickets::TicketsConfig;
 
@@ -34,8 +38,12 @@
     pub dispatch: DispatchConfig,
     /// How much endpoints are given.
     pub limits: LimitsConfig,
+    /// Who the routers are.
+    pub membership: MembershipConfig,
     /// Sharing out a pool's slots.
     pub ownership: OwnershipConfig,
+    /// Pinging other routers.
+    pub probing: ProbingConfig,
     /// Telling owners of demand.
     pub reporting: ReportingConfig,
     /// Unrepeatable requests.
--- a/src/core/action.rs
+++ b/src/core/action.rs
@@ -56,6 +56,7 @@
 
 /// One action.
 #[derive(Debug, Clone, PartialEq)]
+#[allow(clippy::large_enum_variant)] // Messages are frequent: a box would cost on each.
 pub enum CoreAction {
     /// Send the request to the endpoint as this attempt, if `not_after` has not passed when
     /// the first byte is about to be written; else report `AttemptOutcome::NotSent`.
--- a/src/core/state.rs
+++ b/src/core/state.rs
@@ -21,6 +21,7 @@
 use super::RouterIdentity;
 use super::action::CoreAction;
 use super::event::CoreEvent;
+use super::tables::detector::DetectorTable;
 use super::tables::endpoints::EndpointTable;
 use super::tables::entry_pool::EntryPool;
 use super::tables::estimates::CostEstimates;
@@ -48,6 +49,8 @@
     pub publication_text: Bytes,
     /// Routers.
     pub members: MemberTable,
+    /// What was seen of them.
+    pub detector: DetectorTable,
     /// Endpoints.
     pub endpoints: EndpointTable,
     /// Requests that entered the fleet here.
@@ -94,6 +97,7 @@
             random: StdRng::seed_from_u64(seed),
             catalog: Arc::default(),
             publication_text: Bytes::new(),
+            detector: DetectorTable::default(),
             endpoints: EndpointTable::default(),
             requests: RequestTable::default(),
             tickets: TicketTable::default(),
--- a/src/core/systems/dispatch.rs
+++ b/src/core/systems/dispatch.rs
@@ -5,6 +5,7 @@
 use crate::core::event::CoreEvent;
 use crate::core::state::CoreState;
 use crate::core::systems::attempts;
+use crate::core::systems::reporting;
 use crate::core::tables::entry_pool::EntryPool;
 use crate::core::tables::entry_pool::NextRequest;
 use crate::core::tables::entry_pool::epoch_of;
@@ -70,7 +71,14 @@
         .owner
         .as_ref()
         .is_some_and(|owner| owner.host == *from && owner.epoch == epoch_of(incarnation));
-    if !current || allotment.epoch != epoch_of(incarnation) {
+    if !current || allotment.epoch != epoch_of(incarnation) || allotment.term != pool.term {
+        return;
+    }
+    if allotment.restart {
+        if let Some(owner) = pool.owner.clone() {
+            reporting::begin_epoch(pool, owner);
+        }
+        state.woken.insert(pool_id);
         return;
     }
     take_grants(pool, allotment);
--- a/src/core/systems/mod.rs
+++ b/src/core/systems/mod.rs
@@ -8,6 +8,7 @@
 pub mod limits;
 pub mod membership;
 pub mod ownership;
+pub mod probing;
 pub mod publication;
 pub mod reporting;
 pub mod tickets;
@@ -20,6 +21,8 @@
 pub enum CoreSystem {
     /// Who the routers are.
     Membership,
+    /// Pinging other routers and passing news on.
+    Probing,
     /// Which publication is in force.
     Publication,
     /// At most one execution of unrepeatable requests.
@@ -42,8 +45,9 @@
 
 impl CoreSystem {
     /// The order in which an event passes the systems.
-    pub const ORDER: [Self; 10] = [
+    pub const ORDER: [Self; 11] = [
         Self::Membership,
+        Self::Probing,
         Self::Publication,
         Self::Tickets,
         Self::Admission,
@@ -59,6 +63,7 @@
     pub fn run(self, state: &mut CoreState, event: &CoreEvent) {
         match self {
             Self::Membership => membership::run(state, event),
+            Self::Probing => probing::run(state, event),
             Self::Publication => publication::run(state, event),
             Self::Tickets => tickets::run(state, event),
             Self::Admission => admission::run(state, event),
--- a/src/core/systems/ownership.rs
+++ b/src/core/systems/ownership.rs
@@ -73,17 +73,15 @@
         .owned
         .entry(PoolId(report.pool))
         .or_insert_with(|| OwnedPool::new(settles_at));
-    if pool
-        .members
-        .get(from)
-        .is_some_and(|member| member.incarnation != incarnation)
-    {
-        pool.drop_member(from);
+    if !follow_term(pool, from, incarnation, report) {
+        ask_restart(state, from, report);
+        return;
     }
     let member = pool
         .members
         .entry(from.clone())
         .or_insert_with(|| MemberClaim::new(incarnation));
+    member.term = report.term;
     let fresh = report.sequence > member.report_seen;
     if fresh {
         member.report_seen = report.sequence;
@@ -108,6 +106,41 @@
     note_urgency(pool, from);
 }
 
+/// Makes room for the counts of the report's term; false if they can't be taken in.
+///
+/// Slot counts mean something only while both ends count from the same start. One end may begin
+/// anew without the other: an entry router that turned to another owner and back, or an owner
+/// that gave up a silent router's claim while that one slept. Seen as slots that both believe
+/// the other one has, or that two routers use. The entry router numbers its starts: a report of
+/// a later term replaces the claim, one of an earlier term is late and dropped, and counts
+/// without their start make the owner ask for a new term.
+fn follow_term(
+    pool: &mut OwnedPool,
+    from: &HostName,
+    incarnation: RouterIncarnation,
+    report: &DemandReport,
+) -> bool {
+    if let Some(member) = pool.members.get(from) {
+        let same_life = member.incarnation == incarnation;
+        if same_life && member.term >= report.term {
+            return member.term == report.term;
+        }
+        pool.drop_member(from);
+    }
+    report.acked == 0
+}
+
+fn ask_restart(state: &mut CoreState, from: &HostName, report: &DemandReport) {
+    let allotment = SlotAllotment {
+        pool: report.pool,
+        epoch: report.epoch,
+        term: report.term,
+        restart: true,
+        ..SlotAllotment::default()
+    };
+    state.send(from, PeerBody::Allotment(allotment));
+}
+
 /// Returned slots are grow-only, so even an old report may be taken in.
 fn take_slots(pool: &mut OwnedPool, from: &HostName, report: &DemandReport) {
     let rows = report
@@ -445,6 +478,7 @@
         pool: pool_id.0,
         epoch,
         sequence: member.allotment_sequence,
+        term: member.term,
         acked: member.report_seen,
         target: member.target,
         scarce,
--- a/src/core/systems/reporting.rs
+++ b/src/core/systems/reporting.rs
@@ -74,8 +74,10 @@
     }
 }
 
-fn begin_epoch(pool: &mut EntryPool, link: OwnerLink) {
+/// Begins to count slots anew with an owner.
+pub fn begin_epoch(pool: &mut EntryPool, link: OwnerLink) {
     pool.owner = Some(link);
+    pool.term += 1;
     let endpoints: Vec<_> = pool.slots.keys().copied().collect();
     for endpoint in endpoints {
         pool.change_slots(endpoint, |hold| {
@@ -141,6 +143,7 @@
     let mut report = DemandReport {
         pool: pool_id.0,
         epoch,
+        term: pool.term,
         sequence: pool.report_sequence,
         acked: pool.allotment_seen,
         spare: pool.held.saturating_sub(pool.busy),
--- a/src/core/tables/entry_pool.rs
+++ b/src/core/tables/entry_pool.rs
@@ -118,6 +118,8 @@
     pub scarce: bool,
     /// Least virtual time of waiting teams that the owner told.
     pub floor: i64,
+    /// Counts how often this router turned to an owner anew.
+    pub term: u32,
     /// Sequence of the last report sent.
     pub report_sequence: u64,
     /// Highest report sequence that the owner acknowledged.
--- a/src/core/tables/members.rs
+++ b/src/core/tables/members.rs
@@ -39,6 +39,41 @@
     pub domain: DomainName,
     /// True while a connection to it is open.
     pub connected: bool,
+    /// False once this router could not connect to it for the time of a suspicion. Others may
+    /// still reach it; for this router it owns nothing.
+    pub reachable: bool,
+}
+
+/// What a piece of news says of a router, in the order in which news outdoes news: a later
+/// incarnation, then a later refutation, then the worse state.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct MemberRank {
+    /// The life that it is about.
+    pub incarnation: RouterIncarnation,
+    /// That life's refutation count.
+    pub refutation: u32,
+    /// What it says.
+    pub state: MemberState,
+}
+
+impl MemberEntry {
+    /// What is known, as news; `None` for a router that only the host list named.
+    #[must_use]
+    pub fn rank(&self) -> Option<MemberRank> {
+        Some(MemberRank {
+            incarnation: self.incarnation?,
+            refutation: self.refutation,
+            state: self.state,
+        })
+    }
+}
+
+impl MemberRank {
+    /// What is known after two pieces of news, in whatever order and however often they come.
+    #[must_use]
+    pub fn merge(self, other: Self) -> Self {
+        self.max(other)
+    }
 }
 
 /// All routers that were heard of, this one included.
@@ -59,6 +94,7 @@
             address: identity.address.clone(),
             domain: identity.domain.clone(),
             connected: true,
+            reachable: true,
         };
         Self {
             rows: BTreeMap::from([(identity.host.clone(), entry)]),
@@ -72,9 +108,9 @@
         let Some(row) = self.rows.get_mut(host) else {
             return;
         };
-        let before = (row.state, row.incarnation);
+        let before = (row.state, row.incarnation, row.reachable);
         change(row);
-        if before != (row.state, row.incarnation) {
+        if before != (row.state, row.incarnation, row.reachable) {
             self.version += 1;
         }
     }
@@ -85,6 +121,25 @@
         self.version += 1;
     }
 
+    /// Forgets a router.
+    pub fn remove(&mut self, host: &HostName) {
+        if self.rows.remove(host).is_some() {
+            self.version += 1;
+        }
+    }
+
+    /// Routers that were heard of, this one and dead ones included.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// True if no router is known; never so, since this one is.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+
     /// A router.
     #[must_use]
     pub fn get(&self, host: &HostName) -> Option<&MemberEntry> {
@@ -107,7 +162,7 @@
     pub fn is_live(&self, host: &HostName) -> bool {
         self.rows
             .get(host)
-            .is_some_and(|row| matches!(row.state, MemberState::Alive | MemberState::Suspect))
+            .is_some_and(|row| row.reachable && row.state <= MemberState::Suspect)
     }
 
     /// The owner of a pool: the live router of the highest hash (rendezvous hashing). While no
@@ -116,7 +171,7 @@
     pub fn owner_of(&self, pool: PoolId) -> Option<&HostName> {
         self.rows
             .iter()
-            .filter(|(_, row)| row.state != MemberState::Dead)
+            .filter(|(_, row)| row.reachable && row.state != MemberState::Dead)
             .max_by_key(|(host, row)| {
                 let rank = xxh3_64_with_seed(host.as_str().as_bytes(), u64::from(pool.0));
                 (row.state != MemberState::Leaving, rank)
--- a/src/core/tables/mod.rs
+++ b/src/core/tables/mod.rs
@@ -1,5 +1,6 @@
 //! The tables of the decision core: entities as rows, no decisions.
 
+pub mod detector;
 pub mod endpoints;
 pub mod entry_pool;
 pub mod estimates;
@@ -7,6 +8,7 @@
 pub mod owned_pool;
 pub mod requests;
 pub mod retry_budgets;
+pub mod rumors;
 pub mod slot_limits;
 pub mod start_pace;
 pub mod team_queue;
--- a/src/core/tables/owned_pool.rs
+++ b/src/core/tables/owned_pool.rs
@@ -58,6 +58,8 @@
     pub allotment_acked: u64,
     /// Sequence of the last allotment sent.
     pub allotment_sequence: u64,
+    /// The term that its slot counts belong to.
+    pub term: u32,
     /// Its teams.
     pub teams: BTreeMap<TeamId, TeamDemand>,
     /// Its slots.
@@ -87,6 +89,7 @@
             heard_at: Moment(0),
             allotment_acked: 0,
             allotment_sequence: 0,
+            term: 0,
             teams: BTreeMap::new(),
             slots: BTreeMap::new(),
             draining: false,
--- /dev/null
+++ b/src/core/tables/rumors.rs
@@ -0,0 +1,89 @@
+//! News to pass on: each piece a bounded number of times, the least told first.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+/// Subjects with news that has not been passed on often enough. The news itself is read from
+/// the tables when it is sent, so that only the newest travels.
+#[derive(Debug)]
+pub struct RumorQueue<K> {
+    told: BTreeMap<K, u32>,
+    order: BTreeSet<(u32, K)>,
+}
+
+impl<K: Ord> Default for RumorQueue<K> {
+    fn default() -> Self {
+        Self {
+            told: BTreeMap::new(),
+            order: BTreeSet::new(),
+        }
+    }
+}
+
+impl<K: Ord + Clone> RumorQueue<K> {
+    /// There is news about a subject: it counts as never told.
+    pub fn add(&mut self, subject: K) {
+        if let Some(times) = self.told.insert(subject.clone(), 0) {
+            self.order.remove(&(times, subject.clone()));
+        }
+        self.order.insert((0, subject));
+    }
+
+    /// The subjects for one message, at most `most`; each is dropped after `limit` times.
+    pub fn take(&mut self, most: usize, limit: u32) -> Vec<K> {
+        let mut taken = Vec::new();
+        while taken.len() < most
+            && let Some((times, subject)) = self.order.pop_first()
+        {
+            taken.push((times + 1, subject));
+        }
+        for (times, subject) in &taken {
+            if *times < limit {
+                self.told.insert(subject.clone(), *times);
+                self.order.insert((*times, subject.clone()));
+            } else {
+                self.told.remove(subject);
+            }
+        }
+        taken.into_iter().map(|(_, subject)| subject).collect()
+    }
+
+    /// True if there is nothing to pass on.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.told.is_empty()
+    }
+}
+
+/// How often a piece of news is passed on among so many routers: `spread` times the binary
+/// logarithm, rounded up.
+#[must_use]
+pub fn telling_limit(routers: usize, spread: u32) -> u32 {
+    spread * (usize::BITS - routers.leading_zeros()).max(1)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn news_is_told_a_bounded_number_of_times_and_the_least_told_first() {
+        let mut queue = RumorQueue::default();
+        queue.add("a");
+        assert_eq!(queue.take(1, 2), ["a"]);
+        queue.add("b");
+        assert_eq!(queue.take(1, 2), ["b"]);
+        assert_eq!(queue.take(5, 2), ["a", "b"]);
+        assert!(queue.is_empty());
+        queue.add("a");
+        queue.add("a");
+        assert_eq!(queue.take(5, 2), ["a"]);
+    }
+
+    #[test]
+    fn the_limit_grows_with_the_logarithm() {
+        assert_eq!(telling_limit(1, 3), 3);
+        assert_eq!(telling_limit(8, 3), 12);
+        assert_eq!(telling_limit(1_300, 3), 33);
+    }
+}
--- a/src/daemon/message.rs
+++ b/src/daemon/message.rs
@@ -106,6 +106,7 @@
 
 /// What the control thread wants done that concerns no single request.
 #[derive(Debug, Clone, PartialEq)]
+#[allow(clippy::large_enum_variant)] // Messages are frequent: a box would cost on each.
 pub enum OutsideCommand {
     /// Send a control message.
     Send {
--- a/src/wire/allotment.rs
+++ b/src/wire/allotment.rs
@@ -41,4 +41,10 @@
     /// The floor: least virtual time of the teams that wait, in `LEAD_STEP` units.
     #[prost(uint64, tag = "11")]
     pub floor: u64,
+    /// The term of the reports that this answers.
+    #[prost(uint32, tag = "12")]
+    pub term: u32,
+    /// True if the owner has no counts of this term: the router shall begin a new one.
+    #[prost(bool, tag = "13")]
+    pub restart: bool,
 }
--- a/src/wire/demand.rs
+++ b/src/wire/demand.rs
@@ -50,4 +50,7 @@
     /// True if the router drains: it takes slots for what waits there and none to spare.
     #[prost(bool, tag = "14")]
     pub draining: bool,
+    /// Counts how often the sender turned to an owner anew; slot counts begin anew with it.
+    #[prost(uint32, tag = "15")]
+    pub term: u32,
 }
--- a/tests/cores/mod.rs
+++ b/tests/cores/mod.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use prost::Message;
 
 use verbenaturn::catalog::EndpointEntry;
 use verbenaturn::catalog::FenceCheck;
@@ -26,6 +27,7 @@
 use verbenaturn::core::event::RepeatRule;
 use verbenaturn::core::event::RequestFacts;
 use verbenaturn::core::event::TicketName;
+use verbenaturn::peers::frames::FRAME_OVERHEAD;
 use verbenaturn::units::AttemptNumber;
 use verbenaturn::units::ConfigRevision;
 use verbenaturn::units::DomainName;
@@ -45,6 +47,7 @@
 use verbenaturn::units::TeamId;
 use verbenaturn::units::TeamName;
 use verbenaturn::units::TimeSpan;
+use verbenaturn::wire::PeerBody;
 use verbenaturn::wire::PeerMessage;
 
 /// Microseconds between two ticks.
@@ -194,6 +197,8 @@
     pub cut: BTreeSet<(usize, usize)>,
     /// Messages sent, for counting.
     pub messages: u64,
+    /// Bytes of membership messages sent, frames included.
+    pub gossip_bytes: u64,
     actions: Vec<(usize, CoreAction)>,
     catalog: Arc<FleetCatalog>,
     config: CoreConfig,
@@ -213,6 +218,7 @@
             now: Moment(1_000_000),
             cut: BTreeSet::new(),
             messages: 0,
+            gossip_bytes: 0,
             actions: Vec::new(),
             catalog: Arc::new(catalog),
             config,
@@ -325,6 +331,9 @@
     ) -> Option<(usize, CoreEvent)> {
         let peer = (0..self.cores.len()).find(|peer| host(*peer) == *to)?;
         self.messages += 1;
+        if matches!(message.body, Some(PeerBody::Gossip(_))) {
+            self.gossip_bytes += (message.encoded_len() + FRAME_OVERHEAD) as u64;
+        }
         if !self.is_linked(router, peer) {
             return None;
         }
