--- a/src/ctl/command.rs
+++ b/src/ctl/command.rs
@@ -11,6 +11,7 @@
 use super::exit::CtlError;
 use super::exit::ExitKind;
 use super::output::OutputWriter;
+use super::reference::REFERENCED;
 
 /// All subcommands and options.
 #[must_use]
@@ -111,9 +112,15 @@
         .arg(
             Arg::new("document")
                 .required(true)
-                .value_parser(["publication", "settings", "hosts"])
+                .value_parser(REFERENCED)
                 .help("Which document"),
         )
+        .arg(
+            Arg::new("markdown")
+                .long("markdown")
+                .action(ArgAction::SetTrue)
+                .help("The reference page in place of the schema"),
+        )
 }
 
 fn key() -> Command {
--- a/src/ctl/mod.rs
+++ b/src/ctl/mod.rs
@@ -7,6 +7,7 @@
 pub mod exit;
 pub mod local;
 pub mod output;
+pub mod reference;
 pub mod schemas;
 
 use std::ffi::OsString;
--- a/src/ctl/schemas.rs
+++ b/src/ctl/schemas.rs
@@ -11,6 +11,7 @@
 use super::exit::CtlError;
 use super::exit::ExitKind;
 use super::output::OutputWriter;
+use super::reference::reference_text;
 
 /// The schema of a document: `publication`, `settings` or `hosts`.
 #[must_use]
@@ -38,7 +39,12 @@
 /// If standard output is closed.
 pub fn schema(matches: &ArgMatches, writer: &mut OutputWriter) -> Result<ExitKind, CtlError> {
     let document = matches.get_one::<String>("document").map(String::as_str);
-    let Some(text) = document.and_then(schema_text) else {
+    let text = if matches.get_flag("markdown") {
+        document.and_then(reference_text)
+    } else {
+        document.and_then(schema_text)
+    };
+    let Some(text) = text else {
         return Ok(ExitKind::Usage);
     };
     writer.print(&text)?;
--- a/src/document/shape.rs
+++ b/src/document/shape.rs
@@ -3,7 +3,7 @@
 //! Knows the part of JSON Schema that `schemars` writes for this crate's document types: `$ref`,
 //! `type`, `properties`, `required`, `additionalProperties`, `patternProperties`, `items`,
 //! `enum`, `const`, `oneOf` of constants, `anyOf` with null, `minimum`, `maximum`, `minItems`,
-//! `pattern` and `format`.
+//! `maxItems`, `pattern` and `format`.
 
 use std::net::SocketAddr;
 
@@ -183,6 +183,10 @@
         if (items.len() as u64) < least {
             self.fault(path, format!("has too few entries; give at least {least}"));
         }
+        let most = schema.get("maxItems").and_then(Value::as_u64);
+        if let Some(most) = most.filter(|most| items.len() as u64 > *most) {
+            self.fault(path, format!("has too many entries; give at most {most}"));
+        }
         let Some(part) = schema.get("items") else {
             return;
         };
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -66,7 +66,7 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct CallerSettings {
-    /// IP number and port.
+    /// IP number and port on which callers are served, such as `10.0.0.1:8080`.
     #[schemars(extend("format" = ADDRESS_FORMAT))]
     pub listen: SocketAddr,
 }
@@ -75,7 +75,7 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct PeerSettings {
-    /// IP number and port.
+    /// IP number and port on which other routers are answered.
     #[schemars(extend("format" = ADDRESS_FORMAT))]
     pub listen: SocketAddr,
     /// IP number and port that other routers dial. Default: `listen`.
@@ -107,7 +107,7 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct AdminSettings {
-    /// IP number and port.
+    /// IP number and port on which operators are answered; keep it off the callers' network.
     #[schemars(extend("format" = ADDRESS_FORMAT))]
     pub listen: SocketAddr,
     /// File with the bearer credential that operators must show.
--- a/tests/publication.rs
+++ b/tests/publication.rs
@@ -124,6 +124,7 @@
 #[test]
 fn faults_of_teams_and_templates_are_named() {
     let longer = format!("\"{KEY_B}\", \"{KEY_A}\"");
+    let many = vec![format!("\"{KEY_B}\""); 5].join(", ");
     let named = [
         "teams.labasa-clinic.template",
         "teams.nadi-clinic.template",
@@ -146,6 +147,11 @@
             &longer,
             &["teams.nadi-clinic.keys.0"],
         ),
+        (
+            &format!("\"{KEY_B}\""),
+            &many,
+            &["teams.labasa-clinic.keys"],
+        ),
         (KEY_A, "secret", &["teams.nadi-clinic.keys.0"]),
         (
             "\"keys\": [\"ca",
