Quarantine: a request that crashes endpoints takes down two of them

Cause: a request that crashes each endpoint was tried up to three times by its router and again for each resend, and took as many endpoints and all that ran there with it.

Change: lost attempts together with a sign that the endpoint went down (connection refused, told by the new event EndpointRefused, or another life in its load report) make all requests that ran there suspects, fleet-wide by fingerprint. Suspects run apart: each on the endpoint that all routers work out for it, one at a time. A request in two crashes is refused for ten minutes.

Ruled out: counting every lost attempt; two dropped connections would refuse an innocent.

--- a/src/configs/mod.rs
+++ b/src/configs/mod.rs
@@ -8,6 +8,7 @@
 pub mod ownership;
 pub mod peers;
 pub mod probing;
+pub mod quarantine;
 pub mod reporting;
 pub mod tickets;
 pub mod traffic;
@@ -23,6 +24,7 @@
 use self::membership::MembershipConfig;
 use self::ownership::OwnershipConfig;
 use self::probing::ProbingConfig;
+use self::quarantine::QuarantineConfig;
 use self::reporting::ReportingConfig;
 use self::tickets::TicketsConfig;
 
@@ -44,6 +46,8 @@
     pub ownership: OwnershipConfig,
     /// Pinging other routers.
     pub probing: ProbingConfig,
+    /// Requests that crash endpoints.
+    pub quarantine: QuarantineConfig,
     /// Telling owners of demand.
     pub reporting: ReportingConfig,
     /// Unrepeatable requests.
--- a/src/core/event.rs
+++ b/src/core/event.rs
@@ -142,6 +142,12 @@
         /// Highest fencing number it has obeyed; 0 if it ignores them.
         fence: u64,
     },
+    /// The endpoint's host refused a connection: nothing listens there. Told whenever it happens,
+    /// for attempts and for load reports alike; an attempt also ends as `NotSent`.
+    EndpointRefused {
+        /// The endpoint.
+        endpoint: EndpointId,
+    },
     /// The platform's host list, which lags.
     HostsListed {
         /// Routers on the list.
--- a/src/core/state.rs
+++ b/src/core/state.rs
@@ -21,6 +21,7 @@
 use super::RouterIdentity;
 use super::action::CoreAction;
 use super::event::CoreEvent;
+use super::tables::crashes::CrashTable;
 use super::tables::detector::DetectorTable;
 use super::tables::endpoints::EndpointTable;
 use super::tables::entry_pool::EntryPool;
@@ -55,6 +56,8 @@
     pub endpoints: EndpointTable,
     /// Requests that entered the fleet here.
     pub requests: RequestTable,
+    /// Crashes and suspects.
+    pub crashes: CrashTable,
     /// Tickets that this router minted.
     pub tickets: TicketTable,
     /// Pools as this router uses them.
@@ -100,6 +103,7 @@
             detector: DetectorTable::default(),
             endpoints: EndpointTable::default(),
             requests: RequestTable::default(),
+            crashes: CrashTable::default(),
             tickets: TicketTable::default(),
             entries: BTreeMap::new(),
             owned: BTreeMap::new(),
--- a/src/core/systems/admission.rs
+++ b/src/core/systems/admission.rs
@@ -12,6 +12,7 @@
 use crate::core::systems::dispatch;
 use crate::core::systems::draining;
 use crate::core::systems::limits;
+use crate::core::systems::quarantine;
 use crate::core::systems::tickets;
 use crate::core::systems::tickets::TicketVerdict;
 use crate::core::tables::requests::RequestEntry;
@@ -91,6 +92,10 @@
     let Some(team) = state.catalog.teams.get(&facts.team) else {
         return refusal(RefusalReason::NotReady, soon);
     };
+    if let Some(until) = state.crashes.refused_until(facts.fingerprint, state.now) {
+        let later = until.since(state.now);
+        return refusal(RefusalReason::Quarantined, later);
+    }
     // A flood fills only its own team's queue: the limit is per team. The limit over all teams
     // bounds memory when very many teams flood at once.
     let waiting = pool
@@ -129,6 +134,9 @@
     };
     entry.stage = RequestStage::Waiting;
     let (team, pool_id, urgency) = (entry.facts.team, entry.facts.pool, entry.urgency);
+    if quarantine::isolates(state, request) {
+        return;
+    }
     let Some(pool) = state.entries.get_mut(&pool_id) else {
         return;
     };
@@ -150,6 +158,9 @@
 
 /// Takes a waiting request out of its queue.
 pub fn dequeue(state: &mut CoreState, request: RequestId) {
+    if state.crashes.isolated.remove(&request) {
+        return;
+    }
     let Some(entry) = state.requests.get(request) else {
         return;
     };
--- a/src/core/systems/attempts.rs
+++ b/src/core/systems/attempts.rs
@@ -11,6 +11,7 @@
 use crate::core::systems::admission;
 use crate::core::systems::dispatch;
 use crate::core::systems::limits;
+use crate::core::systems::quarantine;
 use crate::core::tables::requests::RequestEntry;
 use crate::core::tables::requests::RequestStage;
 use crate::units::AttemptNumber;
@@ -225,7 +226,9 @@
             .requests
             .get(request)
             .is_some_and(|entry| entry.stage == RequestStage::Backoff(until));
-        if waits {
+        if waits && quarantine::awaits_sign(state, request) {
+            back_off(state, request, 0);
+        } else if waits {
             admission::enqueue_first(state, request);
         }
     }
--- a/src/core/systems/dispatch.rs
+++ b/src/core/systems/dispatch.rs
@@ -189,7 +189,8 @@
     Some(first)
 }
 
-fn start(state: &mut CoreState, pool_id: PoolId, next: NextRequest, endpoint: EndpointId) {
+/// Starts a request on an endpoint, as a new attempt.
+pub fn start(state: &mut CoreState, pool_id: PoolId, next: NextRequest, endpoint: EndpointId) {
     let NextRequest { request, team } = next;
     let first = ServiceUnits(state.config.dispatch.first_estimate);
     let now = state.now;
--- a/src/core/systems/mod.rs
+++ b/src/core/systems/mod.rs
@@ -10,6 +10,7 @@
 pub mod ownership;
 pub mod probing;
 pub mod publication;
+pub mod quarantine;
 pub mod reporting;
 pub mod tickets;
 
@@ -29,6 +30,8 @@
     Tickets,
     /// New requests, bounded queues, deadlines.
     Admission,
+    /// Requests that crash endpoints. Before the systems that act on the same ends and reports.
+    Quarantine,
     /// What becomes of attempts: progress, ends, retries.
     Attempts,
     /// Handing over and finishing before the router ends.
@@ -45,12 +48,13 @@
 
 impl CoreSystem {
     /// The order in which an event passes the systems.
-    pub const ORDER: [Self; 11] = [
+    pub const ORDER: [Self; 12] = [
         Self::Membership,
         Self::Probing,
         Self::Publication,
         Self::Tickets,
         Self::Admission,
+        Self::Quarantine,
         Self::Attempts,
         Self::Draining,
         Self::Limits,
@@ -67,6 +71,7 @@
             Self::Publication => publication::run(state, event),
             Self::Tickets => tickets::run(state, event),
             Self::Admission => admission::run(state, event),
+            Self::Quarantine => quarantine::run(state, event),
             Self::Attempts => attempts::run(state, event),
             Self::Draining => draining::run(state, event),
             Self::Limits => limits::run(state, event),
--- /dev/null
+++ b/src/core/tables/crashes.rs
@@ -0,0 +1,338 @@
+//! Endpoint crashes, the requests that were running in them, and lost attempts that may turn
+//! out to be part of one.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::configs::quarantine::QuarantineConfig;
+use crate::units::EndpointId;
+use crate::units::Moment;
+use crate::units::RequestFingerprint;
+use crate::units::RequestId;
+use crate::units::TimeSpan;
+
+/// One crash.
+#[derive(Debug, Clone)]
+pub struct CrashRecord {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// Its life that ended; 0 if this router never knew it.
+    pub life: u64,
+    /// When a sign of it was last seen.
+    pub seen_at: Moment,
+    /// What was running there, at any router.
+    pub suspects: BTreeSet<RequestFingerprint>,
+    /// Suspects that peers were not told of yet.
+    pub untold: BTreeSet<RequestFingerprint>,
+}
+
+/// A request that was running in a crash.
+#[derive(Debug, Clone, Default)]
+pub struct SuspectRow {
+    /// The crashes, by their number in the table.
+    pub crashes: BTreeSet<u64>,
+    /// When it is forgotten.
+    pub until: Moment,
+    /// Until when it is refused, if it is.
+    pub refused_until: Option<Moment>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct LostAttempt {
+    at: Moment,
+    fingerprint: RequestFingerprint,
+}
+
+/// All crashes and suspects that this router knows of. Bounded in number; the oldest go first.
+#[derive(Debug, Default)]
+pub struct CrashTable {
+    records: BTreeMap<u64, CrashRecord>,
+    counted: u64,
+    suspects: BTreeMap<RequestFingerprint, SuspectRow>,
+    losses: BTreeMap<EndpointId, Vec<LostAttempt>>,
+    /// Suspects that wait for an endpoint of their own.
+    pub isolated: BTreeSet<RequestId>,
+    /// The suspect that runs on an endpoint.
+    pub running: BTreeMap<EndpointId, RequestId>,
+    /// Requests that are refused and that peers were not told of yet.
+    pub untold_refusals: BTreeSet<RequestFingerprint>,
+}
+
+impl CrashTable {
+    /// Remembers an attempt that was lost.
+    pub fn note_loss(&mut self, endpoint: EndpointId, fingerprint: RequestFingerprint, at: Moment) {
+        let losses = self.losses.entry(endpoint).or_default();
+        losses.push(LostAttempt { at, fingerprint });
+    }
+
+    /// Takes the attempts lost on an endpoint since `oldest`.
+    pub fn take_losses(
+        &mut self,
+        endpoint: EndpointId,
+        oldest: Moment,
+    ) -> BTreeSet<RequestFingerprint> {
+        self.losses
+            .remove(&endpoint)
+            .unwrap_or_default()
+            .into_iter()
+            .filter(|loss| loss.at >= oldest)
+            .map(|loss| loss.fingerprint)
+            .collect()
+    }
+
+    /// When an attempt was last lost on an endpoint without a sign of a crash since.
+    #[must_use]
+    pub fn last_loss(&self, endpoint: EndpointId) -> Option<Moment> {
+        self.losses.get(&endpoint)?.last().map(|loss| loss.at)
+    }
+
+    /// True if a copy of a request was lost since `oldest` and no sign tells yet whether its
+    /// endpoint crashed.
+    #[must_use]
+    pub fn is_in_doubt(&self, fingerprint: RequestFingerprint, oldest: Moment) -> bool {
+        self.losses
+            .values()
+            .flatten()
+            .any(|loss| loss.fingerprint == fingerprint && loss.at >= oldest)
+    }
+
+    /// True if attempts were lost on an endpoint and no sign of a crash was seen yet.
+    #[must_use]
+    pub fn has_losses(&self, endpoint: EndpointId) -> bool {
+        self.losses.contains_key(&endpoint)
+    }
+
+    /// Endpoints with lost attempts.
+    #[must_use]
+    pub fn lossy_endpoints(&self) -> Vec<EndpointId> {
+        self.losses.keys().copied().collect()
+    }
+
+    /// The crash of an endpoint of which a sign was seen within `window`, if any. Two routers may
+    /// see one crash, one of them without knowing which life ended: lives are told apart only if
+    /// both are known.
+    #[must_use]
+    pub fn find_record(
+        &self,
+        endpoint: EndpointId,
+        life: u64,
+        now: Moment,
+        window: TimeSpan,
+    ) -> Option<u64> {
+        self.records
+            .iter()
+            .rev()
+            .filter(|(_, record)| record.endpoint == endpoint)
+            .find(|(_, record)| {
+                let same_life = life != 0 && life == record.life;
+                let unknown_life = life == 0 || record.life == 0;
+                same_life || (unknown_life && now.since(record.seen_at) <= window)
+            })
+            .map(|(number, _)| *number)
+    }
+
+    /// Adds a crash and returns its number.
+    pub fn add_record(&mut self, endpoint: EndpointId, life: u64, now: Moment) -> u64 {
+        self.counted += 1;
+        let record = CrashRecord {
+            endpoint,
+            life,
+            seen_at: now,
+            suspects: BTreeSet::new(),
+            untold: BTreeSet::new(),
+        };
+        self.records.insert(self.counted, record);
+        self.counted
+    }
+
+    /// A crash.
+    pub fn record_mut(&mut self, number: u64) -> Option<&mut CrashRecord> {
+        self.records.get_mut(&number)
+    }
+
+    /// All crashes with their numbers.
+    pub fn records_mut(&mut self) -> impl Iterator<Item = &mut CrashRecord> {
+        self.records.values_mut()
+    }
+
+    /// Counts a request as running in a crash; true if it is refused from now on because of it.
+    pub fn add_suspect(
+        &mut self,
+        number: u64,
+        fingerprint: RequestFingerprint,
+        now: Moment,
+        config: &QuarantineConfig,
+    ) -> bool {
+        let Some(record) = self.records.get_mut(&number) else {
+            return false;
+        };
+        record.suspects.insert(fingerprint);
+        let row = self.suspects.entry(fingerprint).or_default();
+        if !row.crashes.insert(number) {
+            return false;
+        }
+        row.until = row
+            .until
+            .max(now + TimeSpan::from_millis(config.suspect_ms));
+        row.crashes.len() >= config.crashes as usize && self.refuse(fingerprint, now, config)
+    }
+
+    /// Refuses a request from now on; false if it was refused already. It stays a suspect for as
+    /// long again afterwards, so that one more crash is enough to refuse it anew.
+    pub fn refuse(
+        &mut self,
+        fingerprint: RequestFingerprint,
+        now: Moment,
+        config: &QuarantineConfig,
+    ) -> bool {
+        let span = TimeSpan::from_millis(config.refuse_ms);
+        let row = self.suspects.entry(fingerprint).or_default();
+        let fresh = row.refused_until.is_none_or(|until| until <= now);
+        row.refused_until = Some(now + span);
+        row.until = now + span + span;
+        fresh
+    }
+
+    /// Until when a request is refused, if it is.
+    #[must_use]
+    pub fn refused_until(&self, fingerprint: RequestFingerprint, now: Moment) -> Option<Moment> {
+        let until = self.suspects.get(&fingerprint)?.refused_until?;
+        (until > now).then_some(until)
+    }
+
+    /// True if a request is to run apart from other suspects.
+    #[must_use]
+    pub fn is_suspect(&self, fingerprint: RequestFingerprint) -> bool {
+        self.suspects.contains_key(&fingerprint)
+    }
+
+    /// A suspect was answered whole: it is innocent, unless it is already refused.
+    pub fn clear(&mut self, fingerprint: RequestFingerprint) {
+        let innocent = self
+            .suspects
+            .get(&fingerprint)
+            .is_some_and(|row| row.refused_until.is_none());
+        if innocent {
+            self.suspects.remove(&fingerprint);
+        }
+    }
+
+    /// Where a suspect shall run, in order of preference. All routers that know the same crash
+    /// work out the same, so that the suspects of one crash go to endpoints of their own, and all
+    /// copies of one request, wherever they were sent again, to one and the same.
+    #[must_use]
+    pub fn places_for(
+        &self,
+        fingerprint: RequestFingerprint,
+        endpoints: &[EndpointId],
+    ) -> Vec<EndpointId> {
+        let newest = self
+            .suspects
+            .get(&fingerprint)
+            .and_then(|row| row.crashes.last())
+            .and_then(|number| self.records.get(number));
+        let crashed = newest.map(|record| record.endpoint);
+        let mut taken = BTreeSet::new();
+        if let Some(record) = newest {
+            let before = record
+                .suspects
+                .iter()
+                .take_while(|other| **other < fingerprint);
+            for other in before {
+                let ranked = ranked_places(*other, endpoints, crashed);
+                let place = ranked.iter().find(|place| !taken.contains(*place));
+                taken.extend(place.copied());
+            }
+        }
+        let ranked = ranked_places(fingerprint, endpoints, crashed);
+        let (mut free, shared): (Vec<_>, Vec<_>) =
+            ranked.into_iter().partition(|place| !taken.contains(place));
+        free.extend(shared);
+        free.extend(crashed.filter(|place| free.is_empty() && endpoints.contains(place)));
+        free
+    }
+
+    /// Forgets what is old or too much.
+    pub fn shrink(&mut self, now: Moment, config: &QuarantineConfig) {
+        let evidence = TimeSpan::from_millis(config.evidence_ms);
+        let suspicion = TimeSpan::from_millis(config.suspect_ms);
+        self.losses.retain(|_, losses| {
+            losses.retain(|loss| now.since(loss.at) <= evidence);
+            !losses.is_empty()
+        });
+        self.suspects.retain(|_, row| row.until > now);
+        let kept = |record: &CrashRecord| now.since(record.seen_at) <= suspicion;
+        self.records.retain(|_, record| kept(record));
+        while self.records.len() > config.max_crashes as usize {
+            self.records.pop_first();
+        }
+        while self.suspects.len() > config.max_suspects as usize {
+            let oldest = self.suspects.iter().min_by_key(|(_, row)| row.until);
+            let Some(fingerprint) = oldest.map(|(fingerprint, _)| *fingerprint) else {
+                break;
+            };
+            self.suspects.remove(&fingerprint);
+        }
+    }
+
+    /// Suspects that are remembered.
+    #[must_use]
+    pub fn suspect_count(&self) -> usize {
+        self.suspects.len()
+    }
+}
+
+/// Rendezvous order of the endpoints for one request, without the one that crashed.
+fn ranked_places(
+    fingerprint: RequestFingerprint,
+    endpoints: &[EndpointId],
+    crashed: Option<EndpointId>,
+) -> Vec<EndpointId> {
+    let mut places: Vec<EndpointId> = endpoints
+        .iter()
+        .copied()
+        .filter(|place| Some(*place) != crashed)
+        .collect();
+    places.sort_by_key(|place| xxh3_64_with_seed(&fingerprint.0.to_be_bytes(), place.0.into()));
+    places
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn suspects_of_one_crash_get_endpoints_of_their_own() {
+        let config = QuarantineConfig::default();
+        let mut table = CrashTable::default();
+        let number = table.add_record(EndpointId(0), 5, Moment(0));
+        let suspects: Vec<_> = (1..=5).map(RequestFingerprint).collect();
+        for suspect in &suspects {
+            assert!(!table.add_suspect(number, *suspect, Moment(0), &config));
+        }
+        let endpoints: Vec<_> = (0..6).map(EndpointId).collect();
+        let places: BTreeSet<_> = suspects
+            .iter()
+            .map(|suspect| table.places_for(*suspect, &endpoints)[0])
+            .collect();
+        assert_eq!(places.len(), 5);
+        assert!(!places.contains(&EndpointId(0)));
+    }
+
+    #[test]
+    fn one_crash_seen_twice_counts_once() {
+        let config = QuarantineConfig::default();
+        let window = TimeSpan::from_millis(config.evidence_ms);
+        let mut table = CrashTable::default();
+        let number = table.add_record(EndpointId(1), 5, Moment(0));
+        let now = Moment(1_000);
+        assert_eq!(
+            table.find_record(EndpointId(1), 0, now, window),
+            Some(number)
+        );
+        assert_eq!(table.find_record(EndpointId(1), 6, now, window), None);
+        assert_eq!(table.find_record(EndpointId(2), 5, now, window), None);
+    }
+}
--- a/src/core/tables/mod.rs
+++ b/src/core/tables/mod.rs
@@ -1,5 +1,6 @@
 //! The tables of the decision core: entities as rows, no decisions.
 
+pub mod crashes;
 pub mod detector;
 pub mod endpoints;
 pub mod entry_pool;
--- a/src/endpoint/attempt.rs
+++ b/src/endpoint/attempt.rs
@@ -27,6 +27,7 @@
 use crate::units::RequestId;
 
 use super::body::OutgoingBody;
+use super::connections::ConnectStep;
 use super::reader::AnswerReader;
 
 /// Unused connections that may turn out closed before a new one must do.
@@ -123,6 +124,12 @@
         let context = self.plan.context;
         let connected = context.connections.take(address).await;
         let mut sender = connected.map_err(|report| {
+            if report.current_context().step == ConnectStep::Open {
+                let endpoint = self.plan.order.endpoint;
+                context
+                    .control
+                    .tell(CoreEvent::EndpointRefused { endpoint });
+            }
             spdlog::debug!("endpoint: {report}.");
             SendFault::NotSent(None)
         })?;
--- a/src/endpoint/load.rs
+++ b/src/endpoint/load.rs
@@ -21,6 +21,8 @@
 use crate::units::PoolId;
 use crate::units::PoolName;
 
+use super::connections::ConnectError;
+use super::connections::ConnectStep;
 use super::exchange::exchange;
 
 const LOAD_PATH: &str = "/load";
@@ -90,6 +92,12 @@
         Ok((status, text)) if status.is_success() => serde_json::from_slice(&text).ok(),
         Ok(_) => None,
         Err(report) => {
+            let fault = report.downcast_ref::<ConnectError>();
+            if fault.is_some_and(|fault| fault.step == ConnectStep::Open) {
+                context
+                    .control
+                    .tell(CoreEvent::EndpointRefused { endpoint });
+            }
             spdlog::debug!("endpoint: {report}.");
             None
         }
--- /dev/null
+++ b/tests/crashing_requests.rs
@@ -0,0 +1,319 @@
+//! A request that crashes every endpoint that runs it, and its resends.
+
+mod cores;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use verbenaturn::core::action::CoreAction;
+use verbenaturn::core::action::RefusalReason;
+use verbenaturn::core::event::AttemptOutcome;
+use verbenaturn::core::event::CoreEvent;
+use verbenaturn::units::EndpointId;
+use verbenaturn::units::RequestFingerprint;
+use verbenaturn::units::RequestId;
+
+use self::cores::CoreFleet;
+use self::cores::catalog;
+use self::cores::ended;
+use self::cores::endpoint;
+use self::cores::facts;
+use self::cores::pool;
+
+/// The fingerprint of the request that crashes endpoints.
+const POISON: RequestFingerprint = RequestFingerprint(666);
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Running {
+    router: usize,
+    request: u64,
+    attempt: u32,
+    poison: bool,
+    since: u64,
+}
+
+/// Endpoints that crash when they run the poison for a while, and come back a second later.
+struct CrashRun {
+    fleet: CoreFleet,
+    next_request: u64,
+    fingerprints: BTreeMap<(usize, u64), RequestFingerprint>,
+    running: BTreeMap<EndpointId, Vec<Running>>,
+    lives: BTreeMap<EndpointId, u64>,
+    down_until: BTreeMap<EndpointId, u64>,
+    crashes: Vec<EndpointId>,
+    whole: BTreeSet<RequestFingerprint>,
+    quarantined: BTreeSet<RequestFingerprint>,
+    copies: u32,
+}
+
+const ENDPOINTS: usize = 6;
+const RUN_US: u64 = 400_000;
+const CRASH_US: u64 = 100_000;
+const DOWN_US: u64 = 1_000_000;
+
+impl CrashRun {
+    fn new(routers: usize) -> Self {
+        let lives = (1..=ENDPOINTS)
+            .map(|number| (endpoint(number), 1))
+            .collect();
+        Self {
+            fleet: CoreFleet::new(routers, catalog(ENDPOINTS, 4)),
+            next_request: 0,
+            fingerprints: BTreeMap::new(),
+            running: BTreeMap::new(),
+            lives,
+            down_until: BTreeMap::new(),
+            crashes: Vec::new(),
+            whole: BTreeSet::new(),
+            quarantined: BTreeSet::new(),
+            copies: 0,
+        }
+    }
+
+    fn send(&mut self, router: usize, fingerprint: RequestFingerprint) {
+        self.next_request += 1;
+        let mut facts = facts(self.next_request);
+        facts.fingerprint = fingerprint;
+        let key = (router, self.next_request);
+        self.fingerprints.insert(key, fingerprint);
+        self.fleet.tell(router, CoreEvent::Arrived(facts));
+        self.carry_out();
+    }
+
+    fn run(&mut self, millis: u64) {
+        for _ in 0..millis / 5 {
+            self.fleet.advance(5);
+            self.carry_out();
+            self.end_what_is_due();
+            self.report_loads();
+            self.carry_out();
+        }
+    }
+
+    fn carry_out(&mut self) {
+        for router in 0..self.fleet.cores.len() {
+            for action in self.fleet.take(router) {
+                self.act(router, &action);
+            }
+        }
+    }
+
+    fn act(&mut self, router: usize, action: &CoreAction) {
+        match action {
+            CoreAction::Dispatch {
+                request,
+                attempt,
+                endpoint,
+                ..
+            } => self.dispatch(router, request.0, attempt.0, *endpoint),
+            CoreAction::Refuse {
+                request, reason, ..
+            } if *reason == RefusalReason::Quarantined => {
+                let fingerprint = self.fingerprints[&(router, request.0)];
+                self.quarantined.insert(fingerprint);
+            }
+            CoreAction::Complete { request } => {
+                let fingerprint = self.fingerprints[&(router, request.0)];
+                self.whole.insert(fingerprint);
+            }
+            _ => {}
+        }
+    }
+
+    fn dispatch(&mut self, router: usize, request: u64, attempt: u32, endpoint: EndpointId) {
+        if self.down_until.contains_key(&endpoint) {
+            self.fleet
+                .tell(router, CoreEvent::EndpointRefused { endpoint });
+            let not_sent = ended(request, attempt, AttemptOutcome::NotSent);
+            self.fleet.tell(router, not_sent);
+            return;
+        }
+        let poison = self.fingerprints[&(router, request)] == POISON;
+        self.copies += u32::from(poison);
+        self.running.entry(endpoint).or_default().push(Running {
+            router,
+            request,
+            attempt,
+            poison,
+            since: self.fleet.now.0,
+        });
+    }
+
+    fn end_what_is_due(&mut self) {
+        let now = self.fleet.now.0;
+        self.down_until.retain(|_, until| *until > now);
+        let poisoned: Vec<EndpointId> = self
+            .running
+            .iter()
+            .filter(|(_, all)| {
+                all.iter()
+                    .any(|one| one.poison && one.since + CRASH_US <= now)
+            })
+            .map(|(endpoint, _)| *endpoint)
+            .collect();
+        for endpoint in poisoned {
+            self.crash(endpoint);
+        }
+        let mut done = Vec::new();
+        for all in self.running.values_mut() {
+            done.extend(all.iter().copied().filter(|one| one.since + RUN_US <= now));
+            all.retain(|one| one.since + RUN_US > now);
+        }
+        for one in done {
+            let whole = ended(one.request, one.attempt, AttemptOutcome::Whole);
+            self.fleet.tell(one.router, whole);
+        }
+    }
+
+    fn crash(&mut self, endpoint: EndpointId) {
+        self.crashes.push(endpoint);
+        *self.lives.get_mut(&endpoint).unwrap() += 1;
+        self.down_until.insert(endpoint, self.fleet.now.0 + DOWN_US);
+        for one in self.running.remove(&endpoint).unwrap_or_default() {
+            let lost = ended(one.request, one.attempt, AttemptOutcome::LostBeforeAnswer);
+            self.fleet.tell(one.router, lost);
+        }
+    }
+
+    /// What the drivers see when they read loads: a refused connection or a report.
+    fn report_loads(&mut self) {
+        if !self.fleet.now.0.is_multiple_of(200_000) {
+            return;
+        }
+        for (endpoint, life) in self.lives.clone() {
+            let running = self.running.get(&endpoint).map_or(0, Vec::len);
+            let event = if self.down_until.contains_key(&endpoint) {
+                CoreEvent::EndpointRefused { endpoint }
+            } else {
+                CoreEvent::EndpointLoad {
+                    endpoint,
+                    running: u32::try_from(running).unwrap(),
+                    waiting: 0,
+                    active: pool(),
+                    life,
+                    fence: 0,
+                }
+            };
+            for router in 0..self.fleet.cores.len() {
+                self.fleet.tell(router, event.clone());
+            }
+        }
+    }
+}
+
+fn innocent(number: u64) -> RequestFingerprint {
+    RequestFingerprint(1_000 + number)
+}
+
+#[test]
+fn one_request_takes_down_two_endpoints_and_innocents_are_answered() {
+    // A review with a broken prompt crashes the engine that runs it. The router tries it again
+    // elsewhere, its caller sends it again through every other router, and so on. Without a
+    // quarantine it takes down one engine after the other, and everybody's requests with them.
+    let mut run = CrashRun::new(3);
+    for number in 0..18 {
+        run.send(usize::try_from(number % 3).unwrap(), innocent(number));
+    }
+    run.send(0, POISON);
+    for turn in 0..12 {
+        run.run(500);
+        run.send(turn % 3, POISON);
+    }
+    run.run(3_000);
+    assert_eq!(run.crashes.len(), 2, "{:?}", run.crashes);
+    assert_eq!(run.quarantined, BTreeSet::from([POISON]));
+    let answered = (0..18).filter(|number| run.whole.contains(&innocent(*number)));
+    assert_eq!(answered.count(), 18);
+}
+
+#[test]
+fn copies_sent_at_once_after_a_first_crash_end_on_one_endpoint() {
+    // After the first crash the caller's library sends the same review through all routers at
+    // once. Each router alone would let it crash one more engine.
+    let mut run = CrashRun::new(4);
+    run.send(0, POISON);
+    run.run(250);
+    assert_eq!(run.crashes.len(), 1);
+    for router in 0..4 {
+        run.send(router, POISON);
+    }
+    run.run(5_000);
+    assert_eq!(run.crashes.len(), 2, "{:?}", run.crashes);
+    assert!(run.copies >= 3, "the copies ran: {}", run.copies);
+}
+
+#[test]
+fn a_router_that_restarts_learns_of_the_refusal_from_the_first_crash_it_reports() {
+    // A host is replaced while a request is refused fleet-wide. The new router knows nothing and
+    // runs it. It may cost one engine more, not two.
+    let mut run = CrashRun::new(3);
+    run.send(0, POISON);
+    run.run(3_000);
+    assert_eq!(run.crashes.len(), 2);
+    run.fleet.stop(1);
+    run.fleet.start(1);
+    run.run(1_000);
+    for _ in 0..6 {
+        run.send(1, POISON);
+        run.run(2_500);
+    }
+    assert_eq!(run.crashes.len(), 3, "{:?}", run.crashes);
+}
+
+#[test]
+fn a_lost_link_without_a_crash_makes_nobody_suspect() {
+    // A switch drops connections of a busy router twice. Its requests did nothing wrong, and
+    // must not be refused for ten minutes.
+    let mut fleet = CoreFleet::new(1, catalog(3, 4));
+    let report = |number| CoreEvent::EndpointLoad {
+        endpoint: endpoint(number),
+        running: 0,
+        waiting: 0,
+        active: pool(),
+        life: 1,
+        fence: 0,
+    };
+    (1..=3).for_each(|number| fleet.tell(0, report(number)));
+    fleet.tell(0, CoreEvent::Arrived(facts(1)));
+    for attempt in 1..=2 {
+        fleet.tell(0, ended(1, attempt, AttemptOutcome::LostBeforeAnswer));
+        fleet.advance(100);
+        (1..=3).for_each(|number| fleet.tell(0, report(number)));
+        fleet.advance(100);
+    }
+    assert_eq!(fleet.core(0).state().crashes.suspect_count(), 0);
+    let end = fleet.ask(0, ended(1, 3, AttemptOutcome::Whole));
+    assert!(end.contains(&CoreAction::Complete {
+        request: RequestId(1)
+    }));
+}
+
+#[test]
+fn memory_of_suspects_is_bounded() {
+    let mut config = verbenaturn::configs::CoreConfig::default();
+    config.quarantine.max_suspects = 8;
+    config.quarantine.max_crashes = 4;
+    let mut fleet = CoreFleet::with_config(1, catalog(2, 4), config);
+    for life in 1..40 {
+        let mut facts = facts(life);
+        facts.fingerprint = innocent(life);
+        fleet.tell(0, CoreEvent::Arrived(facts));
+        fleet.tell(0, ended(life, 1, AttemptOutcome::LostBeforeAnswer));
+        for number in 1..=2 {
+            let endpoint = endpoint(number);
+            fleet.tell(
+                0,
+                CoreEvent::EndpointLoad {
+                    endpoint,
+                    running: 0,
+                    waiting: 0,
+                    active: pool(),
+                    life,
+                    fence: 0,
+                },
+            );
+        }
+        fleet.advance(5);
+        assert!(fleet.core(0).state().crashes.suspect_count() <= 8);
+    }
+}
