Fairness: slots by share, corrected by service; no cost estimates

Change: the owner tells each team's quota of slots at each router; teams below quota go first, by service actually rendered. Weights are shares, corrected by the lead against a clock that is the mean of the teams that have waited for 1 s. Surplus goes back before anything starts.

--- a/src/admin/status.rs
+++ b/src/admin/status.rs
@@ -206,8 +206,6 @@
     pub goal_ms: u64,
     /// Answers in a thousand that shall be good.
     pub objective_per_mille: u16,
-    /// What a request of this kind is expected to cost, in service units.
-    pub expected_cost: i64,
 }
 
 /// A team in a pool at a router.
--- a/src/admin/team_view.rs
+++ b/src/admin/team_view.rs
@@ -12,7 +12,6 @@
 use crate::core::tables::requests::RequestStage;
 use crate::units::KindName;
 use crate::units::PoolId;
-use crate::units::ServiceUnits;
 use crate::units::TeamId;
 use crate::units::TeamName;
 use crate::units::TimeSpan;
@@ -31,25 +30,17 @@
         name: entry.name.clone(),
         share: entry.share.0,
         queue_limit: entry.queue_limit,
-        kinds: kinds(state, id, entry),
+        kinds: kinds(entry),
         pools: pools(state, id),
     })
 }
 
-fn kinds(state: &CoreState, team: TeamId, entry: &TeamEntry) -> Vec<TeamKindStatus> {
+fn kinds(entry: &TeamEntry) -> Vec<TeamKindStatus> {
     let kinds = entry.kinds.iter();
-    kinds
-        .map(|(name, kind)| kind_status(state, team, name, kind))
-        .collect()
+    kinds.map(|(name, kind)| kind_status(name, kind)).collect()
 }
 
-fn kind_status(
-    state: &CoreState,
-    team: TeamId,
-    name: &KindName,
-    kind: &KindEntry,
-) -> TeamKindStatus {
-    let first = ServiceUnits(state.config.dispatch.first_estimate);
+fn kind_status(name: &KindName, kind: &KindEntry) -> TeamKindStatus {
     TeamKindStatus {
         name: name.clone(),
         urgency: SmolStr::new_static(match kind.urgency {
@@ -60,7 +51,6 @@
         deadline_ms: kind.deadline.as_millis(),
         goal_ms: kind.goal.as_millis(),
         objective_per_mille: kind.objective_per_mille,
-        expected_cost: state.estimates.expected(team, name, first),
     }
 }
 
--- a/src/configs/dispatch.rs
+++ b/src/configs/dispatch.rs
@@ -10,8 +10,6 @@
 pub struct DispatchConfig {
     /// Service units by which an interactive request may go before its team's turn.
     pub express_units: u64,
-    /// Service units that a request is taken to cost before anything is known of its kind.
-    pub first_estimate: u64,
     /// Milliseconds within which the first byte of an attempt must be written.
     pub write_within_ms: u64,
     /// Prefixes whose last endpoint is remembered, per pool.
@@ -22,7 +20,6 @@
     fn default() -> Self {
         Self {
             express_units: 2_000,
-            first_estimate: 500,
             write_within_ms: 250,
             prefix_memory: 1_024,
         }
--- a/src/configs/ownership.rs
+++ b/src/configs/ownership.rs
@@ -16,8 +16,8 @@
     pub share_gap_ms: u64,
     /// Milliseconds after which an entry router with waiting requests is told the teams' order anew.
     pub refresh_ms: u64,
-    /// Service units of lead that halve a team's weight in the share-out.
-    pub lead_units: u64,
+    /// Milliseconds within which a team that is ahead or behind is brought level.
+    pub correction_ms: u64,
     /// Service units of lead that a team keeps at most: remembered debt is clamped here.
     pub debt_units: u64,
     /// Milliseconds of silence after which an entry router's slots are granted to others.
@@ -31,7 +31,7 @@
             share_out_ms: 100,
             share_gap_ms: 2,
             refresh_ms: 400,
-            lead_units: 4_000,
+            correction_ms: 10_000,
             debt_units: 200_000,
             claim_ms: 6_000,
         }
--- a/src/core/share.rs
+++ b/src/core/share.rs
@@ -54,6 +54,13 @@
     value.max(0.0).floor() as u32
 }
 
+/// A share of slots as a whole number, rounded up; 0 if negative.
+#[must_use]
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+pub fn ceil_to_u32(value: f64) -> u32 {
+    value.max(0.0).ceil() as u32
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/src/core/state.rs
+++ b/src/core/state.rs
@@ -25,7 +25,6 @@
 use super::tables::detector::DetectorTable;
 use super::tables::endpoints::EndpointTable;
 use super::tables::entry_pool::EntryPool;
-use super::tables::estimates::CostEstimates;
 use super::tables::members::MemberTable;
 use super::tables::owned_pool::OwnedPool;
 use super::tables::requests::RequestTable;
@@ -66,8 +65,6 @@
     pub owned: BTreeMap<PoolId, OwnedPool>,
     /// Limits of endpoints.
     pub slot_limits: SlotLimits,
-    /// What requests cost, per team and kind.
-    pub estimates: CostEstimates,
     /// Retries that teams have earned.
     pub retry_budgets: RetryBudgets,
     /// Requests that wait before a retry, by the end of their wait.
@@ -108,7 +105,6 @@
             entries: BTreeMap::new(),
             owned: BTreeMap::new(),
             slot_limits: SlotLimits::default(),
-            estimates: CostEstimates::default(),
             retry_budgets: RetryBudgets::default(),
             backoffs: BTreeSet::new(),
             woken: BTreeSet::new(),
--- a/src/core/systems/attempts.rs
+++ b/src/core/systems/attempts.rs
@@ -58,7 +58,10 @@
     let Some(entry) = state.requests.get(request) else {
         return;
     };
-    if !entry.runs_attempt(attempt) || units(service) <= entry.charged {
+    if !entry.runs_attempt(attempt) {
+        return;
+    }
+    if units(service) <= entry.charged {
         return;
     }
     settle(state, request, units(service));
@@ -102,7 +105,7 @@
     if !entry.runs_attempt(attempt) {
         return;
     }
-    let (team, kind) = (entry.facts.team, entry.facts.kind.clone());
+    let team = entry.facts.team;
     let pool_id = entry.facts.pool;
     settle(state, request, units(service));
     release(state, request);
@@ -111,7 +114,6 @@
         limits::note_answer(state, pool_id, endpoint, true);
     }
     if outcome == AttemptOutcome::Whole {
-        state.estimates.learn(team, &kind, units(service));
         note_run(state, pool_id, team, since);
         finish::complete(state, request);
         return;
@@ -146,6 +148,7 @@
     }
     pool.touch(team);
     pool.change_slots(endpoint, |hold| hold.busy = hold.busy.saturating_sub(1));
+    dispatch::rank_team(state, pool_id, team);
     state.woken.insert(pool_id);
 }
 
--- a/src/core/systems/dispatch.rs
+++ b/src/core/systems/dispatch.rs
@@ -16,16 +16,14 @@
 use crate::units::HostName;
 use crate::units::PoolId;
 use crate::units::RouterIncarnation;
-use crate::units::ServiceUnits;
 use crate::units::TeamId;
 use crate::wire::PeerBody;
 use crate::wire::allotment::SlotAllotment;
 
-/// Virtual time in one step of the `lead` and `floor` fields of an allotment.
+/// Virtual time in one step of the `lead` and `clock` fields of an allotment.
 pub const LEAD_STEP: i64 = 10_000;
 
-/// A router with a backlog keeps one slot above its target, and one more for this many slots of
-/// the target.
+/// A router with a backlog keeps one slot above its target for this many slots of the target.
 const EXCESS_PART: u32 = 8;
 
 /// Takes in allotments, then runs what can run in every pool that something happened to.
@@ -40,9 +38,10 @@
         take_allotment(state, from, *incarnation, allotment);
     }
     for pool in state.woken.clone() {
-        give_back_excess(state, pool);
-        run_waiting(state, pool);
         give_back_surplus(state, pool);
+        give_back_surplus(state, pool);
+        run_waiting(state, pool);
+        give_back_idle(state, pool);
     }
 }
 
@@ -105,10 +104,12 @@
 }
 
 fn take_order(pool: &mut EntryPool, allotment: &SlotAllotment) {
-    pool.floor = steps_to_time(allotment.floor);
-    for (team, lead) in allotment.teams.iter().zip(&allotment.lead) {
+    pool.clock = steps_to_time(allotment.clock);
+    let rows = allotment.teams.iter().zip(&allotment.lead);
+    for ((team, lead), quota) in rows.zip(&allotment.quota) {
         let usage = pool.teams.entry(TeamId(*team)).or_default();
-        usage.told = pool.floor + steps_to_time(*lead);
+        usage.told = pool.clock + lead.saturating_mul(LEAD_STEP);
+        usage.quota = Some(*quota);
         let known = usage
             .sent_charges
             .iter()
@@ -192,15 +193,12 @@
 /// Starts a request on an endpoint, as a new attempt.
 pub fn start(state: &mut CoreState, pool_id: PoolId, next: NextRequest, endpoint: EndpointId) {
     let NextRequest { request, team } = next;
-    let first = ServiceUnits(state.config.dispatch.first_estimate);
     let now = state.now;
     let Some(entry) = state.requests.get_mut(request) else {
         return;
     };
     entry.attempts += 1;
     let attempt = AttemptNumber(entry.attempts);
-    let estimate = state.estimates.expected(team, &entry.facts.kind, first);
-    entry.charged = estimate;
     entry.last_endpoint = Some(endpoint);
     entry.stage = RequestStage::Running {
         attempt,
@@ -213,7 +211,7 @@
         usage.running += 1;
         usage.pace.note_start(now, !usage.queue.is_empty());
         pool.change_slots(endpoint, |hold| hold.busy += 1);
-        pool.charge(team, estimate);
+        pool.touch(team);
         let most = state.config.dispatch.prefix_memory as usize;
         pool.remember_prefix(prefix, endpoint, most);
     }
@@ -228,30 +226,31 @@
     });
 }
 
-/// Gives back free slots far above the target before anything is started on them. Without this
-/// a router with a backlog would start new requests on its slots for ever, and a lower target or
-/// a lower limit would never come into force. A target that moves by one to and fro costs no
-/// messages.
-fn give_back_excess(state: &mut CoreState, pool_id: PoolId) {
-    let Some(pool) = state.entries.get_mut(&pool_id) else {
-        return;
-    };
-    let most = pool.target + 1 + pool.target / EXCESS_PART;
-    while pool.held > most {
-        let Some((_, endpoint)) = pool.open.first().copied() else {
-            return;
+/// Gives back free slots above the target, before anything is started on them. Without this a
+/// router with a backlog would start new requests on its slots for ever, and a lower target or a
+/// lower limit would never come into force. While requests wait here a little more than the
+/// target is kept, so that a target that moves by one to and fro costs no messages.
+fn give_back_surplus(state: &mut CoreState, pool_id: PoolId) {
+    give_back_while(state, pool_id, |pool| {
+        let kept = if pool.waiting > 0 {
+            pool.target + pool.target / EXCESS_PART
+        } else {
+            pool.target
         };
-        pool.give_back(endpoint);
-    }
+        pool.held > kept
+    });
 }
 
-/// Gives back free slots above the target, and every free slot while others wait for lack of
-/// slots and nothing waits here.
-fn give_back_surplus(state: &mut CoreState, pool_id: PoolId) {
+/// Gives back every free slot while others wait for lack of slots and nothing waits here.
+fn give_back_idle(state: &mut CoreState, pool_id: PoolId) {
+    give_back_while(state, pool_id, |pool| pool.scarce && pool.waiting == 0);
+}
+
+fn give_back_while(state: &mut CoreState, pool_id: PoolId, wanted: impl Fn(&EntryPool) -> bool) {
     let Some(pool) = state.entries.get_mut(&pool_id) else {
         return;
     };
-    while pool.held > pool.target || (pool.scarce && pool.waiting == 0) {
+    while wanted(pool) {
         let Some((_, endpoint)) = pool.open.first().copied() else {
             return;
         };
--- a/src/core/systems/ownership.rs
+++ b/src/core/systems/ownership.rs
@@ -8,6 +8,7 @@
 
 use crate::core::event::CoreEvent;
 use crate::core::share::ShareClaim;
+use crate::core::share::ceil_to_u32;
 use crate::core::share::round_shares;
 use crate::core::share::water_fill;
 use crate::core::state::CoreState;
@@ -31,6 +32,14 @@
 use crate::wire::allotment::SlotAllotment;
 use crate::wire::demand::DemandReport;
 
+/// Seconds over which the pace of a pool's clock is smoothed.
+const PACE_MEMORY_S: f64 = 5.0;
+/// A team that waits as long counts for the pool's clock.
+const LASTING_WAIT: TimeSpan = TimeSpan::from_millis(1_000);
+/// Least and most that a lead or lag makes of a team's share.
+const LEAST_FACTOR: f64 = 0.25;
+const MOST_FACTOR: f64 = 2.0;
+
 /// Takes in reports; shares slots out when that is due.
 pub fn run(state: &mut CoreState, event: &CoreEvent) {
     match event {
@@ -239,8 +248,10 @@
     let Some(mut pool) = state.owned.remove(&pool_id) else {
         return;
     };
+    let passed = now.since(pool.shared_at);
     pool.shared_at = now;
     pool.urgent = false;
+    advance_clock(state, &mut pool, passed);
     level_accounts(state, &mut pool);
     set_targets(state, &mut pool);
     grant_vacant(&mut pool);
@@ -283,7 +294,35 @@
     }
 }
 
-/// Lifts teams that begin to wait to the floor, clamps debts, and moves the floor.
+/// Moves the pool's clock to the mean virtual time, weighted by share, of the teams that have
+/// waited for a while. Teams that wait only for moments would hold it back: they are served at
+/// once and gain little.
+#[allow(clippy::cast_precision_loss, clippy::cast_possible_truncation)]
+fn advance_clock(state: &CoreState, pool: &mut OwnedPool, passed: TimeSpan) {
+    let now = state.now;
+    let mut shares = 0.0;
+    let mut times = 0.0;
+    for (team, account) in &pool.accounts {
+        let lasts = account
+            .waits_since
+            .is_some_and(|since| now.since(since) >= LASTING_WAIT);
+        if lasts {
+            let share = f64::from(state.catalog.share_of(*team).0);
+            shares += share;
+            times += share * (account.time - pool.clock) as f64;
+        }
+    }
+    if shares == 0.0 || passed.0 == 0 {
+        return;
+    }
+    let step = (times / shares).max(0.0);
+    pool.clock += step as i64;
+    let seconds = passed.0 as f64 / 1e6;
+    let part = (seconds / PACE_MEMORY_S).min(1.0);
+    pool.pace += (step / seconds - pool.pace) * part;
+}
+
+/// Sets teams that begin to wait to the clock at least, and clamps leads and lags.
 fn level_accounts(state: &CoreState, pool: &mut OwnedPool) {
     let mut waiting: BTreeMap<TeamId, u32> = BTreeMap::new();
     for member in pool.members.values() {
@@ -291,29 +330,27 @@
             *waiting.entry(*team).or_default() += demand.waiting;
         }
     }
-    let floor = pool.floor;
+    // With nobody waiting nobody is owed anything: all start level.
+    let quiet = waiting.values().all(|count| *count == 0);
+    let (now, clock) = (state.now, pool.clock);
     let debt = i64::try_from(state.config.ownership.debt_units).unwrap_or(i64::MAX);
     for (team, count) in &waiting {
         let account = pool.accounts.entry(*team).or_default();
         let waits = *count > 0;
-        // Idle time banks no credit: a team that begins to wait starts at the floor.
-        if waits && !account.waits {
-            account.time = account.time.max(floor);
+        let waited = account.waits_since.is_some();
+        // Idle time banks no credit: a team that begins to wait starts at the clock.
+        if waits && !waited {
+            account.time = account.time.max(clock);
+        }
+        if quiet {
+            account.time = clock;
         }
-        // A debt without bound would starve its team after a partition; it is clamped.
-        let most = floor + virtual_time(debt, state.catalog.share_of(*team));
-        account.time = account.time.min(most);
-        account.waits = waits;
+        // A debt without bound would starve its team after a partition, and a credit without
+        // bound the others; both are clamped.
+        let most = virtual_time(debt, state.catalog.share_of(*team));
+        account.time = account.time.clamp(clock - most, clock + most);
+        account.waits_since = waits.then(|| account.waits_since.unwrap_or(now));
     }
-    let least = pool
-        .accounts
-        .values()
-        .filter(|account| account.waits)
-        .map(|account| account.time)
-        .min();
-    // With nobody waiting nobody is owed anything: all start level at the highest time.
-    let level = least.or_else(|| pool.accounts.values().map(|account| account.time).max());
-    pool.floor = floor.max(level.unwrap_or(floor));
 }
 
 /// Sets each entry router's target from fair shares of the teams it has.
@@ -332,12 +369,15 @@
     let rest = f64::from(total.saturating_sub(wanted));
     let staying = pool.members.values().filter(|member| !member.draining);
     let spare = rest / f64::from(u32::try_from(staying.count()).unwrap_or(1).max(1));
+    for member in pool.members.values_mut() {
+        member.quotas = member_quotas(member, &shares, &demands);
+    }
     let wishes: Vec<f64> = pool
         .members
         .values()
         .map(|member| {
             let spare = if member.draining { 0.0 } else { spare };
-            spare + member_share(member, &shares, &demands)
+            spare + member.quotas.values().sum::<f64>()
         })
         .collect();
     let targets = round_shares(total, &wishes);
@@ -376,31 +416,34 @@
         .collect()
 }
 
-/// A team's share, less the further it is ahead of the floor.
+/// A team's share, less if it is ahead of the clock and more if it is behind, so that it would
+/// be level again after the correction time.
 #[allow(clippy::cast_precision_loss)]
 fn team_weight(state: &CoreState, pool: &OwnedPool, team: TeamId) -> f64 {
-    let share = state.catalog.share_of(team);
-    let time = pool.accounts.get(&team).map_or(pool.floor, |row| row.time);
-    let lead = (time - pool.floor).max(0) as f64;
-    let units = i64::try_from(state.config.ownership.lead_units).unwrap_or(i64::MAX);
-    let half = virtual_time(units, share).max(1) as f64;
-    f64::from(share.0.max(1)) / (1.0 + lead / half)
+    let share = f64::from(state.catalog.share_of(team).0.max(1));
+    let time = pool.accounts.get(&team).map_or(pool.clock, |row| row.time);
+    let lead = (time - pool.clock) as f64;
+    let correction = state.config.ownership.correction_ms as f64 / 1e3;
+    let ahead = lead / (pool.pace * correction).max(1.0);
+    share * (1.0 - ahead).clamp(LEAST_FACTOR, MOST_FACTOR)
 }
 
-fn member_share(
+/// An entry router's part of each team's share, in proportion to the demand that it has of it.
+fn member_quotas(
     member: &MemberClaim,
     shares: &BTreeMap<TeamId, f64>,
     demands: &BTreeMap<TeamId, u32>,
-) -> f64 {
+) -> BTreeMap<TeamId, f64> {
     member
         .teams
         .iter()
         .map(|(team, demand)| {
             let all = demands.get(team).copied().unwrap_or(0).max(1);
             let share = shares.get(team).copied().unwrap_or(0.0);
-            share * f64::from(demand.waiting + demand.running) / f64::from(all)
+            let part = f64::from(demand.waiting + demand.running) / f64::from(all);
+            (*team, share * part)
         })
-        .sum()
+        .collect()
 }
 
 /// Grants vacant slots, to those furthest below their targets first.
@@ -438,7 +481,7 @@
     let now = state.now;
     let refresh = TimeSpan::from_millis(state.config.ownership.refresh_ms);
     let epoch = epoch_of(state.identity.incarnation);
-    let (floor, scarce) = (pool.floor, pool.scarce);
+    let (clock, scarce) = (pool.clock, pool.scarce);
     let hosts: Vec<HostName> = pool.members.keys().cloned().collect();
     for host in hosts {
         let Some(member) = pool.members.get_mut(&host) else {
@@ -453,8 +496,8 @@
             continue;
         }
         let accounts = &pool.accounts;
-        let allotment = build(member, pool_id, epoch, floor, scarce, now, |team| {
-            accounts.get(&team).map_or(floor, |row| row.time)
+        let allotment = build(member, pool_id, epoch, clock, scarce, now, |team| {
+            accounts.get(&team).map_or(clock, |row| row.time)
         });
         state.send(&host, PeerBody::Allotment(allotment));
     }
@@ -464,7 +507,7 @@
     member: &mut MemberClaim,
     pool_id: PoolId,
     epoch: u32,
-    floor: i64,
+    clock: i64,
     scarce: bool,
     now: Moment,
     time_of: impl Fn(TeamId) -> i64,
@@ -482,7 +525,7 @@
         acked: member.report_seen,
         target: member.target,
         scarce,
-        floor: steps(floor),
+        clock: steps(clock),
         ..SlotAllotment::default()
     };
     for (endpoint, claim) in &member.slots {
@@ -494,7 +537,9 @@
     for (team, demand) in &member.teams {
         if demand.waiting > 0 {
             allotment.teams.push(team.0);
-            allotment.lead.push(steps(time_of(*team) - floor));
+            allotment.lead.push((time_of(*team) - clock) / LEAD_STEP);
+            let quota = member.quotas.get(team).copied().unwrap_or(0.0);
+            allotment.quota.push(ceil_to_u32(quota));
         }
     }
     allotment
--- a/src/core/systems/reporting.rs
+++ b/src/core/systems/reporting.rs
@@ -91,11 +91,12 @@
     pool.slots.retain(|_, hold| hold.busy > 0);
     pool.target = pool.held;
     pool.scarce = false;
-    pool.floor = 0;
+    pool.clock = 0;
     pool.allotment_seen = 0;
     pool.report_acked = 0;
     for usage in pool.teams.values_mut() {
         usage.told = 0;
+        usage.quota = None;
         usage.told_charged = usage.charged;
         usage.sent_charges.clear();
     }
--- a/src/core/tables/entry_pool.rs
+++ b/src/core/tables/entry_pool.rs
@@ -60,6 +60,16 @@
     }
 }
 
+/// A team's place among those that wait: teams below their quota first, then by virtual time
+/// less the credit of urgent requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct TeamRank {
+    /// True if the team runs as many requests here as its quota.
+    pub at_quota: bool,
+    /// Virtual time less credit.
+    pub time: i64,
+}
+
 /// One team in one pool at this router.
 #[derive(Debug, Default)]
 pub struct TeamUsage {
@@ -69,18 +79,20 @@
     pub pace: StartPace,
     /// Attempts that run.
     pub running: u32,
-    /// Service charged since this router's start; estimates of running attempts included.
+    /// Service charged since this router's start.
     pub charged: i64,
     /// Virtual time that the owner told.
     pub told: i64,
     /// `charged` as the owner knew it when it told.
     pub told_charged: i64,
+    /// Slots that the owner thinks fair here; none told yet if absent.
+    pub quota: Option<u32>,
     /// `charged` as sent in reports that the owner has not acknowledged.
     pub sent_charges: Vec<(u64, i64)>,
     /// Sequence of the first report that tells the numbers as they are now.
     pub told_in: u64,
     /// The place in `EntryPool::order`, if the team waits.
-    pub rank: Option<i64>,
+    pub rank: Option<TeamRank>,
 }
 
 /// Which router owns the pool, as far as this router knows.
@@ -102,8 +114,8 @@
     pub owner_version: u64,
     /// Teams that used the pool here.
     pub teams: BTreeMap<TeamId, TeamUsage>,
-    /// Teams that wait here, by virtual time less the credit of urgent requests.
-    pub order: BTreeSet<(i64, TeamId)>,
+    /// Teams that wait here.
+    pub order: BTreeSet<(TeamRank, TeamId)>,
     /// Slots held here.
     pub slots: BTreeMap<EndpointId, SlotHold>,
     /// Endpoints with a free slot, by number of free slots.
@@ -116,8 +128,8 @@
     pub busy: u32,
     /// True while requests wait somewhere for lack of slots.
     pub scarce: bool,
-    /// Least virtual time of waiting teams that the owner told.
-    pub floor: i64,
+    /// The pool's virtual time that the owner told.
+    pub clock: i64,
     /// Counts how often this router turned to an owner anew.
     pub term: u32,
     /// Sequence of the last report sent.
@@ -170,7 +182,7 @@
         self.urgent = true;
     }
 
-    /// Adds a charge (or takes back an estimate, if negative) to a team.
+    /// Adds a charge to a team.
     pub fn charge(&mut self, team: TeamId, amount: i64) {
         let next = self.report_sequence + 1;
         let usage = self.teams.entry(team).or_default();
@@ -191,7 +203,7 @@
     #[must_use]
     pub fn local_time(&self, team: TeamId, share: ShareWeight) -> i64 {
         let Some(usage) = self.teams.get(&team) else {
-            return self.floor;
+            return self.clock;
         };
         usage.told + virtual_time(usage.charged - usage.told_charged, share)
     }
@@ -209,7 +221,12 @@
             return;
         }
         let credit = if usage.queue.is_urgent() { express } else { 0 };
-        let rank = time - credit;
+        // Costs are known only at the end: a team whose requests turn out dear would hold far
+        // more than its part of the slots before its charges show. Its quota stops that.
+        let rank = TeamRank {
+            at_quota: usage.quota.is_some_and(|quota| usage.running >= quota),
+            time: time - credit,
+        };
         usage.rank = Some(rank);
         self.order.insert((rank, team));
     }
--- a/src/core/tables/mod.rs
+++ b/src/core/tables/mod.rs
@@ -4,7 +4,6 @@
 pub mod detector;
 pub mod endpoints;
 pub mod entry_pool;
-pub mod estimates;
 pub mod members;
 pub mod owned_pool;
 pub mod requests;
--- a/src/core/tables/owned_pool.rs
+++ b/src/core/tables/owned_pool.rs
@@ -66,6 +66,8 @@
     pub slots: BTreeMap<EndpointId, SlotClaim>,
     /// True once it said that it drains.
     pub draining: bool,
+    /// Slots that its part of each team's share comes to.
+    pub quotas: BTreeMap<TeamId, f64>,
     /// Slots that it shall keep.
     pub target: u32,
     /// `target` and `scarce` as last sent.
@@ -93,6 +95,7 @@
             teams: BTreeMap::new(),
             slots: BTreeMap::new(),
             draining: false,
+            quotas: BTreeMap::new(),
             target: 0,
             sent: None,
             held: 0,
@@ -122,8 +125,8 @@
 pub struct TeamAccount {
     /// Virtual time: service over share, in `VIRTUAL_SCALE` units.
     pub time: i64,
-    /// True while it waits anywhere.
-    pub waits: bool,
+    /// Since when it waits anywhere without a break.
+    pub waits_since: Option<Moment>,
 }
 
 /// One owned pool.
@@ -135,8 +138,11 @@
     pub members: BTreeMap<HostName, MemberClaim>,
     /// Teams.
     pub accounts: BTreeMap<TeamId, TeamAccount>,
-    /// Least virtual time of waiting teams; never falls.
-    pub floor: i64,
+    /// The pool's virtual time: the mean of service over share of the teams that have waited for
+    /// a while, weighted by share. Never falls.
+    pub clock: i64,
+    /// Virtual time that the clock gains a second, smoothed.
+    pub pace: f64,
     /// Limits of the endpoints.
     pub limits: BTreeMap<EndpointId, u32>,
     /// Slots held by all entry routers, per endpoint.
@@ -159,7 +165,8 @@
             settles_at,
             members: BTreeMap::new(),
             accounts: BTreeMap::new(),
-            floor: 0,
+            clock: 0,
+            pace: 0.0,
             limits: BTreeMap::new(),
             claimed: BTreeMap::new(),
             vacant: BTreeSet::new(),
--- a/src/report/samples.rs
+++ b/src/report/samples.rs
@@ -76,7 +76,10 @@
 #[must_use]
 pub fn pool_sample(pool: &OwnedPool) -> PoolSample {
     let times = || {
-        let waiting = pool.accounts.values().filter(|account| account.waits);
+        let waiting = pool
+            .accounts
+            .values()
+            .filter(|account| account.waits_since.is_some());
         waiting.map(|account| account.time)
     };
     let demands = || {
--- a/src/wire/allotment.rs
+++ b/src/wire/allotment.rs
@@ -32,15 +32,18 @@
     /// Teams with a row in `lead`.
     #[prost(fixed32, repeated, tag = "8")]
     pub teams: Vec<u32>,
-    /// Virtual time above the floor in `LEAD_STEP` units, per entry of `teams`.
-    #[prost(uint64, repeated, tag = "9")]
-    pub lead: Vec<u64>,
+    /// Virtual time ahead of the clock in `LEAD_STEP` units, per entry of `teams`.
+    #[prost(sint64, repeated, tag = "9")]
+    pub lead: Vec<i64>,
+    /// Slots that the team's part of a fair share-out comes to here, per entry of `teams`.
+    #[prost(uint32, repeated, tag = "14")]
+    pub quota: Vec<u32>,
     /// True while requests wait somewhere for lack of slots: spare slots shall come back.
     #[prost(bool, tag = "10")]
     pub scarce: bool,
-    /// The floor: least virtual time of the teams that wait, in `LEAD_STEP` units.
+    /// The pool's virtual time in `LEAD_STEP` units.
     #[prost(uint64, tag = "11")]
-    pub floor: u64,
+    pub clock: u64,
     /// The term of the reports that this answers.
     #[prost(uint32, tag = "12")]
     pub term: u32,
