Tests of endpoint faults and caller limits over a real router

Cause: how a caller sees a bad endpoint, and a router a bad caller, was not tried. Change: tests/endpoint_faults.rs and tests/caller_limits.rs; the stand-in engine no longer answers an empty text in the instant of its crash, and flushes what it sent before it breaks off.

--- a/examples/shared/endpoint.rs
+++ b/examples/shared/endpoint.rs
@@ -82,6 +82,8 @@
     pub busy_micros: AtomicU64,
     /// Tokens and calls served.
     pub served: AtomicU64,
+    /// Bytes of sized answers that were handed to the connection.
+    pub sent_bytes: AtomicU64,
     /// Requests that were broken off by their caller's side.
     pub cancelled: AtomicU64,
     /// Grows with each crash.
@@ -124,6 +126,7 @@
             waiting: AtomicU32::new(0),
             busy_micros: AtomicU64::new(0),
             served: AtomicU64::new(0),
+            sent_bytes: AtomicU64::new(0),
             cancelled: AtomicU64::new(0),
             life: AtomicU64::new(1),
             fence: AtomicU64::new(0),
--- a/examples/shared/engine.rs
+++ b/examples/shared/engine.rs
@@ -146,6 +146,7 @@
         let short = text_of(&self.headers, "standin-do").ends_with("short");
         tokio::spawn(self.run(sender));
         let mut text = String::new();
+        let mut count = 0;
         while let Some(chunk) = receiver.recv().await {
             let Ok(chunk) = chunk else {
                 return cut_off();
@@ -155,6 +156,11 @@
             };
             let event: Value = serde_json::from_slice(event).unwrap_or_default();
             text += event["choices"][0]["text"].as_str().unwrap_or_default();
+            count += 1;
+        }
+        if count < tokens {
+            // The endpoint has crashed: its connections are about to break.
+            std::future::pending::<()>().await;
         }
         let body = json!({
             "choices": [{"index": 0, "text": text, "finish_reason": "length"}],
@@ -220,6 +226,8 @@
         let mut next = time::Instant::now();
         for index in self.first..self.tokens {
             if misdeed == Misdeed::Cut(index) {
+                // What was sent before has left by then.
+                time::sleep(Duration::from_millis(20)).await;
                 let _ = sender.send(Err(io::Error::other("cut"))).await;
                 return false;
             }
--- a/examples/shared/mod.rs
+++ b/examples/shared/mod.rs
@@ -8,4 +8,5 @@
 pub mod fleet;
 pub mod plain;
 pub mod platform;
+pub mod single;
 pub mod site;
--- a/examples/shared/plain.rs
+++ b/examples/shared/plain.rs
@@ -46,8 +46,8 @@
             time::sleep(Duration::from_secs(1)).await;
         }
         Misdeed::Slow(wait) => time::sleep(wait).await,
-        Misdeed::Cut(after) => return sized(u64::MAX / 2, Some(after)),
-        Misdeed::Short => return sized(CHUNK as u64, Some(10)),
+        Misdeed::Cut(after) => return sized(&shared, u64::MAX / 2, Some(after)),
+        Misdeed::Short => return sized(&shared, CHUNK as u64, Some(10)),
         Misdeed::Refuse => return status(StatusCode::SERVICE_UNAVAILABLE, "busy"),
         _ => {}
     }
@@ -62,7 +62,7 @@
         return Response::new(SentBody::Echo(request.into_body()));
     }
     if let Some((_, count)) = path.rsplit_once("/bytes/") {
-        return sized(count.parse().unwrap_or(0), None);
+        return sized(&shared, count.parse().unwrap_or(0), None);
     }
     let answer = json!({"path": path, "execution": execution});
     let _ = request.into_body().collect().await;
@@ -70,8 +70,9 @@
 }
 
 /// So many bytes, with a stated length; broken off after `cut` of them.
-fn sized(length: u64, cut: Option<u64>) -> Response<SentBody> {
+fn sized(shared: &Arc<EndpointShared>, length: u64, cut: Option<u64>) -> Response<SentBody> {
     let (sender, receiver) = mpsc::channel(2);
+    let shared = Arc::clone(shared);
     tokio::spawn(async move {
         let mut left = cut.unwrap_or(length);
         while left > 0 {
@@ -84,6 +85,7 @@
                 return;
             }
             left -= size as u64;
+            shared.sent_bytes.fetch_add(size as u64, Ordering::Relaxed);
         }
         if cut.is_some() {
             let _ = sender.send(Err(io::Error::other("cut"))).await;
