--- a/examples/shared/mod.rs
+++ b/examples/shared/mod.rs
@@ -10,3 +10,4 @@
 pub mod platform;
 pub mod single;
 pub mod site;
+pub mod traffic;
