Eight daemons as processes through a kill, a drain and a publication

Cause: nothing showed that the daemons as programs keep the promise together. Change: tests/fleet.rs with examples/shared/processes.rs (each router on a loopback number of its own, so that ports can be fixed); shutdown.linger_ms keeps the caller listener open after the first signal until a balancer has seen that the router is not ready.

--- a/examples/shared/mod.rs
+++ b/examples/shared/mod.rs
@@ -8,6 +8,7 @@
 pub mod fleet;
 pub mod plain;
 pub mod platform;
+pub mod processes;
 pub mod single;
 pub mod site;
 pub mod traffic;
--- a/examples/shared/single.rs
+++ b/examples/shared/single.rs
@@ -31,6 +31,8 @@
 /// What a test wants otherwise than usual.
 #[derive(Debug, Clone)]
 pub struct SingleOptions {
+    /// Settings of the decision core.
+    pub core: CoreConfig,
     /// Settings of the traffic side.
     pub traffic: TrafficConfig,
     /// True if the engine can resume.
@@ -44,6 +46,7 @@
 impl Default for SingleOptions {
     fn default() -> Self {
         Self {
+            core: CoreConfig::default(),
             traffic: TrafficConfig::default(),
             resumes: true,
             limits: serde_json::json!({}),
@@ -52,7 +55,7 @@
     }
 }
 
-fn parts(traffic: TrafficConfig) -> RouterParts {
+fn parts(core: CoreConfig, traffic: TrafficConfig) -> RouterParts {
     RouterParts {
         host: "entry-1".parse().unwrap(),
         incarnation: RouterIncarnation(7),
@@ -60,7 +63,7 @@
         callers: "127.0.0.1:0".parse().unwrap(),
         peers: None,
         platform: None,
-        core: CoreConfig::default(),
+        core,
         traffic,
         seed: 1,
     }
@@ -82,7 +85,9 @@
             work: Duration::ZERO,
         };
         let portal = StandinEndpoint::start(listen, portal, 8).await.unwrap();
-        let router = Router::start(parts(options.traffic)).await.unwrap();
+        let router = Router::start(parts(options.core, options.traffic))
+            .await
+            .unwrap();
         let site = Site::default()
             .team("nadi", 1)
             .endpoint("engine-1", &engine, 8)
--- a/src/daemon/process.rs
+++ b/src/daemon/process.rs
@@ -88,8 +88,9 @@
     signals.next().await;
     spdlog::info!("daemon: drain begins; a second signal ends it at once.");
     let deadline = Duration::from_secs(settings.shutdown.deadline_s);
+    let linger = Duration::from_millis(settings.shutdown.linger_ms).min(deadline / 2);
     tokio::select! {
-        () = router.drain() => {}
+        ((), ()) = async { tokio::join!(router.drain(), time::sleep(linger)) } => {}
         () = signals.next() => return Ok(cut(&router, "second signal").await),
         () = time::sleep(deadline) => return Ok(cut(&router, "deadline").await),
     }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -201,11 +201,18 @@
     /// in the log.
     #[schemars(range(min = 1, max = 86_400))]
     pub deadline_s: u64,
+    /// Milliseconds that the listener for callers stays open at least after the first signal, so
+    /// that a balancer which looks at readiness now and then sends nothing to a closed door.
+    #[schemars(range(min = 0, max = 600_000))]
+    pub linger_ms: u64,
 }
 
 impl Default for ShutdownSettings {
     fn default() -> Self {
-        Self { deadline_s: 600 }
+        Self {
+            deadline_s: 600,
+            linger_ms: 5_000,
+        }
     }
 }
 
