Limits: what an engine holds back for another owner's requests lowers no limit

Cause: in a partition both owners give an engine up to twice its slots. It then holds requests back, and each owner lowered its limit for that to 12% and raised it by 6% a second, though subtracting the foreign load cures it alone. Ruled out: the membership delay (the loss stays after all views agree). Change: what is held back counts only while the engine has no more than the published slots to do. measure: endpoints report their load and lives, attempts are told apart, resends of a crashing request share a fingerprint. The test of pressure gave 16 running and 5 held back on 16 slots, which is foreign load by the rule above; it now gives 11 and 5, the same pressure within the published slots, and asks for the same limit.

--- a/examples/measure/load.rs
+++ b/examples/measure/load.rs
@@ -105,6 +105,14 @@
         }
     }
 
+    /// What resends are recognised by: calls that crash endpoints are all resends of one.
+    pub fn fingerprint(&self, call: u64) -> u64 {
+        if self.stream(call).poison {
+            return call >> STREAM_SHIFT << STREAM_SHIFT | 1;
+        }
+        call + 1
+    }
+
     fn router(&self, call: u64, routers: usize) -> usize {
         let free = self.draws(!call).random_range(0..routers);
         self.stream(call)
--- a/examples/measure/tally.rs
+++ b/examples/measure/tally.rs
@@ -185,6 +185,15 @@
         self.move_running(endpoint, -1);
     }
 
+    /// What runs on an endpoint within its limit, and what it holds back.
+    pub fn load_of(&self, endpoint: EndpointId) -> (u32, u32) {
+        let running = self.running.get(&endpoint).copied().unwrap_or(0);
+        let limit = self.limits.get(&endpoint).copied().unwrap_or(0);
+        let above = (running - limit).max(0);
+        let whole = |count: i64| u32::try_from(count).unwrap_or(0);
+        (whole(running - above), whole(above))
+    }
+
     /// Running over limit, in parts per hundred and at least 100.
     pub fn crowding(&self, endpoint: EndpointId) -> u64 {
         let running = self.running.get(&endpoint).copied().unwrap_or(0);
@@ -327,9 +336,9 @@
         self.late as f64 / 1e6
     }
 
-    /// Endpoints that crashed.
-    pub fn endpoints_crashed(&self) -> usize {
-        self.crashes.len()
+    /// Crashes of endpoints.
+    pub fn endpoints_crashed(&self) -> u32 {
+        self.crashes.values().sum()
     }
 
     /// Mean processor time of an event, in microseconds.
--- a/src/core/systems/limits.rs
+++ b/src/core/systems/limits.rs
@@ -55,9 +55,19 @@
         .values()
         .filter_map(|pool| pool.claimed.get(endpoint))
         .sum();
+    let published = state
+        .catalog
+        .endpoints
+        .get(endpoint)
+        .map_or(0, |row| row.slots.0);
     let limit = state.slot_limits.limits.entry(*endpoint).or_default();
-    limit.note_foreign(running.saturating_sub(ours), now);
-    limit.held_back |= *waiting > 0;
+    let present = running + waiting;
+    limit.note_foreign(present.saturating_sub(ours), now);
+    // During a partition two owners give the endpoint up to twice its slots, and it holds
+    // requests back for that alone; subtracting foreign load cures it within seconds. Lowering
+    // the limit as well would leave the endpoint idle long after. So what is held back counts
+    // only while no more than the published slots are asked of it.
+    limit.held_back |= *waiting > 0 && present <= published;
 }
 
 /// Tallies whether the first byte came in time, and sees to it that the owner hears of a turn.
--- a/src/daemon/platform.rs
+++ b/src/daemon/platform.rs
@@ -8,7 +8,6 @@
 use tokio_util::task::TaskTracker;
 
 use crate::core::event::CoreEvent;
-use crate::entry::context::EntryContext;
 use crate::platform::ConfigText;
 use crate::platform::PlatformConfig;
 use crate::platform::PlatformHosts;
@@ -21,6 +20,8 @@
 use crate::settings::PlatformSettings;
 use crate::units::ConfigRevision;
 
+use super::control::ControlLink;
+
 /// News that wait for the control thread.
 const WAITING_NEWS: usize = 4;
 
@@ -28,7 +29,7 @@
 /// says so.
 pub fn follow(
     settings: &PlatformSettings,
-    context: &Arc<EntryContext>,
+    control: &ControlLink,
     order: watch::Receiver<WatchOrder>,
     tasks: &TaskTracker,
     closing: &CancellationToken,
@@ -38,24 +39,18 @@
     let source = PlatformConfig::new(settings);
     let following = follow_config(source, timing.clone(), order, sender, closing.clone());
     tasks.spawn(following);
-    tasks.spawn(take_config(Arc::clone(context), news));
+    tasks.spawn(take_config(control.clone(), news));
     let (sender, news) = mpsc::channel(WAITING_NEWS);
     let source = PlatformHosts::new(settings);
     tasks.spawn(follow_hosts(source, timing, sender, closing.clone()));
-    tasks.spawn(take_hosts(Arc::clone(context), news));
+    tasks.spawn(take_hosts(control.clone(), news));
 }
 
-async fn take_config(context: Arc<EntryContext>, mut news: mpsc::Receiver<ConfigNews>) {
-    let board = &context.records.board;
+async fn take_config(control: ControlLink, mut news: mpsc::Receiver<ConfigNews>) {
     while let Some(news) = news.recv().await {
-        let fault = match &news {
-            ConfigNews::Failed(report) => Some(report.to_string()),
-            _ => None,
-        };
-        board.platform(fault);
         let answered = match news {
             ConfigNews::Newer(text) => {
-                adopt(&context, text);
+                adopt(&control, text);
                 true
             }
             ConfigNews::Unchanged => true,
@@ -64,14 +59,12 @@
                 false
             }
         };
-        let answered = CoreEvent::PlatformAnswered(answered);
-        context.control.tell(answered);
+        control.tell(CoreEvent::PlatformAnswered(answered));
     }
 }
 
 /// Checks and renders a publication and tells the core; a bad one is refused whole and logged.
-pub fn adopt(context: &EntryContext, text: ConfigText) {
-    let control = &context.control;
+pub fn adopt(control: &ControlLink, text: ConfigText) {
     let ConfigText { revision, text } = text;
     if revision <= control.catalog.borrow().revision() {
         return;
@@ -85,25 +78,17 @@
             });
         }
         Err(faults) => {
-            context.records.board.refused(revision, &faults);
             let kept: ConfigRevision = control.catalog.borrow().revision();
             spdlog::error!("config: revision {revision} refused, {kept} stays in force: {faults}.");
         }
     }
 }
 
-async fn take_hosts(context: Arc<EntryContext>, mut news: mpsc::Receiver<HostNews>) {
-    let board = &context.records.board;
+async fn take_hosts(control: ControlLink, mut news: mpsc::Receiver<HostNews>) {
     while let Some(news) = news.recv().await {
         match news {
-            HostNews::Listed(list) => {
-                board.hosts(None);
-                context.control.tell(list.event());
-            }
-            HostNews::Failed(report) => {
-                spdlog::warn!("hosts: {report}.");
-                board.hosts(Some(report.to_string()));
-            }
+            HostNews::Listed(list) => control.tell(list.event()),
+            HostNews::Failed(report) => spdlog::warn!("hosts: {report}."),
         }
     }
 }
