--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -5,6 +5,10 @@
 
 pub mod board;
 pub mod metrics;
+pub mod records;
+pub mod route;
+pub mod sampler;
+pub mod server;
 pub mod status;
 pub mod team_view;
 pub mod views;
--- a/src/ctl/command.rs
+++ b/src/ctl/command.rs
@@ -12,6 +12,10 @@
 use super::exit::ExitKind;
 use super::output::OutputWriter;
 use super::reference::REFERENCED;
+use super::remote_command;
+
+const DIFF_AFTER: &str = "The publication after; without it the first file is compared with what \
+                          the router at --admin has in force";
 
 /// All subcommands and options.
 #[must_use]
@@ -31,6 +35,7 @@
             key(),
             completions_command(),
         ])
+        .subcommands(remote_command::subcommands())
 }
 
 fn exit_help() -> String {
@@ -101,9 +106,10 @@
         .about("Shows what a publication would change; exits with 1 if anything")
         .arg(file(
             "before",
-            "The publication before; - reads standard input",
+            "The publication before, or the only one; - reads standard input",
         ))
-        .arg(file("after", "The publication after"))
+        .arg(file("after", DIFF_AFTER).required(false))
+        .args(remote_command::router_arguments())
 }
 
 fn schema() -> Command {
--- a/src/ctl/local.rs
+++ b/src/ctl/local.rs
@@ -6,6 +6,7 @@
 use std::path::PathBuf;
 
 use clap::ArgMatches;
+use http::Method;
 use rand::RngExt;
 use serde::Serialize;
 use serde_json::Value;
@@ -23,6 +24,7 @@
 use crate::settings::read_settings;
 use crate::units::ConfigRevision;
 
+use super::client::one_client;
 use super::exit::CtlError;
 use super::exit::ExitKind;
 use super::output::CellTone;
@@ -137,6 +139,24 @@
     show_changes(&changes(&before, &after), writer)
 }
 
+/// Shows what a publication would change in the one that a router has in force.
+///
+/// # Errors
+/// If the router does not answer, or a publication can't be read or has faults.
+pub async fn diff_running(
+    matches: &ArgMatches,
+    writer: &mut OutputWriter,
+) -> Result<ExitKind, CtlError> {
+    let client = one_client(matches)?;
+    let running = client.send(Method::GET, "/publication").await?;
+    let running = catalog(&running).map_err(|faults| {
+        let message = format!("{}: {faults}", client.address);
+        CtlError::new(ExitKind::Finding, message)
+    })?;
+    let next = rendered(&path(matches, "before")?)?;
+    show_changes(&changes(&RenderedPublication::of(&running), &next), writer)
+}
+
 fn show_changes(
     changes: &Vec<PublicationChange>,
     writer: &mut OutputWriter,
--- a/src/ctl/mod.rs
+++ b/src/ctl/mod.rs
@@ -3,17 +3,23 @@
 //! One file a group of subcommands. Each returns an [`exit::ExitKind`]; text goes through
 //! [`output::OutputWriter`], which knows whether a person, a pipe or a program reads it.
 
+pub mod client;
 pub mod command;
 pub mod exit;
 pub mod local;
 pub mod output;
 pub mod reference;
+pub mod remote;
+pub mod remote_command;
+pub mod reports;
 pub mod schemas;
+pub mod send;
 
 use std::ffi::OsString;
 use std::process::ExitCode;
 
 use clap::ArgMatches;
+use tokio::runtime::Builder;
 
 use self::exit::CtlError;
 use self::exit::ExitKind;
@@ -49,10 +55,34 @@
     match matches.subcommand() {
         Some(("check", part)) => local::check(part, writer),
         Some(("render", part)) => local::render(part, writer),
-        Some(("diff", part)) => local::diff(part, writer),
+        Some(("diff", part)) if part.contains_id("after") => local::diff(part, writer),
         Some(("schema", part)) => schemas::schema(part, writer),
         Some(("key", _)) => local::key(writer),
         Some(("completions", part)) => command::completions(part, writer),
-        _ => Err(CtlError::new(ExitKind::Usage, "no such command")),
+        _ => run_remote(matches, writer),
     }
 }
+
+/// Runs a subcommand that speaks with routers.
+fn run_remote(matches: &ArgMatches, writer: &mut OutputWriter) -> Result<ExitKind, CtlError> {
+    let runtime = Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|error| CtlError::new(ExitKind::File, error.to_string()))?;
+    runtime.block_on(async {
+        match matches.subcommand() {
+            Some(("status", part)) => remote::status(part, writer).await,
+            Some(("diff", part)) => local::diff_running(part, writer).await,
+            Some(("team", part)) => remote::team(part, writer).await,
+            Some(("drain", part)) => remote::drain(part, writer).await,
+            Some(("log-level", part)) => remote::log_level(part, writer).await,
+            Some(("send", part)) => send::send(part, writer).await,
+            Some(("report", part)) => match part.subcommand() {
+                Some(("fairness", part)) => reports::fairness(part, writer).await,
+                Some((_, part)) => reports::burn(part, writer).await,
+                None => Err(CtlError::new(ExitKind::Usage, "name a report")),
+            },
+            _ => Err(CtlError::new(ExitKind::Usage, "no such command")),
+        }
+    })
+}
--- a/src/daemon/files.rs
+++ b/src/daemon/files.rs
@@ -11,6 +11,7 @@
 use crate::configs::peers::PeersConfig;
 use crate::peers::keys::PeerKeys;
 use crate::peers::tls::PeerTls;
+use crate::settings::AdminSettings;
 use crate::settings::PeerSettings;
 
 use super::router::PeerParts;
@@ -49,6 +50,22 @@
     Ok(key)
 }
 
+/// Reads the credential that operators must show.
+///
+/// # Errors
+/// Naming the setting and the file; an empty credential would let everybody in.
+pub fn admin_credential(settings: &AdminSettings) -> Result<String, Report<FileError>> {
+    let setting = "admin.credential_file";
+    let file = &settings.credential_file;
+    let text = read(setting, file)?;
+    let credential = String::from_utf8_lossy(&text).trim().to_owned();
+    if credential.is_empty() {
+        let file = file.clone();
+        return Err(Report::new(FileError { setting, file }).attach("it is empty"));
+    }
+    Ok(credential)
+}
+
 /// Reads the keys and certificates of the peer settings.
 ///
 /// # Errors
--- a/src/daemon/outside.rs
+++ b/src/daemon/outside.rs
@@ -53,12 +53,15 @@
                 tokio::spawn(order_model(Arc::clone(context), endpoint, pool, fence));
             }
             OutsideCommand::AdoptText { revision, text } => {
-                adopt(&context.control, ConfigText { revision, text });
+                adopt(context, ConfigText { revision, text });
+            }
+            OutsideCommand::WatchPlatform(on) => {
+                context.records.board.watches(on);
+                self.watch.send_modify(|order| {
+                    order.on = on;
+                    order.after = context.control.catalog.borrow().revision();
+                });
             }
-            OutsideCommand::WatchPlatform(on) => self.watch.send_modify(|order| {
-                order.on = on;
-                order.after = context.control.catalog.borrow().revision();
-            }),
             OutsideCommand::Send { .. }
             | OutsideCommand::Connect { .. }
             | OutsideCommand::Disconnect(_) => self.tell_mesh(command),
--- a/src/daemon/platform.rs
+++ b/src/daemon/platform.rs
@@ -8,6 +8,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::core::event::CoreEvent;
+use crate::entry::context::EntryContext;
 use crate::platform::ConfigText;
 use crate::platform::PlatformConfig;
 use crate::platform::PlatformHosts;
@@ -20,8 +21,6 @@
 use crate::settings::PlatformSettings;
 use crate::units::ConfigRevision;
 
-use super::control::ControlLink;
-
 /// News that wait for the control thread.
 const WAITING_NEWS: usize = 4;
 
@@ -29,7 +28,7 @@
 /// says so.
 pub fn follow(
     settings: &PlatformSettings,
-    control: &ControlLink,
+    context: &Arc<EntryContext>,
     order: watch::Receiver<WatchOrder>,
     tasks: &TaskTracker,
     closing: &CancellationToken,
@@ -39,18 +38,24 @@
     let source = PlatformConfig::new(settings);
     let following = follow_config(source, timing.clone(), order, sender, closing.clone());
     tasks.spawn(following);
-    tasks.spawn(take_config(control.clone(), news));
+    tasks.spawn(take_config(Arc::clone(context), news));
     let (sender, news) = mpsc::channel(WAITING_NEWS);
     let source = PlatformHosts::new(settings);
     tasks.spawn(follow_hosts(source, timing, sender, closing.clone()));
-    tasks.spawn(take_hosts(control.clone(), news));
+    tasks.spawn(take_hosts(Arc::clone(context), news));
 }
 
-async fn take_config(control: ControlLink, mut news: mpsc::Receiver<ConfigNews>) {
+async fn take_config(context: Arc<EntryContext>, mut news: mpsc::Receiver<ConfigNews>) {
+    let board = &context.records.board;
     while let Some(news) = news.recv().await {
+        let fault = match &news {
+            ConfigNews::Failed(report) => Some(report.to_string()),
+            _ => None,
+        };
+        board.platform(fault);
         let answered = match news {
             ConfigNews::Newer(text) => {
-                adopt(&control, text);
+                adopt(&context, text);
                 true
             }
             ConfigNews::Unchanged => true,
@@ -59,12 +64,14 @@
                 false
             }
         };
-        control.tell(CoreEvent::PlatformAnswered(answered));
+        let answered = CoreEvent::PlatformAnswered(answered);
+        context.control.tell(answered);
     }
 }
 
 /// Checks and renders a publication and tells the core; a bad one is refused whole and logged.
-pub fn adopt(control: &ControlLink, text: ConfigText) {
+pub fn adopt(context: &EntryContext, text: ConfigText) {
+    let control = &context.control;
     let ConfigText { revision, text } = text;
     if revision <= control.catalog.borrow().revision() {
         return;
@@ -78,17 +85,25 @@
             });
         }
         Err(faults) => {
+            context.records.board.refused(revision, &faults);
             let kept: ConfigRevision = control.catalog.borrow().revision();
             spdlog::error!("config: revision {revision} refused, {kept} stays in force: {faults}.");
         }
     }
 }
 
-async fn take_hosts(control: ControlLink, mut news: mpsc::Receiver<HostNews>) {
+async fn take_hosts(context: Arc<EntryContext>, mut news: mpsc::Receiver<HostNews>) {
+    let board = &context.records.board;
     while let Some(news) = news.recv().await {
         match news {
-            HostNews::Listed(list) => control.tell(list.event()),
-            HostNews::Failed(report) => spdlog::warn!("hosts: {report}."),
+            HostNews::Listed(list) => {
+                board.hosts(None);
+                context.control.tell(list.event());
+            }
+            HostNews::Failed(report) => {
+                spdlog::warn!("hosts: {report}.");
+                board.hosts(Some(report.to_string()));
+            }
         }
     }
 }
--- a/src/daemon/process.rs
+++ b/src/daemon/process.rs
@@ -14,6 +14,7 @@
 use crate::settings::ProcessSettings;
 use crate::units::RouterIncarnation;
 
+use super::files::admin_credential;
 use super::files::peer_parts;
 use super::router::Router;
 use super::router::RouterParts;
@@ -81,9 +82,15 @@
 pub async fn run(settings: &ProcessSettings) -> Result<ExitCode, Report<ProcessError>> {
     let mut signals = StopSignals::listen().change_context(ProcessError)?;
     let parts = router_parts(settings)?;
+    let credential = admin_credential(&settings.admin).change_context(ProcessError)?;
     let incarnation = parts.incarnation;
     let router = Router::start(parts).await.change_context(ProcessError)?;
+    let admin = router
+        .serve_admin(settings.admin.listen, &credential)
+        .await
+        .change_context(ProcessError)?;
     let (host, callers) = (&settings.host, router.callers);
+    spdlog::info!("daemon: operators are answered on {admin}.");
     spdlog::info!("daemon: {host} incarnation {incarnation} takes calls on {callers}.");
     signals.next().await;
     spdlog::info!("daemon: drain begins; a second signal ends it at once.");
--- a/src/daemon/router.rs
+++ b/src/daemon/router.rs
@@ -14,6 +14,10 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::admin::records::RouterRecords;
+use crate::admin::sampler::sample;
+use crate::admin::server::AdminContext;
+use crate::admin::server::AdminServer;
 use crate::configs::CoreConfig;
 use crate::configs::peers::PeersConfig;
 use crate::configs::traffic::TrafficConfig;
@@ -89,8 +93,12 @@
     ControlThread,
     /// Listening for peers.
     PeerListener,
+    /// Registering the metrics.
+    Metrics,
     /// Listening for callers.
     CallerListener,
+    /// Listening for operators.
+    AdminListener,
 }
 
 /// A router that could not start.
@@ -105,6 +113,8 @@
         formatter.write_str(match self.step {
             StartStep::ControlThread => "the control thread does not start",
             StartStep::PeerListener => "the peer listener does not open",
+            StartStep::Metrics => "the metrics can't be registered",
+            StartStep::AdminListener => "the admin listener does not open",
             StartStep::CallerListener => "the caller listener does not open",
         })
     }
@@ -153,7 +163,10 @@
         let thread = control::start(identity, parts.core, parts.seed)
             .change_context(fault(StartStep::ControlThread))?;
         let forwards = mesh.as_ref().map(PeerMesh::forward_client);
-        let context = Arc::new(EntryContext::new(thread.link, parts.traffic, forwards));
+        let records = RouterRecords::new().change_context(fault(StartStep::Metrics))?;
+        let records = Arc::new(records);
+        let context = EntryContext::new(thread.link, parts.traffic, forwards, records);
+        let context = Arc::new(context);
         let (front, callers) = bind_front(parts.callers, &context)
             .await
             .change_context(fault(StartStep::CallerListener))?;
@@ -171,7 +184,8 @@
             ..WatchOrder::default()
         });
         if let Some(settings) = &parts.platform {
-            platform::follow(settings, &context.control, order, &tasks, &closing);
+            context.records.board.watches(true);
+            platform::follow(settings, &context, order, &tasks, &closing);
         }
         let hands = OutsideHands {
             context: Arc::clone(&context),
@@ -180,6 +194,8 @@
             closing: closing.clone(),
         };
         tasks.spawn(hands.run(thread.commands));
+        let (control, records) = (context.control.clone(), Arc::clone(&context.records));
+        tasks.spawn(sample(control, records, mesh.clone(), closing.clone()));
         Ok(Self {
             context,
             callers,
@@ -192,6 +208,28 @@
         })
     }
 
+    /// Answers operators who show `credential`; returns where.
+    ///
+    /// # Errors
+    /// If the address can't be had.
+    pub async fn serve_admin(
+        &self,
+        listen: SocketAddr,
+        credential: &str,
+    ) -> Result<SocketAddr, Report<StartError>> {
+        let fault = StartError {
+            step: StartStep::AdminListener,
+        };
+        let bound = bind_admin(listen).await.change_context(fault)?;
+        let (server, address) = bound;
+        let records = Arc::clone(&self.context.records);
+        let mesh = self.mesh.clone();
+        let context = AdminContext::new(self.control().clone(), records, mesh, credential);
+        self.tasks
+            .spawn(server.serve(context, self.closing.clone()));
+        Ok(address)
+    }
+
     /// The way to its control thread.
     #[must_use]
     pub fn control(&self) -> &ControlLink {
@@ -264,6 +302,12 @@
     }))
 }
 
+async fn bind_admin(listen: SocketAddr) -> Result<(AdminServer, SocketAddr), io::Error> {
+    let server = AdminServer::bind(listen).await?;
+    let address = server.address()?;
+    Ok((server, address))
+}
+
 async fn bind_front(
     address: SocketAddr,
     context: &Arc<EntryContext>,
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -1,10 +1,12 @@
 //! What all requests of a router share on the traffic side.
 
+use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
 use tokio_util::task::TaskTracker;
 
+use crate::admin::records::RouterRecords;
 use crate::configs::traffic::TrafficConfig;
 use crate::daemon::control::ControlLink;
 use crate::endpoint::connections::EndpointConnections;
@@ -25,6 +27,8 @@
     pub signer: TicketSigner,
     /// The way to peers for forwarded requests; absent in a router without peers.
     pub forwards: Option<ForwardClient>,
+    /// What operators can ask for.
+    pub records: Arc<RouterRecords>,
     /// Tasks of requests, waited for at a shutdown.
     pub tasks: TaskTracker,
     last_request: AtomicU64,
@@ -37,6 +41,7 @@
         control: ControlLink,
         config: TrafficConfig,
         forwards: Option<ForwardClient>,
+        records: Arc<RouterRecords>,
     ) -> Self {
         Self {
             connections: EndpointConnections::new(&config),
@@ -44,6 +49,7 @@
             control,
             config,
             forwards,
+            records,
             tasks: TaskTracker::new(),
             last_request: AtomicU64::new(0),
         }
--- a/src/entry/task.rs
+++ b/src/entry/task.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::time::Instant;
 
 use bytes::Bytes;
 use http::HeaderMap;
@@ -130,6 +131,7 @@
     commands: UnboundedReceiver<RequestCommand>,
     left_told: bool,
     may_have_run: bool,
+    arrived: Instant,
 }
 
 impl RequestTask {
@@ -144,6 +146,7 @@
             commands,
             left_told: false,
             may_have_run: false,
+            arrived: Instant::now(),
         };
         while let Some(command) = running.next_command().await {
             if running.obey(command).await {
@@ -183,7 +186,10 @@
                 return false;
             }
             RequestCommand::Cancel(_) => return false,
-            RequestCommand::Complete => self.caller.end(),
+            RequestCommand::Complete => {
+                self.caller.end();
+                self.count(None);
+            }
             RequestCommand::Refuse {
                 reason,
                 outcome,
@@ -204,6 +210,7 @@
         let team = self.facts.team;
         spdlog::debug!("entry: request {request} team {team} refused: {reason:?}, {outcome:?}.");
         self.context.control.answers.forget(request);
+        self.count(Some(outcome));
         let fault = CallFault::Refused {
             reason,
             outcome,
@@ -212,6 +219,18 @@
         self.caller.fail(fault);
     }
 
+    /// Counts the answer for the reports: a whole one, or one refused with this outcome. What a
+    /// peer answers is counted there, and a caller that left is not counted.
+    fn count(&self, refused: Option<RunOutcome>) {
+        let catalog = Arc::clone(&self.context.control.catalog.borrow().fleet);
+        let elapsed = self.arrived.elapsed();
+        let records = &self.context.records;
+        match refused {
+            None => records.answered(&catalog, &self.facts, elapsed),
+            Some(outcome) => records.refused(&catalog, &self.facts, outcome, elapsed),
+        }
+    }
+
     /// Makes an attempt. Returns a command that ended it early, if one did.
     async fn attempt(&mut self, order: DispatchOrder) -> Option<RequestCommand> {
         let request = self.facts.request;
--- /dev/null
+++ b/tests/ctl.rs
@@ -0,0 +1,217 @@
+//! `verbenactl` as operators run it, against two routers with stand-ins.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use serde_json::Value;
+use serde_json::json;
+use tokio::process::Command;
+
+#[path = "../examples/shared/mod.rs"]
+mod shared;
+
+use self::shared::endpoint::EndpointRole;
+use self::shared::endpoint::StandinEndpoint;
+use self::shared::fleet::LocalFleet;
+use self::shared::site::Site;
+use self::shared::site::key_of;
+
+const CREDENTIAL: &str = "what operators show";
+
+/// A fleet with its admin listeners and a directory of its own.
+struct OperatorDesk {
+    fleet: LocalFleet,
+    admins: Vec<SocketAddr>,
+    directory: PathBuf,
+    _engine: StandinEndpoint,
+    _portal: StandinEndpoint,
+}
+
+/// What the tool did.
+#[derive(Debug)]
+struct ToolRun {
+    code: Option<i32>,
+    out: String,
+    err: String,
+}
+
+impl ToolRun {
+    fn json(&self) -> Value {
+        serde_json::from_str(&self.out).unwrap_or_else(|error| panic!("{error}: {self:?}"))
+    }
+}
+
+async fn tool(arguments: &[&str]) -> ToolRun {
+    let output = Command::new(env!("CARGO_BIN_EXE_verbenactl"))
+        .args(arguments)
+        .output()
+        .await
+        .unwrap();
+    ToolRun {
+        code: output.status.code(),
+        out: String::from_utf8(output.stdout).unwrap(),
+        err: String::from_utf8(output.stderr).unwrap(),
+    }
+}
+
+impl OperatorDesk {
+    async fn start(name: &str) -> Self {
+        let listen = "127.0.0.1:0".parse().unwrap();
+        let engine = EndpointRole::Engine {
+            model: "luma".to_owned(),
+            token: Duration::from_millis(1),
+            resumes: false,
+            checks_fence: true,
+        };
+        let engine = StandinEndpoint::start(listen, engine, 4).await.unwrap();
+        let portal = EndpointRole::Plain {
+            pool: "portal".to_owned(),
+            work: Duration::ZERO,
+        };
+        let portal = StandinEndpoint::start(listen, portal, 4).await.unwrap();
+        let site = Site::default()
+            .team("nadi", 1)
+            .endpoint("engine-1", &engine, 4)
+            .endpoint("portal-1", &portal, 4);
+        let fleet = LocalFleet::start(2, &site).await;
+        let mut admins = Vec::new();
+        for router in &fleet.routers {
+            admins.push(router.serve_admin(listen, CREDENTIAL).await.unwrap());
+        }
+        let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+        std::fs::create_dir_all(&directory).unwrap();
+        std::fs::write(directory.join("admin.key"), format!("{CREDENTIAL}\n")).unwrap();
+        std::fs::write(directory.join("nadi.key"), key_of("nadi")).unwrap();
+        let publication = site.publication(1).to_string();
+        std::fs::write(directory.join("publication.json"), publication).unwrap();
+        Self {
+            fleet,
+            admins,
+            directory,
+            _engine: engine,
+            _portal: portal,
+        }
+    }
+
+    fn path(&self, file: &str) -> String {
+        self.directory.join(file).display().to_string()
+    }
+
+    /// Runs the tool towards all routers, or one.
+    async fn ask(&self, admin: Option<usize>, arguments: &[&str]) -> ToolRun {
+        let admins: Vec<String> = match admin {
+            Some(index) => vec![self.admins[index].to_string()],
+            None => self.admins.iter().map(ToString::to_string).collect(),
+        };
+        let (admins, key) = (admins.join(","), self.path("admin.key"));
+        let mut all = arguments.to_vec();
+        all.extend(["--admin", &admins, "--credential-file", &key]);
+        tool(&all).await
+    }
+
+    async fn send(&self, arguments: &[&str]) -> ToolRun {
+        let to = self.fleet.routers[0].callers.to_string();
+        let key = self.path("nadi.key");
+        let mut all = vec!["send", "--to", &to, "--key-file", &key, "--json"];
+        all.extend(arguments);
+        tool(&all).await
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_operator_sees_the_fleet_and_a_caller_its_answers() {
+    let desk = OperatorDesk::start("fleet").await;
+    let prompt = json!({"model": "luma", "prompt": "a night", "max_tokens": 3}).to_string();
+    let sent = desk.send(&["/v1/completions", "--data", &prompt]).await;
+    assert_eq!(sent.code, Some(0), "{sent:?}");
+    let logged = desk.send(&["/portal/log", "--data", "{}"]).await;
+    assert_eq!(logged.code, Some(0), "{logged:?}");
+    assert_eq!(logged.json()["sends"], 2);
+    assert!(logged.json()["ticket"].is_string());
+    let status = desk.ask(None, &["status", "--json"]).await;
+    assert_eq!(status.code, Some(0), "{status:?}");
+    let routers = status.json()["routers"].as_array().unwrap().clone();
+    assert_eq!(routers.len(), 2);
+    assert_eq!(routers[0]["publication"]["revision"], 1);
+    assert_eq!(routers[0]["members"].as_array().unwrap().len(), 2);
+    let burn = desk.ask(None, &["report", "burn", "--json"]).await.json();
+    let good: u64 = burn["rows"]
+        .as_array()
+        .unwrap()
+        .iter()
+        .map(|row| row["spans"]["300"]["good"].as_u64().unwrap())
+        .sum();
+    assert_eq!(good, 2, "{burn}");
+    let page = desk.path("burn.html");
+    let plain = desk.ask(None, &["report", "burn", "--html", &page]).await;
+    assert!(plain.out.starts_with("team\tkind\t"), "{plain:?}");
+    assert!(std::fs::read_to_string(&page).unwrap().contains("nadi"));
+    let fairness = desk.ask(None, &["report", "fairness", "--json"]).await;
+    assert_eq!(fairness.json()["routers"].as_array().unwrap().len(), 2);
+    let team = desk.ask(None, &["team", "nadi", "--json"]).await;
+    assert_eq!(team.json()["routers"][0]["pools"][0]["waiting"], 0);
+    assert_eq!(desk.ask(None, &["team", "nobody"]).await.code, Some(1));
+    for part in ["teams", "endpoints", "members"] {
+        let shown = desk.ask(None, &["status", part, "--format", "table"]).await;
+        assert_eq!(shown.code, Some(0), "{shown:?}");
+        assert!(shown.out.lines().count() > 1, "{shown:?}");
+    }
+    desk.fleet.stop().await;
+}
+
+// A publication with a fault reaches the platform. The routers keep the last good one, and the
+// operator who wonders why nothing changed sees the fault and its path in `status`.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_refused_publication_is_shown_and_the_last_good_one_stays() {
+    let desk = OperatorDesk::start("refused").await;
+    let text = std::fs::read_to_string(desk.path("publication.json")).unwrap();
+    let next = text.replace("\"share\":1,\"template\"", "\"share\":0,\"template\"");
+    assert_ne!(next, text);
+    std::fs::write(desk.path("next.json"), &next).unwrap();
+    let checked = tool(&["check", &desk.path("next.json")]).await;
+    assert_eq!(checked.code, Some(1));
+    assert!(checked.out.contains("teams.nadi.share"), "{checked:?}");
+    desk.fleet.platform.publish(next);
+    let status = loop {
+        let status = desk.ask(None, &["status"]).await;
+        if status.code == Some(1) {
+            break status;
+        }
+    };
+    assert!(
+        status.out.contains("revision 2 refused: teams.nadi.share"),
+        "{status:?}"
+    );
+    let mended = text.replace("\"share\":1,\"template\"", "\"share\":5,\"template\"");
+    std::fs::write(desk.path("mended.json"), mended).unwrap();
+    let diff = desk
+        .ask(Some(0), &["diff", &desk.path("mended.json")])
+        .await;
+    assert_eq!(diff.code, Some(1), "{diff:?}");
+    assert_eq!(diff.out, "path\tbefore\tafter\nteams.nadi.share\t1\t5\n");
+    desk.fleet.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_drained_router_says_so_and_strangers_learn_nothing() {
+    let desk = OperatorDesk::start("drain").await;
+    let level = desk.ask(Some(0), &["log-level", "warn"]).await;
+    assert_eq!(level.code, Some(0), "{level:?}");
+    let drained = desk.ask(Some(0), &["drain", "--wait", "--json"]).await;
+    assert_eq!(drained.json()["readiness"]["ready"], false);
+    let status = desk.ask(None, &["status"]).await;
+    assert_eq!(status.code, Some(1));
+    assert!(status.out.contains("no: draining"), "{status:?}");
+    assert_eq!(desk.ask(None, &["drain"]).await.code, Some(2));
+    let wrong = desk.path("wrong.key");
+    std::fs::write(Path::new(&wrong), "a guess").unwrap();
+    let admin = desk.admins[1].to_string();
+    let arguments = ["status", "--admin", &admin, "--credential-file", &wrong];
+    let refused = tool(&arguments).await;
+    assert_eq!(refused.code, Some(4));
+    assert!(refused.err.contains("401"), "{refused:?}");
+    assert!(refused.out.is_empty(), "{refused:?}");
+    desk.fleet.stop().await;
+}
