--- a/src/ctl/local.rs
+++ b/src/ctl/local.rs
@@ -61,12 +61,12 @@
         }),
         Some("hosts") => HostList::read(&text).map(|list| {
             let (routers, endpoints) = (list.routers.len(), list.endpoints.len());
-            format!("{routers} routers, {endpoints} endpoints")
+            format!("routers: {routers}, endpoints: {endpoints}")
         }),
         _ => catalog(&text).map(|catalog| {
             let (teams, pools) = (catalog.teams.len(), catalog.pools.len());
             let endpoints = catalog.endpoints.len();
-            format!("{teams} teams, {pools} pools, {endpoints} endpoints")
+            format!("teams: {teams}, pools: {pools}, endpoints: {endpoints}")
         }),
     };
     let file = path.display().to_string();
--- a/src/daemon/platform.rs
+++ b/src/daemon/platform.rs
@@ -86,6 +86,7 @@
         }
         Err(faults) => {
             context.records.board.refused(revision, &faults);
+            let faults = faults.to_string().replace('\n', "; ");
             let kept: ConfigRevision = control.catalog.borrow().revision();
             spdlog::error!("config: revision {revision} refused, {kept} stays in force: {faults}.");
         }
--- a/src/publication/rendered.rs
+++ b/src/publication/rendered.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 
 use serde::Serialize;
+use serde_json::Map;
 use serde_json::Value;
 use smol_str::SmolStr;
 
@@ -18,6 +19,7 @@
 use crate::catalog::PoolProtocol;
 use crate::catalog::TeamEntry;
 use crate::catalog::UrgencyClass;
+use crate::document::fault::join;
 use crate::units::DomainName;
 use crate::units::EndpointName;
 use crate::units::KindName;
@@ -233,6 +235,19 @@
     changes
 }
 
+fn compare_parts(
+    path: &str,
+    mut before: Map<String, Value>,
+    mut after: Map<String, Value>,
+    changes: &mut Vec<PublicationChange>,
+) {
+    let keys: BTreeSet<String> = before.keys().chain(after.keys()).cloned().collect();
+    for key in keys {
+        let parts = (before.remove(&key), after.remove(&key));
+        compare(join(path, &key), parts.0, parts.1, changes);
+    }
+}
+
 fn compare(
     path: String,
     before: Option<Value>,
@@ -241,13 +256,16 @@
 ) {
     match (before, after) {
         (before, after) if before == after => {}
-        (Some(Value::Object(mut before)), Some(Value::Object(mut after))) => {
-            let keys: BTreeSet<String> = before.keys().chain(after.keys()).cloned().collect();
-            for key in keys {
-                let below = crate::document::fault::join(&path, &key);
-                compare(below, before.remove(&key), after.remove(&key), changes);
-            }
+        (Some(Value::Object(before)), Some(Value::Object(after))) => {
+            compare_parts(&path, before, after, changes);
+        }
+        (Some(Value::Object(before)), None) => {
+            compare_parts(&path, before, Map::new(), changes);
+        }
+        (None, Some(Value::Object(after))) => {
+            compare_parts(&path, Map::new(), after, changes);
         }
+        (None, Some(Value::Null)) | (Some(Value::Null), None) => {}
         (before, after) => changes.push(PublicationChange {
             path,
             before,
--- a/tests/admin.rs
+++ b/tests/admin.rs
@@ -94,3 +94,27 @@
         assert!(lines.contains(&line), "no {line} in\n{text}");
     }
 }
+
+#[test]
+fn the_reference_names_every_metric() {
+    let fleet = busy_fleet(1);
+    let metrics = RouterMetrics::new().unwrap();
+    let (team, kind) = ("team-1".parse().unwrap(), "tag".parse().unwrap());
+    metrics.answer(&team, &kind, AnswerVerdict::Good, 0.5);
+    let status = status(&fleet, &TrafficCounters::default());
+    let text = metrics.text(status).unwrap();
+    let page = include_str!("../docs/reference/metrics.md");
+    let helps = text.lines().filter_map(|line| line.strip_prefix("# HELP "));
+    let mut seen = 0;
+    for (name, help) in helps.filter_map(|line| line.split_once(' ')) {
+        let row = page
+            .lines()
+            .find(|line| line.starts_with(&format!("| `{name}` ")));
+        assert!(row.is_some_and(|row| row.contains(help)), "{name}: {help}");
+        seen += 1;
+    }
+    let rows = page
+        .lines()
+        .filter(|line| line.starts_with("| `verbenaturn_"));
+    assert_eq!(rows.count(), seen);
+}
--- a/tests/reference.rs
+++ b/tests/reference.rs
@@ -2,17 +2,18 @@
 
 use std::fs;
 use std::path::PathBuf;
+use std::process::Command;
 
 use serde_json::Map;
 use serde_json::Value;
 
+use verbenaturn::ctl::exit::ExitKind;
 use verbenaturn::ctl::reference::REFERENCED;
 use verbenaturn::ctl::reference::reference_text;
 use verbenaturn::ctl::schemas::schema_named;
 use verbenaturn::ctl::schemas::schema_text;
+use verbenaturn::daemon::process::EXIT_CUT;
 use verbenaturn::document::shape::HASH_PATTERN;
-use verbenaturn::publication::adopt;
-use verbenaturn::units::ConfigRevision;
 use verbenaturn::units::NAME_PATTERN;
 
 /// Keywords that `document::shape` checks, or that say nothing about a value.
@@ -112,8 +113,33 @@
 }
 
 #[test]
-fn the_first_days_publication_is_good() {
-    let text = fs::read(docs("operators/first-day/publication.json")).unwrap();
-    let catalog = adopt(ConfigRevision(1), &text).unwrap();
-    assert_eq!(catalog.teams.len(), 2);
+fn exit_codes_are_those_of_the_code() {
+    let page = fs::read_to_string(docs("reference/exit-codes.md")).unwrap();
+    for kind in ExitKind::ALL {
+        let row = format!("| {} | {} |", kind.code(), kind.meaning());
+        assert!(page.contains(&row), "no row {row}");
+    }
+    assert!(page.contains(&format!("| {EXIT_CUT} | A second signal")));
+}
+
+/// What the first-day page shows of commands that need no router is what the tool prints today.
+#[test]
+fn the_first_day_shows_what_the_tool_prints() {
+    let page = fs::read_to_string(docs("operators/first-day.md")).unwrap();
+    let commands = page
+        .lines()
+        .filter(|line| line.starts_with("$ verbenactl check"));
+    let mut run = 0;
+    for command in commands {
+        let words: Vec<&str> = command.split_whitespace().skip(2).collect();
+        let output = Command::new(env!("CARGO_BIN_EXE_verbenactl"))
+            .args(words)
+            .current_dir(docs("operators/first-day"))
+            .output()
+            .unwrap();
+        let shown = format!("{command}\n{}", String::from_utf8_lossy(&output.stdout));
+        assert!(page.contains(&shown), "the page lacks:\n{shown}");
+        run += 1;
+    }
+    assert_eq!(run, 4);
 }
