Leaving and publications: sticky leaving, few readers, peers tell the rest

Incarnations grow with the start time, so that late news of an earlier life is known. Checked: tests/leaving.rs and tests/configuration.rs.

--- a/src/admin/status.rs
+++ b/src/admin/status.rs
@@ -59,6 +59,8 @@
     Draining,
     /// It has no publication yet.
     NoPublication,
+    /// It asks its peers for the newest publication.
+    AskingPeers,
 }
 
 /// Publications as a router sees them.
--- a/src/admin/views.rs
+++ b/src/admin/views.rs
@@ -69,6 +69,8 @@
     }
     if state.catalog.revision.0 == 0 {
         reasons.push(NotReadyReason::NoPublication);
+    } else if !state.publication_sync.ready {
+        reasons.push(NotReadyReason::AskingPeers);
     }
     ReadinessStatus {
         ready: reasons.is_empty(),
--- a/src/configs/mod.rs
+++ b/src/configs/mod.rs
@@ -3,11 +3,13 @@
 pub mod admission;
 pub mod attempts;
 pub mod dispatch;
+pub mod leaving;
 pub mod limits;
 pub mod membership;
 pub mod ownership;
 pub mod peers;
 pub mod probing;
+pub mod publication;
 pub mod quarantine;
 pub mod reporting;
 pub mod tickets;
@@ -20,10 +22,12 @@
 use self::admission::AdmissionConfig;
 use self::attempts::AttemptsConfig;
 use self::dispatch::DispatchConfig;
+use self::leaving::LeavingConfig;
 use self::limits::LimitsConfig;
 use self::membership::MembershipConfig;
 use self::ownership::OwnershipConfig;
 use self::probing::ProbingConfig;
+use self::publication::PublicationConfig;
 use self::quarantine::QuarantineConfig;
 use self::reporting::ReportingConfig;
 use self::tickets::TicketsConfig;
@@ -38,6 +42,8 @@
     pub attempts: AttemptsConfig,
     /// Picking the next request.
     pub dispatch: DispatchConfig,
+    /// Endpoints that leave.
+    pub leaving: LeavingConfig,
     /// How much endpoints are given.
     pub limits: LimitsConfig,
     /// Who the routers are.
@@ -48,6 +54,8 @@
     pub probing: ProbingConfig,
     /// Requests that crash endpoints.
     pub quarantine: QuarantineConfig,
+    /// Which publication is in force.
+    pub publication: PublicationConfig,
     /// Telling owners of demand.
     pub reporting: ReportingConfig,
     /// Unrepeatable requests.
--- a/src/core/event.rs
+++ b/src/core/event.rs
@@ -8,6 +8,7 @@
 use crate::catalog::FleetCatalog;
 use crate::units::AttemptNumber;
 use crate::units::ByteSize;
+use crate::units::ConfigRevision;
 use crate::units::DomainName;
 use crate::units::EndpointId;
 use crate::units::HostName;
@@ -155,6 +156,11 @@
         /// Endpoints that the list calls leaving, with their generation.
         leaving: Vec<(EndpointId, u64)>,
     },
+    /// Endpoints that the host list calls live, with their generation. Follows `HostsListed`.
+    EndpointsListed {
+        /// The endpoints.
+        live: Vec<(EndpointId, u64)>,
+    },
     /// A checked and rendered publication, with the text to pass on to peers.
     Published {
         /// The catalog.
@@ -162,6 +168,11 @@
         /// The published text.
         text: Bytes,
     },
+    /// A publication was refused for its faults.
+    PublicationRefused {
+        /// Its revision.
+        revision: ConfigRevision,
+    },
     /// The configuration service answered (true) or failed (false).
     PlatformAnswered(bool),
     /// A control message arrived.
--- a/src/core/state.rs
+++ b/src/core/state.rs
@@ -11,6 +11,7 @@
 
 use crate::catalog::FleetCatalog;
 use crate::configs::CoreConfig;
+use crate::units::EndpointId;
 use crate::units::HostName;
 use crate::units::Moment;
 use crate::units::PoolId;
@@ -27,8 +28,10 @@
 use super::tables::entry_pool::EntryPool;
 use super::tables::members::MemberTable;
 use super::tables::owned_pool::OwnedPool;
+use super::tables::publication_sync::PublicationSync;
 use super::tables::requests::RequestTable;
 use super::tables::retry_budgets::RetryBudgets;
+use super::tables::rumors::RumorQueue;
 use super::tables::slot_limits::SlotLimits;
 use super::tables::tickets::TicketTable;
 
@@ -47,12 +50,16 @@
     pub catalog: Arc<FleetCatalog>,
     /// Its text, to pass on to peers.
     pub publication_text: Bytes,
+    /// Which revisions peers have.
+    pub publication_sync: PublicationSync,
     /// Routers.
     pub members: MemberTable,
     /// What was seen of them.
     pub detector: DetectorTable,
     /// Endpoints.
     pub endpoints: EndpointTable,
+    /// Leaving endpoints to tell peers of.
+    pub leaving_rumors: RumorQueue<EndpointId>,
     /// Requests that entered the fleet here.
     pub requests: RequestTable,
     /// Crashes and suspects.
@@ -97,8 +104,10 @@
             random: StdRng::seed_from_u64(seed),
             catalog: Arc::default(),
             publication_text: Bytes::new(),
+            publication_sync: PublicationSync::default(),
             detector: DetectorTable::default(),
             endpoints: EndpointTable::default(),
+            leaving_rumors: RumorQueue::default(),
             requests: RequestTable::default(),
             crashes: CrashTable::default(),
             tickets: TicketTable::default(),
--- a/src/core/systems/mod.rs
+++ b/src/core/systems/mod.rs
@@ -5,6 +5,7 @@
 pub mod attempts;
 pub mod dispatch;
 pub mod draining;
+pub mod leaving;
 pub mod limits;
 pub mod membership;
 pub mod ownership;
@@ -26,6 +27,8 @@
     Probing,
     /// Which publication is in force.
     Publication,
+    /// No new work for endpoints that leave.
+    Leaving,
     /// At most one execution of unrepeatable requests.
     Tickets,
     /// New requests, bounded queues, deadlines.
@@ -48,10 +51,11 @@
 
 impl CoreSystem {
     /// The order in which an event passes the systems.
-    pub const ORDER: [Self; 12] = [
+    pub const ORDER: [Self; 13] = [
         Self::Membership,
         Self::Probing,
         Self::Publication,
+        Self::Leaving,
         Self::Tickets,
         Self::Admission,
         Self::Quarantine,
@@ -69,6 +73,7 @@
             Self::Membership => membership::run(state, event),
             Self::Probing => probing::run(state, event),
             Self::Publication => publication::run(state, event),
+            Self::Leaving => leaving::run(state, event),
             Self::Tickets => tickets::run(state, event),
             Self::Admission => admission::run(state, event),
             Self::Quarantine => quarantine::run(state, event),
--- a/src/core/systems/probing.rs
+++ b/src/core/systems/probing.rs
@@ -9,9 +9,11 @@
 use crate::core::action::CoreAction;
 use crate::core::event::CoreEvent;
 use crate::core::state::CoreState;
+use crate::core::systems::leaving;
 use crate::core::systems::membership;
 use crate::core::systems::membership::is_small;
 use crate::core::systems::membership::news_of;
+use crate::core::systems::publication;
 use crate::core::tables::detector::PingRound;
 use crate::core::tables::detector::RelayedPing;
 use crate::core::tables::members::MemberState;
@@ -66,6 +68,7 @@
     let ping = GossipPing {
         step: ANSWER,
         news,
+        leaving: leaving::all_news(state),
         ..blank(state)
     };
     state.send(host, PeerBody::Gossip(ping));
@@ -323,6 +326,7 @@
 fn blank(state: &CoreState) -> GossipPing {
     GossipPing {
         revision: state.catalog.revision.0,
+        service_age: publication::service_age(state),
         ..GossipPing::default()
     }
 }
@@ -341,6 +345,7 @@
         names.insert(0, host.clone());
     }
     GossipPing {
+        leaving: leaving::take_news(state),
         news: names
             .iter()
             .filter_map(|name| news_of(state, name))
--- a/src/core/systems/publication.rs
+++ b/src/core/systems/publication.rs
@@ -1,15 +1,132 @@
-//! Which publication is in force: never an older one than before.
+//! Which publication is in force: never an older one than before, and the newest that anybody has.
+//!
+//! Few routers watch the platform's service: in each failure domain the two live ones of highest
+//! rendezvous rank. Revisions ride on pings; a router that hears of a higher one asks that peer.
 
 use std::sync::Arc;
 
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::core::action::CoreAction;
 use crate::core::event::CoreEvent;
 use crate::core::state::CoreState;
+use crate::core::systems::probing;
+use crate::core::tables::members::MemberTable;
+use crate::core::tables::publication_sync::ConfigKnowledge;
+use crate::core::tables::publication_sync::PublicationFetch;
+use crate::units::ConfigRevision;
+use crate::units::DomainName;
+use crate::units::HostName;
+use crate::units::Moment;
+use crate::units::TimeSpan;
+use crate::wire::PeerBody;
+use crate::wire::gossip::GossipPing;
+use crate::wire::publication::PublicationOffer;
+use crate::wire::publication::PublicationRequest;
+
+/// Seed of the hash that ranks a domain's readers.
+const READER_SEED: u64 = 0x7265_6164;
 
-/// Takes in a checked publication if it is newer.
+/// Takes in publications and revisions; asks for newer ones; decides who watches the service.
 pub fn run(state: &mut CoreState, event: &CoreEvent) {
+    let now = state.now;
+    state.publication_sync.started.get_or_insert(now);
+    match event {
+        CoreEvent::Published { .. } => take_published(state, event),
+        CoreEvent::PublicationRefused { revision } => refused(state, *revision),
+        CoreEvent::PlatformAnswered(true) => state.publication_sync.service_seen = Some(now),
+        CoreEvent::HostsListed { .. } => state.publication_sync.listed = true,
+        CoreEvent::PeerClosed { host } => peer_closed(state, host),
+        CoreEvent::Message { from, message, .. } => match &message.body {
+            Some(PeerBody::Gossip(ping)) => take_ping(state, from, ping),
+            Some(PeerBody::PublicationWanted(request)) => answer(state, from, request),
+            Some(PeerBody::Publication(offer)) => take_offer(state, from, offer),
+            _ => {}
+        },
+        CoreEvent::Tick => {
+            choose_readers(state);
+            retry_fetch(state);
+        }
+        _ => {}
+    }
+    become_ready(state);
+}
+
+/// What this router knows of the newest publication, for status and logs.
+#[must_use]
+pub fn knowledge(state: &CoreState) -> ConfigKnowledge {
+    let sync = &state.publication_sync;
+    let limit = TimeSpan::from_millis(state.config.publication.certain_ms);
+    if state.catalog.revision == ConfigRevision(0) {
+        return ConfigKnowledge::Nothing;
+    }
+    if sync.best_source(state.catalog.revision).is_some() {
+        return ConfigKnowledge::Behind;
+    }
+    let certain = sync
+        .service_seen
+        .is_some_and(|seen| state.now.since(seen) <= limit);
+    if certain {
+        ConfigKnowledge::Current
+    } else {
+        ConfigKnowledge::Uncertain
+    }
+}
+
+/// Milliseconds since the service last answered anyone, plus one; 0 if it never did. Rides on
+/// pings, so that routers that don't read know how old their knowledge is.
+#[must_use]
+pub fn service_age(state: &CoreState) -> u64 {
+    state
+        .publication_sync
+        .service_seen
+        .map_or(0, |seen| state.now.since(seen).as_millis() + 1)
+}
+
+/// The routers that watch the service for a domain.
+#[must_use]
+pub fn readers_of(members: &MemberTable, domain: &DomainName, count: usize) -> Vec<HostName> {
+    let seed = xxh3_64_with_seed(domain.as_str().as_bytes(), READER_SEED);
+    let mut ranked: Vec<(u64, &HostName)> = members
+        .iter()
+        .filter(|(host, row)| row.domain == *domain && members.is_live(host))
+        .map(|(host, _)| (xxh3_64_with_seed(host.as_str().as_bytes(), seed), host))
+        .collect();
+    ranked.sort_unstable();
+    ranked
+        .into_iter()
+        .rev()
+        .take(count)
+        .map(|(_, host)| host.clone())
+        .collect()
+}
+
+fn choose_readers(state: &mut CoreState) {
+    let version = state.members.version();
+    if state.publication_sync.watch_version == version {
+        return;
+    }
+    state.publication_sync.watch_version = version;
+    let count = state.config.publication.readers;
+    let readers = readers_of(&state.members, &state.identity.domain, count);
+    let watches = readers.contains(&state.identity.host);
+    if state.publication_sync.watching != Some(watches) {
+        state.publication_sync.watching = Some(watches);
+        state.act(CoreAction::WatchPlatform(watches));
+    }
+}
+
+fn take_published(state: &mut CoreState, event: &CoreEvent) {
     let CoreEvent::Published { catalog, text } = event else {
         return;
     };
+    let fetch = &state.publication_sync.fetch;
+    if fetch
+        .as_ref()
+        .is_some_and(|fetch| fetch.revision <= catalog.revision)
+    {
+        state.publication_sync.fetch = None;
+    }
     // A lagging reader of the platform may hand out an old revision after a newer one; seen as
     // shares that jump back. Revisions only grow, so refusing a lower one is always right.
     if catalog.revision <= state.catalog.revision {
@@ -21,4 +138,200 @@
         state.entries.entry(*pool).or_default();
         state.woken.insert(*pool);
     }
+    probing::push(state);
+    fetch_if_behind(state);
+}
+
+/// A bad publication is refused whole; the last good one stays in force.
+fn refused(state: &mut CoreState, revision: ConfigRevision) {
+    state.publication_sync.refuse(revision);
+    let fetch = &state.publication_sync.fetch;
+    if fetch
+        .as_ref()
+        .is_some_and(|fetch| fetch.revision == revision)
+    {
+        state.publication_sync.fetch = None;
+    }
+    fetch_if_behind(state);
+}
+
+fn peer_closed(state: &mut CoreState, host: &HostName) {
+    state.publication_sync.told.remove(host);
+    let fetch = &state.publication_sync.fetch;
+    if fetch.as_ref().is_some_and(|fetch| fetch.host == *host) {
+        state.publication_sync.fetch = None;
+        fetch_if_behind(state);
+    }
+}
+
+fn take_ping(state: &mut CoreState, from: &HostName, ping: &GossipPing) {
+    let revision = ConfigRevision(ping.revision);
+    state.publication_sync.told.insert(from.clone(), revision);
+    if let Some(age) = ping.service_age.checked_sub(1) {
+        let age = TimeSpan::from_millis(age.min(u64::from(u32::MAX)));
+        let seen = Moment(state.now.0.saturating_sub(age.0));
+        let known = state.publication_sync.service_seen;
+        state.publication_sync.service_seen = known.max(Some(seen));
+    }
+    fetch_if_behind(state);
+}
+
+/// Asks one peer for its newer publication, unless a question is under way: publications are
+/// large, and a fleet that all asked everybody would choke on one change.
+fn fetch_if_behind(state: &mut CoreState) {
+    if state.publication_sync.fetch.is_some() {
+        return;
+    }
+    let current = state.catalog.revision;
+    let Some((host, revision)) = state.publication_sync.best_source(current) else {
+        return;
+    };
+    state.publication_sync.fetch = Some(PublicationFetch {
+        host: host.clone(),
+        revision,
+        asked_at: state.now,
+    });
+    let request = PublicationRequest {
+        revision: current.0,
+    };
+    state.send(&host, PeerBody::PublicationWanted(request));
+}
+
+/// A peer that does not answer in time is asked no more until it tells its revision again.
+fn retry_fetch(state: &mut CoreState) {
+    let limit = TimeSpan::from_millis(state.config.publication.fetch_ms);
+    let Some(fetch) = &state.publication_sync.fetch else {
+        return;
+    };
+    if state.now.since(fetch.asked_at) < limit {
+        return;
+    }
+    let host = fetch.host.clone();
+    state.publication_sync.fetch = None;
+    state.publication_sync.told.remove(&host);
+    fetch_if_behind(state);
+}
+
+fn answer(state: &mut CoreState, from: &HostName, request: &PublicationRequest) {
+    let newer = state.catalog.revision.0 > request.revision;
+    let text = if newer {
+        state.publication_text.clone()
+    } else {
+        bytes::Bytes::new()
+    };
+    let offer = PublicationOffer {
+        revision: state.catalog.revision.0,
+        text,
+    };
+    state.send(from, PeerBody::Publication(offer));
+}
+
+fn take_offer(state: &mut CoreState, from: &HostName, offer: &PublicationOffer) {
+    let revision = ConfigRevision(offer.revision);
+    let sync = &mut state.publication_sync;
+    // Only an answer to the question under way is taken: a peer can't push texts that nobody
+    // asked for, and a doubled answer is not parsed twice.
+    let Some(fetch) = sync.fetch.as_mut().filter(|fetch| fetch.host == *from) else {
+        return;
+    };
+    fetch.revision = revision;
+    let wanted = revision > state.catalog.revision && !sync.refused.contains(&revision);
+    if !wanted || offer.text.is_empty() {
+        sync.fetch = None;
+        sync.told.remove(from);
+        return;
+    }
+    sync.told.insert(from.clone(), revision);
+    state.act(CoreAction::AdoptText {
+        revision,
+        text: offer.text.clone(),
+    });
+}
+
+/// A router that restarts with nothing may read an old revision from a lagging service. It is
+/// ready only when every router that it knows of told its revision and none is higher, or when
+/// the deadline passed.
+fn become_ready(state: &mut CoreState) {
+    if state.publication_sync.ready || state.catalog.revision == ConfigRevision(0) {
+        return;
+    }
+    let sync = &state.publication_sync;
+    let limit = TimeSpan::from_millis(state.config.publication.ready_ms);
+    let late = sync
+        .started
+        .is_some_and(|started| state.now.since(started) >= limit);
+    let behind = sync.best_source(state.catalog.revision).is_some();
+    let asked_all = sync.listed
+        && state.members.iter().all(|(host, row)| {
+            let silent = *host != state.identity.host && !sync.told.contains_key(host);
+            !(silent && (row.connected || row.incarnation.is_none()))
+        });
+    state.publication_sync.ready = late || (asked_all && !behind);
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::core::RouterIdentity;
+    use crate::core::tables::members::MemberEntry;
+    use crate::core::tables::members::MemberState;
+    use crate::units::RouterIncarnation;
+
+    /// Seconds that the service holds a watch open by default.
+    const WATCH_S: usize = 30;
+
+    fn members(routers: usize, domains: usize) -> MemberTable {
+        let domain = |number: usize| format!("domain-{}", number % domains).parse().unwrap();
+        let mut table = MemberTable::new(&RouterIdentity {
+            host: "host-0".parse().unwrap(),
+            incarnation: RouterIncarnation(1),
+            domain: domain(0),
+            address: "127.0.0.1:9".into(),
+        });
+        for number in 1..routers {
+            let entry = MemberEntry {
+                incarnation: Some(RouterIncarnation(1)),
+                state: MemberState::Alive,
+                refutation: 0,
+                address: "127.0.0.1:9".into(),
+                domain: domain(number),
+                connected: true,
+                reachable: true,
+            };
+            table.insert(format!("host-{number}").parse().unwrap(), entry);
+        }
+        table
+    }
+
+    fn reader_count(routers: usize, domains: usize) -> usize {
+        let table = members(routers, domains);
+        let domain = |number| format!("domain-{number}").parse().unwrap();
+        (0..domains)
+            .map(|number| readers_of(&table, &domain(number), 2).len())
+            .sum()
+    }
+
+    #[test]
+    fn reads_grow_with_domains_and_not_with_routers() {
+        assert_eq!(reader_count(8, 3), 6);
+        assert_eq!(reader_count(8, 4), 8);
+        assert_eq!(reader_count(1_300, 21), 42);
+        // A waiting watch counts as one read and ends after 30 s, and each of 8,800 changes a day
+        // ends every watch once more: 5.7 reads/s at the large size, of 2,000.
+        let reads_per_day = |readers: usize| readers * (86_400 / WATCH_S + 8_800);
+        assert!(reads_per_day(reader_count(8, 4)) < 2 * 86_400);
+        assert!(reads_per_day(reader_count(1_300, 21)) < 6 * 86_400);
+    }
+
+    #[test]
+    fn a_dead_reader_is_replaced_by_another_of_its_domain() {
+        let mut table = members(9, 3);
+        let domain = "domain-1".parse().unwrap();
+        let before = readers_of(&table, &domain, 2);
+        table.change(&before[0], |row| row.state = MemberState::Dead);
+        let after = readers_of(&table, &domain, 2);
+        assert_eq!(after.len(), 2);
+        assert_eq!(after[0], before[1]);
+        assert!(!after.contains(&before[0]));
+    }
 }
--- a/src/core/tables/endpoints.rs
+++ b/src/core/tables/endpoints.rs
@@ -23,6 +23,8 @@
     pub active: Option<PoolId>,
     /// True once anybody said that this generation leaves. Never goes back to false for it.
     pub leaving: bool,
+    /// True while the publication in force says that it leaves.
+    pub published_leaving: bool,
     /// The generation that the host list gave.
     pub generation: u64,
     /// Its life, from its last load report.
@@ -64,7 +66,7 @@
     pub fn is_open(&self, endpoint: EndpointId, now: Moment) -> bool {
         self.rows
             .get(&endpoint)
-            .is_none_or(|row| !row.leaving && row.rest_until <= now)
+            .is_none_or(|row| !row.leaving && !row.published_leaving && row.rest_until <= now)
     }
 
     /// All rows in id order.
--- a/src/core/tables/mod.rs
+++ b/src/core/tables/mod.rs
@@ -6,6 +6,7 @@
 pub mod entry_pool;
 pub mod members;
 pub mod owned_pool;
+pub mod publication_sync;
 pub mod requests;
 pub mod retry_budgets;
 pub mod rumors;
--- a/src/daemon/platform.rs
+++ b/src/daemon/platform.rs
@@ -89,6 +89,7 @@
             let faults = faults.to_string().replace('\n', "; ");
             let kept: ConfigRevision = control.catalog.borrow().revision();
             spdlog::error!("config: revision {revision} refused, {kept} stays in force: {faults}.");
+            control.tell(CoreEvent::PublicationRefused { revision });
         }
     }
 }
@@ -100,6 +101,7 @@
             HostNews::Listed(list) => {
                 board.hosts(None);
                 context.control.tell(list.event());
+                context.control.tell(list.live_event());
             }
             HostNews::Failed(report) => {
                 spdlog::warn!("hosts: {report}.");
--- a/src/daemon/process.rs
+++ b/src/daemon/process.rs
@@ -3,6 +3,8 @@
 use std::fmt;
 use std::process::ExitCode;
 use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use error_stack::Report;
 use error_stack::ResultExt;
@@ -65,7 +67,7 @@
     Ok(RouterParts {
         host: settings.host.clone(),
         domain: settings.domain.clone(),
-        incarnation: RouterIncarnation(rand::random()),
+        incarnation: RouterIncarnation::drawn_at(unix_seconds(), rand::random()),
         callers: settings.callers.listen,
         peers: Some(peers),
         platform: Some(settings.platform.clone()),
@@ -75,6 +77,12 @@
     })
 }
 
+fn unix_seconds() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |passed| passed.as_secs())
+}
+
 /// Runs a router until a signal has ended it.
 ///
 /// # Errors
--- a/src/platform/hosts.rs
+++ b/src/platform/hosts.rs
@@ -87,12 +87,8 @@
             };
             routers.insert(&row.host, router);
         }
-        let mut endpoints: BTreeMap<EndpointId, (u64, bool)> = BTreeMap::new();
-        for row in &self.endpoints {
-            let seen = endpoints.entry(EndpointId::from(&row.name)).or_default();
-            *seen = (*seen).max((row.generation, row.leaving));
-        }
-        let leaving = endpoints
+        let leaving = self
+            .endpoint_rows()
             .into_iter()
             .filter_map(|(id, (generation, leaving))| leaving.then_some((id, generation)))
             .collect();
@@ -101,6 +97,26 @@
             leaving,
         }
     }
+
+    /// The endpoints that the list calls live, with their generations.
+    #[must_use]
+    pub fn live_event(&self) -> CoreEvent {
+        let live = self
+            .endpoint_rows()
+            .into_iter()
+            .filter_map(|(id, (generation, leaving))| (!leaving).then_some((id, generation)))
+            .collect();
+        CoreEvent::EndpointsListed { live }
+    }
+
+    fn endpoint_rows(&self) -> BTreeMap<EndpointId, (u64, bool)> {
+        let mut endpoints: BTreeMap<EndpointId, (u64, bool)> = BTreeMap::new();
+        for row in &self.endpoints {
+            let seen = endpoints.entry(EndpointId::from(&row.name)).or_default();
+            *seen = (*seen).max((row.generation, row.leaving));
+        }
+        endpoints
+    }
 }
 
 #[cfg(test)]
--- a/src/units/number.rs
+++ b/src/units/number.rs
@@ -92,6 +92,16 @@
     PoolId, u32
 );
 
+impl RouterIncarnation {
+    /// The incarnation of a process that starts at this second. Later starts get higher numbers,
+    /// by which late news of an earlier life is known; the lower half tells apart two starts
+    /// within a second.
+    #[must_use]
+    pub fn drawn_at(unix_seconds: u64, random: u32) -> Self {
+        Self(unix_seconds << 32 | u64::from(random))
+    }
+}
+
 /// A publication in which two names share an id is refused, so the cut is safe.
 #[allow(clippy::cast_possible_truncation)]
 fn id_of(text: &str) -> u32 {
--- a/src/wire/gossip.rs
+++ b/src/wire/gossip.rs
@@ -23,6 +23,10 @@
     /// Endpoints known to leave: id and the revision or generation that says so.
     #[prost(message, repeated, tag = "6")]
     pub leaving: Vec<LeavingNews>,
+    /// Milliseconds since the configuration service last answered anyone whom the sender knows
+    /// of, plus one; 0 if it never did.
+    #[prost(uint64, tag = "7")]
+    pub service_age: u64,
 }
 
 /// What is known of one router.
--- /dev/null
+++ b/tests/configuration.rs
@@ -0,0 +1,242 @@
+//! Publications reach every router, never go back, and a router that can't know says so.
+
+mod cores;
+
+use bytes::Bytes;
+
+use verbenaturn::core::action::CoreAction;
+use verbenaturn::core::event::CoreEvent;
+use verbenaturn::core::systems::publication;
+use verbenaturn::core::tables::publication_sync::ConfigKnowledge;
+use verbenaturn::wire::PeerBody;
+use verbenaturn::wire::PeerMessage;
+use verbenaturn::wire::gossip::GossipPing;
+use verbenaturn::wire::publication::PublicationOffer;
+
+use self::cores::CoreFleet;
+use self::cores::catalog;
+use self::cores::host;
+
+/// Milliseconds after which a publication that one router has is in force at all: the stated
+/// bound.
+const BOUND_MS: u64 = 2_000;
+
+const HOUR_MS: u64 = 3_600_000;
+
+fn fleet() -> CoreFleet {
+    let mut fleet = CoreFleet::new(8, catalog(1, 4));
+    answer(&mut fleet);
+    fleet
+}
+
+/// The service answers the routers that watch it.
+fn answer(fleet: &mut CoreFleet) {
+    for router in 0..8 {
+        let watches = fleet.core(router).state().publication_sync.watching;
+        if watches == Some(true) {
+            fleet.tell(router, CoreEvent::PlatformAnswered(true));
+        }
+    }
+}
+
+fn publish(fleet: &mut CoreFleet, router: usize, revision: u64) {
+    let text = Bytes::from(format!("good {revision}"));
+    let published = fleet.publication(revision, text);
+    fleet.tell(router, published);
+}
+
+fn revision(fleet: &CoreFleet, router: usize) -> u64 {
+    fleet.core(router).state().catalog.revision.0
+}
+
+fn revisions(fleet: &CoreFleet) -> Vec<u64> {
+    (0..8).map(|router| revision(fleet, router)).collect()
+}
+
+fn knowledge(fleet: &CoreFleet, router: usize) -> ConfigKnowledge {
+    publication::knowledge(fleet.core(router).state())
+}
+
+#[test]
+fn one_reader_is_enough_for_all() {
+    for reader in 0..8 {
+        let mut fleet = fleet();
+        publish(&mut fleet, reader, 7);
+        fleet.advance(BOUND_MS);
+        assert_eq!(revisions(&fleet), [7; 8]);
+        assert_eq!(fleet.adoptions, 7, "each router fetched it once");
+    }
+}
+
+// The configuration service serves an old revision to some readers while others have the new
+// one. Nobody may go back to the old one, whichever comes first and however often.
+#[test]
+fn an_old_revision_for_some_readers_reverts_nothing() {
+    let mut fleet = fleet();
+    publish(&mut fleet, 2, 7);
+    for round in 0..5 {
+        for router in 0..8 {
+            publish(&mut fleet, router, 3 + round % 2);
+            assert!(revision(&fleet, router) >= 3);
+        }
+        publish(&mut fleet, 2, 6);
+        fleet.advance(BOUND_MS);
+        assert_eq!(revisions(&fleet), [7; 8]);
+    }
+}
+
+// The service is down for an hour. In that hour a router restarts with nothing in memory, and
+// another reads an old revision from a cache. Both must end at the newest, from their peers, and
+// the fleet must say that it can't know whether there is a newer one; then the service is back.
+#[test]
+fn an_hour_without_the_service_and_a_restart_in_it() {
+    let mut fleet = fleet();
+    publish(&mut fleet, 0, 9);
+    fleet.advance(BOUND_MS);
+    answer(&mut fleet);
+    fleet.advance(BOUND_MS);
+    for router in 0..8 {
+        assert_eq!(knowledge(&fleet, router), ConfigKnowledge::Current);
+    }
+    fleet.advance_by(HOUR_MS / 2, 50_000);
+    for router in 0..8 {
+        fleet.tell(router, CoreEvent::PlatformAnswered(false));
+        assert_eq!(knowledge(&fleet, router), ConfigKnowledge::Uncertain);
+    }
+    fleet.stop(5);
+    fleet.advance(1_000);
+    fleet.start_with(5, None);
+    fleet.stop(6);
+    fleet.advance(1_000);
+    let old = fleet.publication(4, Bytes::from_static(b"good 4"));
+    fleet.start_with(6, Some(old));
+    fleet.advance(BOUND_MS);
+    fleet.advance_by(HOUR_MS / 2, 50_000);
+    assert_eq!(revisions(&fleet), [9; 8]);
+    assert!(fleet.core(5).state().publication_sync.ready);
+    assert_eq!(knowledge(&fleet, 5), ConfigKnowledge::Uncertain);
+    answer(&mut fleet);
+    fleet.advance(BOUND_MS);
+    for router in 0..8 {
+        assert_eq!(knowledge(&fleet, router), ConfigKnowledge::Current);
+    }
+}
+
+// A router restarts and reads an old revision first. It must not tell the balancer that it is
+// ready before its peers have told theirs; a peer that hangs delays that for a bounded time.
+#[test]
+fn a_restarted_router_is_ready_only_with_the_newest() {
+    let mut fleet = fleet();
+    publish(&mut fleet, 0, 9);
+    fleet.advance(BOUND_MS);
+    fleet.stop(5);
+    fleet.advance(2_000);
+    for peer in [0, 1, 2, 3, 4, 6, 7] {
+        fleet.cut.insert((peer.min(5), peer.max(5)));
+    }
+    let old = fleet.publication(4, Bytes::from_static(b"good 4"));
+    fleet.start_with(5, Some(old));
+    assert!(!fleet.core(5).state().publication_sync.ready);
+    fleet.advance(1_000);
+    assert!(!fleet.core(5).state().publication_sync.ready);
+    fleet.mend(5, 3);
+    fleet.mend(5, 7);
+    assert_eq!(revision(&fleet, 5), 9);
+    fleet.advance(3_000);
+    assert!(fleet.core(5).state().publication_sync.ready);
+}
+
+// The network parts, each side's readers get different revisions, a router on the lower side
+// restarts, and the parts join: the higher one wins everywhere.
+#[test]
+fn a_partition_with_two_revisions_ends_at_the_higher() {
+    let mut fleet = fleet();
+    for left in 0..3 {
+        for right in 3..8 {
+            fleet.part(left, right);
+        }
+    }
+    publish(&mut fleet, 0, 5);
+    publish(&mut fleet, 7, 8);
+    fleet.advance(BOUND_MS);
+    assert_eq!(revisions(&fleet), [5, 5, 5, 8, 8, 8, 8, 8]);
+    for left in 0..3 {
+        for right in 3..8 {
+            fleet.mend(left, right);
+        }
+    }
+    fleet.advance(BOUND_MS);
+    assert_eq!(revisions(&fleet), [8; 8]);
+}
+
+// A peer of another build has a publication in force that this router refuses. It must be
+// refused whole, the last good one stays, and it isn't fetched again and again.
+#[test]
+fn a_bad_publication_is_refused_once() {
+    let mut fleet = fleet();
+    let bad = fleet.publication(9, Bytes::from_static(b"bad"));
+    fleet.tell(0, bad);
+    fleet.advance(60_000);
+    assert_eq!(revisions(&fleet), [9, 1, 1, 1, 1, 1, 1, 1]);
+    assert_eq!(fleet.adoptions, 7, "each router looked at it once");
+    publish(&mut fleet, 3, 10);
+    fleet.advance(BOUND_MS);
+    assert_eq!(revisions(&fleet), [10; 8]);
+}
+
+// A peer tells a revision and then hangs. The question goes to another one after a time, and a
+// text that nobody asked for is not taken.
+#[test]
+fn a_peer_that_hangs_or_pushes_does_not_stop_the_others() {
+    let mut fleet = fleet();
+    let from_five = |body| CoreEvent::Message {
+        from: host(5),
+        incarnation: verbenaturn::units::RouterIncarnation(0),
+        message: PeerMessage::new(body),
+    };
+    let pushed = PublicationOffer {
+        revision: 50,
+        text: Bytes::from_static(b"good 50"),
+    };
+    fleet.tell(2, from_five(PeerBody::Publication(pushed)));
+    assert_eq!(revision(&fleet, 2), 1);
+    fleet.cut.insert((2, 5));
+    let told = GossipPing {
+        step: 1,
+        revision: 60,
+        ..GossipPing::default()
+    };
+    fleet.tell(2, from_five(PeerBody::Gossip(told)));
+    publish(&mut fleet, 0, 7);
+    fleet.advance(2 * BOUND_MS);
+    assert_eq!(revision(&fleet, 2), 7);
+}
+
+#[test]
+fn two_routers_of_each_domain_watch_and_others_take_over() {
+    let mut fleet = fleet();
+    let watching = |fleet: &CoreFleet| -> Vec<usize> {
+        (0..8)
+            .filter(|router| fleet.cores[*router].is_some())
+            .filter(|router| {
+                let sync = &fleet.core(*router).state().publication_sync;
+                sync.watching == Some(true)
+            })
+            .collect()
+    };
+    let before = watching(&fleet);
+    assert_eq!(before.len(), 6, "three domains");
+    let idle: Vec<usize> = (0..8).filter(|router| !before.contains(router)).collect();
+    assert_eq!(idle.len(), 2);
+    let lost = before
+        .iter()
+        .copied()
+        .find(|router| router % 3 == idle[0] % 3);
+    let lost = lost.expect("two of its domain watch");
+    fleet.stop(lost);
+    fleet.advance(3_000);
+    assert!(watching(&fleet).contains(&idle[0]));
+    assert!(!watching(&fleet).contains(&idle[1]));
+    let actions = fleet.take(idle[0]);
+    assert!(actions.contains(&CoreAction::WatchPlatform(true)));
+}
--- a/tests/cores/mod.rs
+++ b/tests/cores/mod.rs
@@ -195,6 +195,8 @@
     pub now: Moment,
     /// Pairs of routers that do not reach each other.
     pub cut: BTreeSet<(usize, usize)>,
+    /// Texts that cores had checked.
+    pub adoptions: u64,
     /// Messages sent, for counting.
     pub messages: u64,
     /// Bytes of membership messages sent, frames included.
@@ -217,6 +219,7 @@
             cores: (0..routers).map(|_| None).collect(),
             now: Moment(1_000_000),
             cut: BTreeSet::new(),
+            adoptions: 0,
             messages: 0,
             gossip_bytes: 0,
             actions: Vec::new(),
@@ -232,8 +235,15 @@
         fleet
     }
 
-    /// Starts a router with nothing in memory.
+    /// Starts a router with nothing in memory that reads the publication.
     pub fn start(&mut self, router: usize) {
+        let catalog = Arc::clone(&self.catalog);
+        let text = Bytes::new();
+        self.start_with(router, Some(CoreEvent::Published { catalog, text }));
+    }
+
+    /// Starts a router with nothing in memory; `published` is what the service gives it.
+    pub fn start_with(&mut self, router: usize, published: Option<CoreEvent>) {
         self.lives += 1;
         let identity = RouterIdentity {
             host: host(router),
@@ -246,9 +256,9 @@
         let routers = (0..self.cores.len()).map(listed).collect();
         let leaving = Vec::new();
         self.tell(router, CoreEvent::HostsListed { routers, leaving });
-        let catalog = Arc::clone(&self.catalog);
-        let text = Bytes::new();
-        self.tell(router, CoreEvent::Published { catalog, text });
+        if let Some(published) = published {
+            self.tell(router, published);
+        }
         for peer in 0..self.cores.len() {
             self.connect(router, peer);
         }
@@ -317,12 +327,32 @@
                     CoreAction::Send { host, message } => {
                         queue.extend(self.delivery(router, &host, message));
                     }
+                    CoreAction::AdoptText { revision, text } => {
+                        self.adoptions += 1;
+                        queue.push_back((router, self.adopt(revision, &text)));
+                    }
                     action => self.actions.push((router, action)),
                 }
             }
         }
     }
 
+    /// Stands for parsing and checking: a text that begins with `bad` is refused.
+    fn adopt(&self, revision: ConfigRevision, text: &Bytes) -> CoreEvent {
+        if text.starts_with(b"bad") {
+            return CoreEvent::PublicationRefused { revision };
+        }
+        self.publication(revision.0, text.clone())
+    }
+
+    /// A good publication of this revision.
+    pub fn publication(&self, revision: u64, text: Bytes) -> CoreEvent {
+        let mut catalog = FleetCatalog::clone(&self.catalog);
+        catalog.revision = ConfigRevision(revision);
+        let catalog = Arc::new(catalog);
+        CoreEvent::Published { catalog, text }
+    }
+
     fn delivery(
         &mut self,
         router: usize,
@@ -347,9 +377,14 @@
 
     /// Lets time pass, with ticks.
     pub fn advance(&mut self, millis: u64) {
+        self.advance_by(millis, TICK_US);
+    }
+
+    /// Lets time pass, with ticks this many microseconds apart.
+    pub fn advance_by(&mut self, millis: u64, tick_us: u64) {
         let end = self.now + TimeSpan::from_millis(millis);
         while self.now < end {
-            self.now = (self.now + TimeSpan(TICK_US)).min(end);
+            self.now = (self.now + TimeSpan(tick_us)).min(end);
             for router in 0..self.cores.len() {
                 self.tell(router, CoreEvent::Tick);
             }
--- /dev/null
+++ b/tests/leaving.rs
@@ -0,0 +1,156 @@
+//! Endpoints that leave get no new work, whoever knows of it and whatever a late list says.
+
+mod cores;
+
+use verbenaturn::core::action::CoreAction;
+use verbenaturn::core::event::CoreEvent;
+use verbenaturn::units::EndpointId;
+
+use self::cores::CoreFleet;
+use self::cores::catalog;
+use self::cores::dispatched;
+use self::cores::endpoint;
+use self::cores::facts;
+
+/// Milliseconds after which no router gives a leaving endpoint new work: the stated bound.
+const BOUND_MS: u64 = 2_000;
+
+fn fleet() -> CoreFleet {
+    CoreFleet::new(8, catalog(2, 16))
+}
+
+fn list_leaving(fleet: &mut CoreFleet, router: usize, rows: &[(EndpointId, u64)]) {
+    let leaving = rows.to_vec();
+    let routers = Vec::new();
+    fleet.tell(router, CoreEvent::HostsListed { routers, leaving });
+}
+
+fn list_live(fleet: &mut CoreFleet, router: usize, rows: &[(EndpointId, u64)]) {
+    let live = rows.to_vec();
+    fleet.tell(router, CoreEvent::EndpointsListed { live });
+}
+
+/// Sends a request to each router and returns the endpoints that were given work.
+fn used(fleet: &mut CoreFleet, first: u64) -> Vec<EndpointId> {
+    for router in 0..8 {
+        let request = first + router as u64;
+        fleet.tell(router, CoreEvent::Arrived(facts(request)));
+    }
+    fleet.advance(1_000);
+    let mut used = Vec::new();
+    for router in 0..8 {
+        let actions: Vec<CoreAction> = fleet.take(router);
+        used.extend(dispatched(&actions).into_iter().map(|(_, id)| id));
+    }
+    used
+}
+
+// An engine's host is being taken away. One router's host list says so at once; the others' lags
+// for minutes. The engine must get no new work from any of them after the bound.
+#[test]
+fn one_router_that_knows_is_enough() {
+    for teller in 0..8 {
+        let mut fleet = fleet();
+        list_leaving(&mut fleet, teller, &[(endpoint(1), 3)]);
+        fleet.advance(BOUND_MS);
+        let used = used(&mut fleet, 1);
+        assert_eq!(used.len(), 8);
+        assert!(!used.contains(&endpoint(1)));
+    }
+}
+
+// The same while a third of the links is cut, so that what is told at once gets lost.
+#[test]
+fn lost_messages_are_made_up_for_by_pings() {
+    let mut fleet = fleet();
+    for (left, right) in [
+        (0, 1),
+        (0, 2),
+        (0, 3),
+        (0, 4),
+        (0, 5),
+        (0, 6),
+        (1, 2),
+        (3, 4),
+    ] {
+        fleet.cut.insert((left, right));
+    }
+    list_leaving(&mut fleet, 0, &[(endpoint(1), 3)]);
+    fleet.advance(BOUND_MS);
+    for router in 0..8 {
+        let endpoints = &fleet.core(router).state().endpoints;
+        assert!(
+            !endpoints.is_open(endpoint(1), fleet.now),
+            "router {router}"
+        );
+    }
+}
+
+// The host list contradicts itself: the engine is leaving, then live again, then leaving, always
+// the same generation. Once leaving, it stays so; only a later generation is another engine.
+#[test]
+fn a_contradicting_list_cannot_put_it_back_but_a_later_generation_can() {
+    let mut fleet = fleet();
+    list_leaving(&mut fleet, 0, &[(endpoint(1), 3)]);
+    for router in 0..8 {
+        list_live(&mut fleet, router, &[(endpoint(1), 3), (endpoint(2), 1)]);
+        list_leaving(&mut fleet, router, &[]);
+    }
+    fleet.advance(BOUND_MS);
+    assert!(!used(&mut fleet, 1).contains(&endpoint(1)));
+    for router in 0..8 {
+        list_live(&mut fleet, router, &[(endpoint(1), 4)]);
+        list_leaving(&mut fleet, router, &[(endpoint(1), 2)]);
+    }
+    fleet.advance(BOUND_MS);
+    for router in 0..8 {
+        let endpoints = &fleet.core(router).state().endpoints;
+        assert!(endpoints.is_open(endpoint(1), fleet.now));
+    }
+    assert!(used(&mut fleet, 101).contains(&endpoint(1)));
+}
+
+// The network parts and the minority side can't read the host list, but one of its routers read
+// it just before. All of that side must know. A side on which nobody knows learns of it when the
+// parts join, within the bound.
+#[test]
+fn the_minority_side_of_a_partition_knows_what_one_of_it_knows() {
+    let mut fleet = fleet();
+    for left in 0..2 {
+        for right in 2..8 {
+            fleet.part(left, right);
+        }
+    }
+    fleet.advance(10_000);
+    list_leaving(&mut fleet, 0, &[(endpoint(1), 3)]);
+    list_leaving(&mut fleet, 5, &[(endpoint(2), 3)]);
+    fleet.advance(BOUND_MS);
+    let closed = |fleet: &CoreFleet, router: usize, number: usize| {
+        let endpoints = &fleet.core(router).state().endpoints;
+        !endpoints.is_open(endpoint(number), fleet.now)
+    };
+    assert!((0..2).all(|router| closed(&fleet, router, 1)));
+    assert!((2..8).all(|router| closed(&fleet, router, 2)));
+    assert!((0..2).all(|router| !closed(&fleet, router, 2)));
+    for left in 0..2 {
+        for right in 2..8 {
+            fleet.mend(left, right);
+        }
+    }
+    fleet.advance(BOUND_MS);
+    assert!((0..8).all(|router| closed(&fleet, router, 1) && closed(&fleet, router, 2)));
+}
+
+// A router restarts with nothing in memory while its host list lags. Its peers tell it what
+// leaves as soon as they connect.
+#[test]
+fn a_restarted_router_is_told_at_once() {
+    let mut fleet = fleet();
+    list_leaving(&mut fleet, 0, &[(endpoint(1), 3)]);
+    fleet.advance(60_000);
+    fleet.stop(6);
+    fleet.advance(1_000);
+    fleet.start(6);
+    let endpoints = &fleet.core(6).state().endpoints;
+    assert!(!endpoints.is_open(endpoint(1), fleet.now));
+}
