--- a/examples/shared/caller.rs
+++ b/examples/shared/caller.rs
@@ -184,6 +184,34 @@
     }
 }
 
+/// A connection that is kept for many calls.
+pub struct KeptConnection {
+    sender: http1::SendRequest<Full<Bytes>>,
+}
+
+impl KeptConnection {
+    /// Opens it; `None` if that fails.
+    pub async fn open(address: SocketAddr) -> Option<Self> {
+        let stream = TcpStream::connect(address).await.ok()?;
+        let _ = stream.set_nodelay(true);
+        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+        tokio::spawn(connection);
+        Some(Self { sender })
+    }
+
+    /// Sends a call and reads its answer; true if that was whole and good.
+    pub async fn send(&mut self, call: &Call) -> bool {
+        if self.sender.ready().await.is_err() {
+            return false;
+        }
+        let Ok(response) = self.sender.send_request(call.request()).await else {
+            return false;
+        };
+        let good = response.status() == StatusCode::OK;
+        good && response.into_body().collect().await.is_ok()
+    }
+}
+
 /// The text of a streamed answer; `None` if it does not end as it shall.
 pub fn streamed_text(answer: &str) -> Option<String> {
     let mut text = String::new();
--- a/examples/shared/endpoint.rs
+++ b/examples/shared/endpoint.rs
@@ -74,6 +74,8 @@
     pub role: EndpointRole,
     /// Requests that run at once; more wait.
     pub slots: Semaphore,
+    /// How many those are.
+    pub slot_count: usize,
     /// Requests that run.
     pub running: AtomicU32,
     /// Requests that wait for a slot.
@@ -122,6 +124,7 @@
         let shared = Arc::new(EndpointShared {
             role,
             slots: Semaphore::new(slots),
+            slot_count: slots,
             running: AtomicU32::new(0),
             waiting: AtomicU32::new(0),
             busy_micros: AtomicU64::new(0),
@@ -221,6 +224,12 @@
     }
 }
 
+/// The time on this machine's clock, in nanoseconds since 1970.
+pub fn clock_nanos() -> u64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    u64::try_from(since.unwrap_or_default().as_nanos()).unwrap_or(u64::MAX)
+}
+
 /// A header as text; empty if absent.
 pub fn text_of(headers: &HeaderMap, name: &str) -> String {
     let value = headers.get(name).and_then(|value| value.to_str().ok());
--- a/examples/shared/engine.rs
+++ b/examples/shared/engine.rs
@@ -26,6 +26,7 @@
 use super::endpoint::EndpointShared;
 use super::endpoint::Misdeed;
 use super::endpoint::SentBody;
+use super::endpoint::clock_nanos;
 use super::endpoint::misdeed;
 use super::endpoint::status;
 use super::endpoint::text_of;
@@ -223,6 +224,8 @@
             _ => {}
         }
         let team = text_of(&self.headers, "standin-team");
+        let stamped = self.headers.contains_key("standin-stamp");
+        let slots = f64::from(u32::try_from(self.shared.slot_count).unwrap_or(u32::MAX));
         let mut next = time::Instant::now();
         for index in self.first..self.tokens {
             if misdeed == Misdeed::Cut(index) {
@@ -231,11 +234,14 @@
                 let _ = sender.send(Err(io::Error::other("cut"))).await;
                 return false;
             }
-            // A fuller batch makes each step longer.
-            let running = self.shared.running.load(Ordering::Relaxed);
-            next += token + token * running / 32;
+            // A fuller batch makes each step longer, by a quarter if all slots are taken.
+            let running = f64::from(self.shared.running.load(Ordering::Relaxed));
+            next += token.mul_f64(1.0 + running / slots / 4.0);
             time::sleep_until(next).await;
-            let event = json!({"choices": [{"index": 0, "text": format!(" {index}")}]});
+            let mut event = json!({"choices": [{"index": 0, "text": format!(" {index}")}]});
+            if stamped {
+                event["sent_ns"] = clock_nanos().into();
+            }
             let chunk = Bytes::from(format!("data: {event}\n\n"));
             if sender.send(Ok(chunk)).await.is_err() {
                 return false;
--- a/examples/shared/processes.rs
+++ b/examples/shared/processes.rs
@@ -144,6 +144,11 @@
 }
 
 impl RouterProcess {
+    /// Its process id.
+    pub fn id(&self) -> u32 {
+        self.child.id().unwrap_or(0)
+    }
+
     /// Kills it at once.
     pub async fn kill(&mut self) {
         self.child.kill().await.unwrap();
--- a/src/entry/front.rs
+++ b/src/entry/front.rs
@@ -140,7 +140,10 @@
         .and(query)
         .and(warp::header::headers_cloned())
         .and(warp::body::stream())
-        .then(take_call)
+        // Boxed: the filters move their future several times, and it is large.
+        .then(|shared, method, path, query, headers, body| {
+            Box::pin(take_call(shared, method, path, query, headers, body))
+        })
 }
 
 async fn take_call<B: Buf>(
--- a/src/entry/task.rs
+++ b/src/entry/task.rs
@@ -199,8 +199,8 @@
                 let text = self.context.signer.sign(ticket);
                 self.caller.fail(CallFault::TicketNeeded(text));
             }
-            RequestCommand::JoinAnswer(original) => self.join(original).await,
-            RequestCommand::Forward(host) => self.forward(host).await,
+            RequestCommand::JoinAnswer(original) => Box::pin(self.join(original)).await,
+            RequestCommand::Forward(host) => Box::pin(self.forward(host)).await,
         }
         true
     }
@@ -250,8 +250,8 @@
         let mut can_resume = true;
         let ended = {
             let run = AttemptRun::new(plan, &mut self.call.body, &mut self.caller, &mut can_resume);
-            let running = run.run();
-            tokio::pin!(running);
+            // Boxed: the task is moved when it is spawned, and most of it would be this future.
+            let mut running = Box::pin(run.run());
             loop {
                 tokio::select! {
                     biased;
