Shutdown: the deadline holds for answers being passed on too, and says what it cuts

Cause: after the drain the daemon waited without limit for forwarded and joined answers, and a second signal named only requests in the core's table; kept answers were reported at their end only. Change: the deadline and the second signal hold until the last answer is passed on, open answers are counted into the exit code; the core is told of kept answers each 32 KiB.

--- a/examples/shared/processes.rs
+++ b/examples/shared/processes.rs
@@ -57,6 +57,11 @@
 impl ProcessFleet {
     /// Starts so many routers of `program`; nothing is published yet.
     pub async fn start(program: &str, count: usize) -> Self {
+        Self::start_with(program, count, 60).await
+    }
+
+    /// The same, with so many seconds for a shutdown.
+    pub async fn start_with(program: &str, count: usize, deadline_s: u64) -> Self {
         let platform = StandinPlatform::start(None).await.unwrap();
         let folder = std::env::temp_dir().join(format!("verbenaturn-{}", std::process::id()));
         fs::create_dir_all(&folder).unwrap();
@@ -82,7 +87,7 @@
                     "timing": {"hosts_poll_ms": 200},
                 },
                 "log": {"level": "warn"},
-                "shutdown": {"deadline_s": 60, "linger_ms": 1_000},
+                "shutdown": {"deadline_s": deadline_s, "linger_ms": 1_000},
             });
             fs::write(&settings, text.to_string()).unwrap();
             let child = Command::new(program)
--- a/src/daemon/process.rs
+++ b/src/daemon/process.rs
@@ -104,8 +104,12 @@
     spdlog::info!("daemon: drain begins; a second signal ends it at once.");
     let deadline = Duration::from_secs(settings.shutdown.deadline_s);
     let linger = Duration::from_millis(settings.shutdown.linger_ms).min(deadline / 2);
+    let ending = async {
+        tokio::join!(router.drain(), time::sleep(linger));
+        router.finish().await;
+    };
     tokio::select! {
-        ((), ()) = async { tokio::join!(router.drain(), time::sleep(linger)) } => {}
+        () = ending => {}
         () = signals.next() => return Ok(cut(&router, "second signal").await),
         () = time::sleep(deadline) => return Ok(cut(&router, "deadline").await),
     }
@@ -118,11 +122,12 @@
 /// Ends without waiting; says which requests that cuts.
 async fn cut(router: &Router, cause: &str) -> ExitCode {
     let requests = router.in_flight().await;
-    spdlog::error!("daemon: {cause}: {} requests are cut.", requests.len());
+    let open = router.open_answers();
+    spdlog::error!("daemon: {cause}: {open} answers are cut.");
     for (request, team) in &requests {
         spdlog::error!("daemon: request {request} team {team} is cut.");
     }
-    if requests.is_empty() {
+    if requests.is_empty() && open == 0 {
         ExitCode::SUCCESS
     } else {
         ExitCode::from(EXIT_CUT)
--- a/src/daemon/router.rs
+++ b/src/daemon/router.rs
@@ -253,14 +253,25 @@
         requests.await.unwrap_or_default()
     }
 
-    /// Takes no more calls, lets every answer end, and ends everything.
-    pub async fn stop(self) {
+    /// Answers that are still passed on, forwarded and joined ones included.
+    #[must_use]
+    pub fn open_answers(&self) -> usize {
+        self.context.tasks.len()
+    }
+
+    /// Takes no more calls and lets every answer end.
+    pub async fn finish(&self) {
         // Peers stay connected while answers end: a forwarded one comes over them.
         self.accepting.cancel();
         self.fronts.close();
         self.fronts.wait().await;
         self.context.tasks.close();
         self.context.tasks.wait().await;
+    }
+
+    /// Takes no more calls, lets every answer end, and ends everything.
+    pub async fn stop(self) {
+        self.finish().await;
         self.closing.cancel();
         self.tasks.close();
         self.tasks.wait().await;
--- a/src/endpoint/reader.rs
+++ b/src/endpoint/reader.rs
@@ -26,6 +26,7 @@
 use crate::entry::caller::CallerSide;
 use crate::entry::context::EntryContext;
 use crate::entry::headers;
+use crate::units::ByteSize;
 use crate::units::RequestId;
 use crate::units::ServiceUnits;
 
@@ -33,6 +34,9 @@
 use super::events::EventSplitter;
 use super::service;
 
+/// Growth of a kept answer that the core is told of, in bytes.
+const KEPT_STEP: usize = 32 * 1024;
+
 /// How an attempt ended, and the rest of its body if its end was not read yet.
 pub type ReadResult = (AttemptOutcome, Option<Incoming>);
 
@@ -89,6 +93,22 @@
         self.meter.store(units.0, Ordering::Relaxed);
     }
 
+    /// Tells the core how much is kept for resends, each time that it grew by much: the core
+    /// bounds what all such answers take together.
+    fn tell_kept(&self, told: &mut usize) {
+        let Some(kept) = self.caller.record().and_then(|record| record.kept_bytes()) else {
+            return;
+        };
+        if kept < *told + KEPT_STEP {
+            return;
+        }
+        *told = kept;
+        self.context.control.tell(CoreEvent::AnswerKept {
+            request: self.request,
+            bytes: Some(ByteSize(kept as u64)),
+        });
+    }
+
     async fn next_chunk(&self, body: &mut Incoming) -> Result<Option<Bytes>, ReadFault> {
         let pause = Duration::from_millis(self.context.config.answer_pause_ms);
         loop {
@@ -160,7 +180,7 @@
             return (AttemptOutcome::Whole, None);
         }
         self.caller.begin(with_outcome(head));
-        let mut passed = 0;
+        let (mut passed, mut told) = (0, 0);
         loop {
             // With a stated length the caller's connection is done at the last byte and its
             // leaving then must not be taken for a cancel: the end is known without another read.
@@ -171,6 +191,7 @@
                 Ok(Some(chunk)) => {
                     passed += chunk.len() as u64;
                     self.caller.push(chunk).await;
+                    self.tell_kept(&mut told);
                 }
                 Ok(None) => return (AttemptOutcome::Whole, None),
                 Err(_) => return (AttemptOutcome::CutAt(passed), None),
@@ -204,7 +225,7 @@
         let mut head = Some(head);
         let mut splitter = EventSplitter::new(self.context.config.event_bytes);
         let mut passed = begun;
-        let mut told = Instant::now();
+        let (mut told, mut kept) = (Instant::now(), 0);
         loop {
             let Ok(Some(chunk)) = self.next_chunk(&mut body).await else {
                 return (at_fault(passed), None);
@@ -219,6 +240,7 @@
                 self.caller.begin(without_length(head));
             }
             self.caller.push(batch.bytes).await;
+            self.tell_kept(&mut kept);
             passed += batch.count;
             self.note_service(service::engine_service(self.request_bytes, passed - begun));
             if batch.done {
