Ownership: a router that was out of reach comes back with what it rendered

Cause: when an entry router's claim was dropped (partition, silence, a new term) its charges were forgotten, so what teams were served meanwhile never counted. Change: the owner keeps the last charges of a gone router, one entry a host, and counts the difference when the same life comes back.

--- a/src/core/systems/ownership.rs
+++ b/src/core/systems/ownership.rs
@@ -86,10 +86,7 @@
         ask_restart(state, from, report);
         return;
     }
-    let member = pool
-        .members
-        .entry(from.clone())
-        .or_insert_with(|| MemberClaim::new(incarnation));
+    let member = pool.claim_of(from, incarnation);
     member.term = report.term;
     let fresh = report.sequence > member.report_seen;
     if fresh {
--- a/src/core/tables/owned_pool.rs
+++ b/src/core/tables/owned_pool.rs
@@ -120,6 +120,15 @@
     }
 }
 
+/// What is kept of an entry router that is gone, should the same life of it come back.
+#[derive(Debug, Clone)]
+pub struct GoneMember {
+    /// Its life.
+    pub incarnation: RouterIncarnation,
+    /// Service charged there per team, as last reported.
+    pub charged: BTreeMap<TeamId, i64>,
+}
+
 /// One team's account in the pool.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct TeamAccount {
@@ -136,6 +145,8 @@
     pub settles_at: Moment,
     /// Entry routers.
     pub members: BTreeMap<HostName, MemberClaim>,
+    /// Entry routers that are gone; one entry a host, so it is bounded by the host list.
+    pub gone: BTreeMap<HostName, GoneMember>,
     /// Teams.
     pub accounts: BTreeMap<TeamId, TeamAccount>,
     /// The pool's virtual time: the mean of service over share of the teams that have waited for
@@ -164,6 +175,7 @@
         Self {
             settles_at,
             members: BTreeMap::new(),
+            gone: BTreeMap::new(),
             accounts: BTreeMap::new(),
             clock: 0,
             pace: 0.0,
@@ -233,9 +245,43 @@
         for (endpoint, claim) in member.slots {
             self.move_claimed(endpoint, claim.held(), 0);
         }
+        let charges = member.teams.iter();
+        let gone = GoneMember {
+            incarnation: member.incarnation,
+            charged: charges
+                .map(|(team, demand)| (*team, demand.charged))
+                .collect(),
+        };
+        self.gone.insert(host.clone(), gone);
         self.urgent = true;
     }
 
+    /// The claim of an entry router, made if there is none.
+    ///
+    /// A router that was out of reach comes back with what it rendered meanwhile in its charges.
+    /// Its earlier charges are remembered, so that the difference counts and teams that were
+    /// served more on the other side of a partition fall back behind the others.
+    pub fn claim_of(
+        &mut self,
+        host: &HostName,
+        incarnation: RouterIncarnation,
+    ) -> &mut MemberClaim {
+        let gone = &mut self.gone;
+        self.members.entry(host.clone()).or_insert_with(|| {
+            let mut claim = MemberClaim::new(incarnation);
+            let known = gone.remove(host);
+            let known = known.filter(|known| known.incarnation == incarnation);
+            for (team, charged) in known.into_iter().flat_map(|known| known.charged) {
+                let demand = TeamDemand {
+                    charged,
+                    ..TeamDemand::default()
+                };
+                claim.teams.insert(team, demand);
+            }
+            claim
+        })
+    }
+
     /// Slots of all endpoints.
     #[must_use]
     pub fn total(&self) -> u32 {
