At most once: every order of events for two routers, one endpoint and two resends is tried

The real cores are driven through every order of calls, losses, doublings, callers that leave, pauses between deciding and writing, crashes, partitions. At most one execution in each, and every "not run" true.

Not covered: two crashes of one router, and two resends with crash and partition together.

--- /dev/null
+++ b/tests/at_most_once.rs
@@ -0,0 +1,515 @@
+//! Every order of events that can happen to one unrepeatable request with two routers, one
+//! endpoint and two resends, driven through the real decision cores.
+//!
+//! A stylist logs a mixing. Her tablet asks for a ticket, sends the log with it, gives up and
+//! sends it again, up to twice, through either router. Meanwhile requests and answers are
+//! delivered, lost or doubled, routers crash and come back with nothing in memory, a process
+//! pauses between deciding and writing, and the routers lose each other. Whatever the order: the
+//! mixing is logged at most once, and what she is told is true.
+
+mod cores;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use verbenaturn::core::action::CoreAction;
+use verbenaturn::core::action::RunOutcome;
+use verbenaturn::core::event::AttemptOutcome;
+use verbenaturn::core::event::CoreEvent;
+use verbenaturn::core::event::TicketName;
+use verbenaturn::units::ByteSize;
+use verbenaturn::units::RequestId;
+use verbenaturn::units::RouterIncarnation;
+
+use self::cores::CoreFleet;
+use self::cores::catalog;
+use self::cores::ended;
+use self::cores::host;
+use self::cores::unrepeatable;
+
+/// Calls with a ticket: the first and two resends.
+const SENDS: u32 = 3;
+
+/// Microseconds between ticks: few, since every branch is played from the start.
+const COARSE_TICK_US: u64 = 100_000;
+
+/// States that the search may visit at most; it fails if it needs more, so that it is always
+/// complete.
+const MOST_STATES: usize = 60_000;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Step {
+    /// The caller calls through a router, with its ticket if it has one.
+    Send(usize),
+    /// The caller gives up its latest call.
+    Leave,
+    /// A router writes an attempt that its core decided, after a pause of any length.
+    Write(usize),
+    /// A router woke too late to write it.
+    WriteTooLate(usize),
+    /// The endpoint runs it.
+    Run(usize),
+    /// The link breaks before the endpoint has it.
+    LoseRequest(usize),
+    /// The answer arrives, once or twice.
+    Answer(usize, u32),
+    /// The link breaks after the endpoint ran it.
+    LoseAnswer(usize),
+    /// A forwarded call arrives, once or twice.
+    Forwarded(usize, u32),
+    /// A forwarded call is lost.
+    LoseForwarded(usize),
+    /// A router crashes and comes back with nothing in memory.
+    Crash(usize),
+    /// The routers lose each other.
+    Part,
+    /// They find each other again.
+    Mend,
+    /// Time passes.
+    Wait,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    Decided,
+    Written,
+    Ran,
+}
+
+/// An attempt on its way to the endpoint or back.
+#[derive(Debug, Clone, Copy)]
+struct Flight {
+    life: RouterIncarnation,
+    router: usize,
+    request: u64,
+    attempt: u32,
+    ticket: TicketName,
+    stage: Stage,
+}
+
+/// What may still happen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Budget {
+    sends: u32,
+    leaves: u32,
+    crashes: u32,
+    parts: u32,
+    doubles: u32,
+    waits: u32,
+}
+
+struct World {
+    fleet: CoreFleet,
+    budget: Budget,
+    parted: bool,
+    next_request: u64,
+    latest: Option<(usize, u64)>,
+    ticket: Option<TicketName>,
+    tickets: BTreeMap<(RouterIncarnation, u64), TicketName>,
+    flights: Vec<Flight>,
+    forwards: Vec<(usize, TicketName)>,
+    runs: BTreeMap<TicketName, u32>,
+    not_run: BTreeSet<TicketName>,
+}
+
+impl World {
+    fn new(budget: Budget) -> Self {
+        Self {
+            fleet: CoreFleet::with_tick(2, catalog(1, 2), COARSE_TICK_US),
+            budget,
+            parted: false,
+            next_request: 0,
+            latest: None,
+            ticket: None,
+            tickets: BTreeMap::new(),
+            flights: Vec::new(),
+            forwards: Vec::new(),
+            runs: BTreeMap::new(),
+            not_run: BTreeSet::new(),
+        }
+    }
+
+    fn steps(&self) -> Vec<Step> {
+        let budget = &self.budget;
+        let mut steps = Vec::new();
+        let routers = 0..2;
+        if budget.sends > 0 {
+            steps.extend(routers.clone().map(Step::Send));
+        }
+        if budget.leaves > 0 && self.latest.is_some() {
+            steps.push(Step::Leave);
+        }
+        for (place, flight) in self.flights.iter().enumerate() {
+            match flight.stage {
+                Stage::Decided => steps.extend([Step::Write(place), Step::WriteTooLate(place)]),
+                Stage::Written => steps.extend([Step::Run(place), Step::LoseRequest(place)]),
+                Stage::Ran => {
+                    steps.extend([Step::Answer(place, 1), Step::LoseAnswer(place)]);
+                    if budget.doubles > 0 {
+                        steps.push(Step::Answer(place, 2));
+                    }
+                }
+            }
+        }
+        for place in 0..self.forwards.len() {
+            steps.extend([Step::Forwarded(place, 1), Step::LoseForwarded(place)]);
+            if budget.doubles > 0 {
+                steps.push(Step::Forwarded(place, 2));
+            }
+        }
+        if budget.crashes > 0 {
+            steps.extend(routers.map(Step::Crash));
+        }
+        if self.parted {
+            steps.push(Step::Mend);
+        } else if budget.parts > 0 {
+            steps.push(Step::Part);
+        }
+        if budget.waits > 0 {
+            steps.push(Step::Wait);
+        }
+        steps
+    }
+
+    fn take(&mut self, step: Step) {
+        match step {
+            Step::Send(router) => {
+                self.budget.sends -= u32::from(self.ticket.is_some());
+                self.call(router, self.ticket, true);
+            }
+            Step::Leave => self.leave(),
+            Step::Write(place) => self.flights[place].stage = Stage::Written,
+            Step::WriteTooLate(place) => self.end(place, AttemptOutcome::NotSent),
+            Step::Run(place) => self.run(place),
+            Step::LoseRequest(place) | Step::LoseAnswer(place) => {
+                self.end(place, AttemptOutcome::LostBeforeAnswer);
+            }
+            Step::Answer(place, copies) => self.answer(place, copies),
+            Step::Forwarded(place, copies) => {
+                let (router, ticket) = self.forwards.remove(place);
+                self.budget.doubles -= copies - 1;
+                (0..copies).for_each(|_| self.call(router, Some(ticket), false));
+            }
+            Step::LoseForwarded(place) => {
+                self.forwards.remove(place);
+            }
+            Step::Crash(router) => self.crash(router),
+            Step::Part => {
+                self.budget.parts -= 1;
+                self.parted = true;
+                self.fleet.part(0, 1);
+                self.settle();
+            }
+            Step::Mend => {
+                self.parted = false;
+                self.fleet.mend(0, 1);
+                self.settle();
+            }
+            Step::Wait => {
+                self.budget.waits -= 1;
+                self.settle();
+            }
+        }
+        self.carry_out();
+    }
+
+    fn settle(&mut self) {
+        self.fleet.advance(900);
+    }
+
+    fn call(&mut self, router: usize, ticket: Option<TicketName>, by_caller: bool) {
+        self.next_request += 1;
+        let mut facts = unrepeatable(self.next_request, ticket);
+        facts.forwarded = !by_caller;
+        if by_caller {
+            self.latest = Some((router, self.next_request));
+        }
+        if let (Some(ticket), Some(life)) = (ticket, self.fleet.life(router)) {
+            self.tickets.insert((life, self.next_request), ticket);
+        }
+        self.fleet.tell(router, CoreEvent::Arrived(facts));
+        self.carry_out();
+    }
+
+    fn leave(&mut self) {
+        self.budget.leaves -= 1;
+        if let Some((router, request)) = self.latest.take() {
+            let left = CoreEvent::CallerLeft(RequestId(request));
+            self.fleet.tell(router, left);
+        }
+    }
+
+    fn run(&mut self, place: usize) {
+        let flight = &mut self.flights[place];
+        flight.stage = Stage::Ran;
+        *self.runs.entry(flight.ticket).or_default() += 1;
+    }
+
+    /// Ends an attempt. A router that has crashed since does not hear of it.
+    fn end(&mut self, place: usize, outcome: AttemptOutcome) {
+        let flight = self.flights.remove(place);
+        self.tell_end(flight, outcome);
+    }
+
+    fn tell_end(&mut self, flight: Flight, outcome: AttemptOutcome) {
+        if self.fleet.life(flight.router) != Some(flight.life) {
+            return;
+        }
+        if outcome == AttemptOutcome::Whole {
+            let kept = CoreEvent::AnswerKept {
+                request: RequestId(flight.request),
+                bytes: Some(ByteSize(100)),
+            };
+            self.fleet.tell(flight.router, kept);
+        }
+        let end = ended(flight.request, flight.attempt, outcome);
+        self.fleet.tell(flight.router, end);
+    }
+
+    fn answer(&mut self, place: usize, copies: u32) {
+        self.budget.doubles -= copies - 1;
+        let flight = self.flights.remove(place);
+        (0..copies).for_each(|_| self.tell_end(flight, AttemptOutcome::Whole));
+    }
+
+    /// What was only decided dies with the process; what was written goes on its way.
+    fn crash(&mut self, router: usize) {
+        self.budget.crashes -= 1;
+        self.flights
+            .retain(|flight| flight.router != router || flight.stage != Stage::Decided);
+        self.latest = self.latest.filter(|(at, _)| *at != router);
+        self.fleet.stop(router);
+        self.fleet.start(router);
+        self.settle();
+    }
+
+    fn carry_out(&mut self) {
+        loop {
+            let actions: Vec<(usize, CoreAction)> = (0..2)
+                .flat_map(|router| {
+                    let actions = self.fleet.take(router);
+                    actions.into_iter().map(move |action| (router, action))
+                })
+                .collect();
+            if actions.is_empty() {
+                return;
+            }
+            for (router, action) in actions {
+                self.act(router, &action);
+            }
+        }
+    }
+
+    fn act(&mut self, router: usize, action: &CoreAction) {
+        let Some(life) = self.fleet.life(router) else {
+            return;
+        };
+        match action {
+            CoreAction::Dispatch {
+                request, attempt, ..
+            } => self.flights.push(Flight {
+                life,
+                router,
+                request: request.0,
+                attempt: attempt.0,
+                ticket: self.tickets[&(life, request.0)],
+                stage: Stage::Decided,
+            }),
+            CoreAction::Forward { request, host: to } => {
+                let ticket = self.tickets[&(life, request.0)];
+                let peer = usize::from(*to == host(1));
+                if self.fleet.is_linked(router, peer) {
+                    self.forwards.push((peer, ticket));
+                }
+            }
+            CoreAction::OfferTicket { request, ticket } => {
+                self.told_not_run(life, request.0);
+                if self.latest == Some((router, request.0)) {
+                    self.ticket = Some(*ticket);
+                    self.latest = None;
+                }
+            }
+            CoreAction::Refuse {
+                request, outcome, ..
+            } => self.told(router, life, request.0, *outcome),
+            CoreAction::Complete { request } => {
+                self.told(router, life, request.0, RunOutcome::Ran);
+            }
+            _ => {}
+        }
+    }
+
+    fn told(&mut self, router: usize, life: RouterIncarnation, request: u64, told: RunOutcome) {
+        let ticket = self.tickets.get(&(life, request)).copied();
+        match told {
+            RunOutcome::Ran => {
+                let runs = ticket.and_then(|ticket| self.runs.get(&ticket));
+                assert_eq!(runs, Some(&1), "told that it ran");
+            }
+            RunOutcome::NotRun => {
+                self.told_not_run(life, request);
+                // The caller believes it and starts anew, with another ticket.
+                if self.latest == Some((router, request)) {
+                    self.ticket = None;
+                }
+            }
+            RunOutcome::Unknown => {}
+        }
+        if self.latest == Some((router, request)) {
+            self.latest = None;
+        }
+    }
+
+    fn told_not_run(&mut self, life: RouterIncarnation, request: u64) {
+        if let Some(ticket) = self.tickets.get(&(life, request)) {
+            self.not_run.insert(*ticket);
+        }
+    }
+
+    fn check(&self, path: &[Step]) {
+        let runs: u32 = self.runs.values().sum();
+        assert!(runs <= 1, "ran {runs} times: {path:?}");
+        let false_not_run = self
+            .not_run
+            .iter()
+            .any(|ticket| self.runs.contains_key(ticket));
+        assert!(!false_not_run, "told \"not run\" but it ran: {path:?}");
+    }
+
+    /// All that decides what can happen from here on; times and traffic counts are left out.
+    fn digest(&self) -> u64 {
+        let mut parts = vec![
+            format!("{:?}{:?}{:?}", self.budget, self.parted, self.latest),
+            format!("{:?}{:?}", self.ticket, self.forwards),
+            format!("{:?}{:?}{:?}", self.runs, self.not_run, self.flights),
+        ];
+        for router in 0..2 {
+            let state = self.fleet.core(router).state();
+            let life = state.identity.incarnation;
+            parts.push(format!("{life:?}{:?}", state.tickets));
+            for (request, entry) in state.requests.iter() {
+                let place = std::mem::discriminant(&entry.stage);
+                let tried = (entry.attempts, entry.may_have_run);
+                parts.push(format!("{request}{place:?}{tried:?}"));
+            }
+            for (_, member) in state.members.iter() {
+                parts.push(format!("{:?}{:?}", member.state, member.incarnation));
+            }
+        }
+        xxh3_64(parts.concat().as_bytes())
+    }
+}
+
+/// Searches depth first. Cores can't be copied, so each branch is played again from the start.
+struct Search {
+    budget: Budget,
+    seen: BTreeSet<u64>,
+    ran: usize,
+    ends: usize,
+}
+
+impl Search {
+    fn explore(budget: Budget) -> Self {
+        let mut search = Self {
+            budget,
+            seen: BTreeSet::new(),
+            ran: 0,
+            ends: 0,
+        };
+        let world = World::new(budget);
+        search.visit(world, &mut Vec::new());
+        search
+    }
+
+    fn replay(&self, path: &[Step]) -> World {
+        let mut world = World::new(self.budget);
+        for step in path {
+            world.take(*step);
+        }
+        world
+    }
+
+    fn visit(&mut self, world: World, path: &mut Vec<Step>) {
+        world.check(path);
+        if !self.seen.insert(world.digest()) {
+            return;
+        }
+        assert!(self.seen.len() <= MOST_STATES, "the search is too large");
+        self.ran += usize::from(!world.runs.is_empty());
+        let steps = world.steps();
+        self.ends += usize::from(steps.is_empty());
+        let mut current = Some(world);
+        for step in steps {
+            let mut next = current.take().unwrap_or_else(|| self.replay(path));
+            next.take(step);
+            path.push(step);
+            self.visit(next, path);
+            path.pop();
+        }
+    }
+}
+
+const NOTHING: Budget = Budget {
+    sends: SENDS,
+    leaves: 0,
+    crashes: 0,
+    parts: 0,
+    doubles: 0,
+    waits: 0,
+};
+
+fn explore(budget: Budget) {
+    let search = Search::explore(budget);
+    let (states, ran) = (search.seen.len(), search.ran);
+    println!(
+        "{budget:?}: {states} states, {ran} after an execution, {} ends",
+        search.ends
+    );
+    assert!(ran > 0 && ran < states);
+}
+
+#[test]
+fn lost_and_doubled_messages() {
+    explore(Budget {
+        doubles: 1,
+        waits: 1,
+        ..NOTHING
+    });
+}
+
+#[test]
+fn callers_that_leave_and_pauses() {
+    explore(Budget {
+        leaves: 1,
+        waits: 1,
+        ..NOTHING
+    });
+}
+
+#[test]
+fn crashes_at_every_step() {
+    explore(Budget {
+        crashes: 1,
+        ..NOTHING
+    });
+}
+
+#[test]
+fn partitions_at_every_step() {
+    explore(Budget {
+        parts: 1,
+        ..NOTHING
+    });
+}
+
+#[test]
+fn crashes_and_partitions_together() {
+    explore(Budget {
+        sends: 2,
+        crashes: 1,
+        parts: 1,
+        ..NOTHING
+    });
+}
--- a/tests/cores/mod.rs
+++ b/tests/cores/mod.rs
@@ -205,6 +205,7 @@
     catalog: Arc<FleetCatalog>,
     config: CoreConfig,
     lives: u64,
+    tick_us: u64,
 }
 
 impl CoreFleet {
@@ -213,8 +214,17 @@
         Self::with_config(routers, catalog, CoreConfig::default())
     }
 
+    /// The same with given microseconds between ticks.
+    pub fn with_tick(routers: usize, catalog: FleetCatalog, tick_us: u64) -> Self {
+        Self::build(routers, catalog, CoreConfig::default(), tick_us)
+    }
+
     /// The same with given settings.
     pub fn with_config(routers: usize, catalog: FleetCatalog, config: CoreConfig) -> Self {
+        Self::build(routers, catalog, config, TICK_US)
+    }
+
+    fn build(routers: usize, catalog: FleetCatalog, config: CoreConfig, tick_us: u64) -> Self {
         let mut fleet = Self {
             cores: (0..routers).map(|_| None).collect(),
             now: Moment(1_000_000),
@@ -226,6 +236,7 @@
             catalog: Arc::new(catalog),
             config,
             lives: 0,
+            tick_us,
         };
         for router in 0..routers {
             fleet.start(router);
@@ -377,7 +388,7 @@
 
     /// Lets time pass, with ticks.
     pub fn advance(&mut self, millis: u64) {
-        self.advance_by(millis, TICK_US);
+        self.advance_by(millis, self.tick_us);
     }
 
     /// Lets time pass, with ticks this many microseconds apart.
