Orders: endpoints move to the pools that lack them, fenced by numbers that the endpoints report

Cause: nothing ever ordered a model, so a pool without endpoints waited for ever.

Change: the owner of a pool that lacks slots wishes for an endpoint (20 bytes, once a second); the owner of the pool that it serves decides and orders. Numbers come from the publication's revision and the endpoint's own report, and tell router lives apart. A router orders only after 15 s of ownership without a pause; an endpoint keeps a model for 120 s; the weight store's rate is split over all hosts known.

Ruled out: revision and rank in the member list; two views give one rank to two routers.

--- a/src/configs/mod.rs
+++ b/src/configs/mod.rs
@@ -6,6 +6,7 @@
 pub mod leaving;
 pub mod limits;
 pub mod membership;
+pub mod orders;
 pub mod ownership;
 pub mod peers;
 pub mod probing;
@@ -25,6 +26,7 @@
 use self::leaving::LeavingConfig;
 use self::limits::LimitsConfig;
 use self::membership::MembershipConfig;
+use self::orders::OrdersConfig;
 use self::ownership::OwnershipConfig;
 use self::probing::ProbingConfig;
 use self::publication::PublicationConfig;
@@ -48,6 +50,8 @@
     pub limits: LimitsConfig,
     /// Who the routers are.
     pub membership: MembershipConfig,
+    /// Which models endpoints serve.
+    pub orders: OrdersConfig,
     /// Sharing out a pool's slots.
     pub ownership: OwnershipConfig,
     /// Pinging other routers.
--- a/src/core/state.rs
+++ b/src/core/state.rs
@@ -27,6 +27,7 @@
 use super::tables::endpoints::EndpointTable;
 use super::tables::entry_pool::EntryPool;
 use super::tables::members::MemberTable;
+use super::tables::orders::OrderTable;
 use super::tables::owned_pool::OwnedPool;
 use super::tables::publication_sync::PublicationSync;
 use super::tables::requests::RequestTable;
@@ -70,6 +71,8 @@
     pub entries: BTreeMap<PoolId, EntryPool>,
     /// Pools that this router owns.
     pub owned: BTreeMap<PoolId, OwnedPool>,
+    /// Orders to endpoints.
+    pub orders: OrderTable,
     /// Limits of endpoints.
     pub slot_limits: SlotLimits,
     /// Retries that teams have earned.
@@ -113,6 +116,7 @@
             tickets: TicketTable::default(),
             entries: BTreeMap::new(),
             owned: BTreeMap::new(),
+            orders: OrderTable::default(),
             slot_limits: SlotLimits::default(),
             retry_budgets: RetryBudgets::default(),
             backoffs: BTreeSet::new(),
--- a/src/core/systems/mod.rs
+++ b/src/core/systems/mod.rs
@@ -8,6 +8,7 @@
 pub mod leaving;
 pub mod limits;
 pub mod membership;
+pub mod orders;
 pub mod ownership;
 pub mod probing;
 pub mod publication;
@@ -43,6 +44,8 @@
     Limits,
     /// Sharing out the slots of owned pools.
     Ownership,
+    /// Which models endpoints serve.
+    Orders,
     /// Taking in allotments and picking who runs next.
     Dispatch,
     /// Telling owners of demand and returned slots.
@@ -51,7 +54,7 @@
 
 impl CoreSystem {
     /// The order in which an event passes the systems.
-    pub const ORDER: [Self; 13] = [
+    pub const ORDER: [Self; 14] = [
         Self::Membership,
         Self::Probing,
         Self::Publication,
@@ -63,6 +66,7 @@
         Self::Draining,
         Self::Limits,
         Self::Ownership,
+        Self::Orders,
         Self::Dispatch,
         Self::Reporting,
     ];
@@ -80,6 +84,7 @@
             Self::Attempts => attempts::run(state, event),
             Self::Draining => draining::run(state, event),
             Self::Limits => limits::run(state, event),
+            Self::Orders => orders::run(state, event),
             Self::Ownership => ownership::run(state, event),
             Self::Dispatch => dispatch::run(state, event),
             Self::Reporting => reporting::run(state, event),
--- a/src/core/tables/mod.rs
+++ b/src/core/tables/mod.rs
@@ -5,6 +5,7 @@
 pub mod endpoints;
 pub mod entry_pool;
 pub mod members;
+pub mod orders;
 pub mod owned_pool;
 pub mod publication_sync;
 pub mod requests;
--- a/src/peers/traffic.rs
+++ b/src/peers/traffic.rs
@@ -22,19 +22,22 @@
     Publication,
     /// Quarantine notices.
     Quarantine,
+    /// Wishes for endpoints.
+    Wish,
     /// Forwarded requests and answers, with their frames. Not control traffic.
     Forwarded,
 }
 
 impl TrafficKind {
     /// All kinds, in the order of their counters.
-    pub const ALL: [Self; 7] = [
+    pub const ALL: [Self; 8] = [
         Self::Handshake,
         Self::Demand,
         Self::Allotment,
         Self::Gossip,
         Self::Publication,
         Self::Quarantine,
+        Self::Wish,
         Self::Forwarded,
     ];
 
@@ -47,6 +50,7 @@
             Some(PeerBody::Gossip(_)) | None => Self::Gossip,
             Some(PeerBody::Publication(_) | PeerBody::PublicationWanted(_)) => Self::Publication,
             Some(PeerBody::Quarantine(_)) => Self::Quarantine,
+            Some(PeerBody::Wish(_)) => Self::Wish,
         }
     }
 
@@ -60,6 +64,7 @@
             Self::Gossip => "gossip",
             Self::Publication => "publication",
             Self::Quarantine => "quarantine",
+            Self::Wish => "wish",
             Self::Forwarded => "forwarded",
         }
     }
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -6,6 +6,7 @@
 pub mod forward;
 pub mod gossip;
 pub mod handshake;
+pub mod orders;
 pub mod publication;
 pub mod quarantine;
 
@@ -15,6 +16,7 @@
 use self::allotment::SlotAllotment;
 use self::demand::DemandReport;
 use self::gossip::GossipPing;
+use self::orders::EndpointWish;
 use self::publication::PublicationOffer;
 use self::publication::PublicationRequest;
 use self::quarantine::QuarantineNotice;
@@ -26,7 +28,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct PeerMessage {
     /// What it says.
-    #[prost(oneof = "PeerBody", tags = "1, 2, 3, 4, 5, 6")]
+    #[prost(oneof = "PeerBody", tags = "1, 2, 3, 4, 5, 6, 7")]
     pub body: Option<PeerBody>,
 }
 
@@ -51,6 +53,9 @@
     /// A request that crashes endpoints.
     #[prost(message, tag = "6")]
     Quarantine(QuarantineNotice),
+    /// From a pool's owner that lacks slots to the owner of another pool.
+    #[prost(message, tag = "7")]
+    Wish(EndpointWish),
 }
 
 impl PeerMessage {
