measure: slopes of cost, control traffic and state against teams, endpoints and routers

Cause: nothing said how the cores' cost grows, so the size to design for could not be worked out. Change: `--scenario slopes` runs the cores at several sizes, lays a least-squares line through each series, counts table rows for state and encodes messages and publications for their sizes. A decision is bounded by the logarithm of the size. Also: a call on its way to a router (sent again with a ticket, or forwarded) counted as lost if the run ended in that moment; seen as `lost is 1` under random loads of unrepeatable calls. It counts as open now, and only while it stands in the queue.

--- a/examples/measure/checks.rs
+++ b/examples/measure/checks.rs
@@ -81,8 +81,9 @@
     checks
 }
 
+/// What must hold in every run, whatever goes wrong.
 #[allow(clippy::cast_precision_loss)]
-fn invariants(fleet: &CoreFleet) -> Vec<FleetCheck> {
+pub fn invariants(fleet: &CoreFleet) -> Vec<FleetCheck> {
     let tally = &fleet.tally;
     let newest = fleet.revisions().into_iter().max().unwrap_or(0);
     let revisions = fleet.revisions().into_iter();
--- a/examples/measure/fleet.rs
+++ b/examples/measure/fleet.rs
@@ -579,8 +579,13 @@
             .collect()
     }
 
-    /// Calls that have no answer yet and are still known to a router.
+    /// Calls that have no answer yet and are known to a router, or on their way to one: sent
+    /// again with a ticket, or forwarded.
     pub fn open_calls(&self) -> usize {
-        self.calls.len()
+        let on_the_way = self
+            .items
+            .values()
+            .filter(|item| matches!(item, Item::Call(call, ..) if self.tally.has_arrived(*call)));
+        self.calls.len() + on_the_way.count()
     }
 }
--- a/examples/measure/main.rs
+++ b/examples/measure/main.rs
@@ -7,6 +7,9 @@
 mod load;
 mod naive;
 mod scenarios;
+mod slope_sizes;
+mod slopes;
+mod state_bytes;
 mod tally;
 
 use std::process::ExitCode;
@@ -24,6 +27,9 @@
 use self::scenarios::SCENARIOS;
 use self::scenarios::WICKRAMASINGHE;
 
+/// The scenario that varies sizes.
+const SLOPES: &str = "slopes";
+
 fn command() -> Command {
     let number = |name: &'static str| {
         Arg::new(name)
@@ -69,6 +75,7 @@
         for scenario in SCENARIOS {
             println!("{}", scenario.name);
         }
+        println!("{SLOPES}");
         return ExitCode::SUCCESS;
     }
     let only = matches.get_one::<String>("scenario");
@@ -76,7 +83,8 @@
         .into_iter()
         .filter(|scenario| only.is_none_or(|only| only == scenario.name))
         .collect();
-    if chosen.is_empty() {
+    let slopes = only.is_none_or(|only| only == SLOPES);
+    if chosen.is_empty() && !slopes {
         eprintln!("measure: no such scenario; see --list");
         return ExitCode::from(2);
     }
@@ -90,6 +98,9 @@
             }
         }
     }
+    if slopes {
+        held &= slopes::run(seed);
+    }
     if held {
         ExitCode::SUCCESS
     } else {
--- a/examples/measure/tally.rs
+++ b/examples/measure/tally.rs
@@ -52,10 +52,12 @@
     calls: BTreeMap<u64, CallLife>,
     teams: BTreeMap<(PoolId, TeamId), TeamSamples>,
     sampled: u64,
-    control: Vec<u64>,
+    /// Control bytes sent, one a router.
+    pub(super) control: Vec<u64>,
     late: u64,
     crashes: BTreeMap<EndpointId, u32>,
-    cost: Duration,
+    /// Processor time of all cores.
+    pub(super) cost: Duration,
     events: u64,
     queued: BTreeMap<KindName, Vec<u64>>,
     refused: u64,
@@ -127,6 +129,11 @@
         }
     }
 
+    /// True if a call came from its caller.
+    pub fn has_arrived(&self, call: u64) -> bool {
+        self.calls.contains_key(&call)
+    }
+
     /// A call waits for a slot, or no longer.
     pub fn waits(&mut self, call: u64, spec: &CallSpec, waits: bool) {
         let life = self.calls.entry(call).or_default();
