measure: a lagging host list lags by 4 s and not for ever

The trace shows all late dispatches at router 0 while a partition left it alone and its own list never showed the endpoint as leaving: no router can know that. Change: the list of that router shows it after 4 s. Conclusion: the check stays at 5 s; the scenario now says how long a list lags.

--- a/examples/measure/faults.rs
+++ b/examples/measure/faults.rs
@@ -11,6 +11,9 @@
 use super::fleet::Seat;
 use super::fleet::host;
 
+/// Microseconds by which a lagging host list is behind the others.
+const LIST_LAG_US: u64 = 4_000_000;
+
 /// What can go wrong, or be done by operators, at a moment of a scenario.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum FleetFault {
@@ -22,8 +25,10 @@
     Restart(usize),
     /// A router sees and does nothing for so many milliseconds.
     Pause(usize, u64),
-    /// An endpoint is on the host list as leaving, at all routers but this one.
+    /// An endpoint is on the host list as leaving; this one router's list lags.
     Leave(usize, usize),
+    /// A lagging list shows a router that an endpoint leaves.
+    ShowLeaving(usize, usize),
     /// An endpoint loses all that it runs.
     Crash(usize),
     /// A publication with this revision and all shares times this factor for odd teams.
@@ -42,6 +47,7 @@
                 self.seats[seat].wakes_at = self.now + millis * 1_000;
             }
             FleetFault::Leave(place, deaf) => self.leave(place, deaf),
+            FleetFault::ShowLeaving(place, seat) => self.show_leaving(place, seat),
             FleetFault::Crash(place) => self.crash(place),
             FleetFault::Publish(revision, factor) => self.publish(revision, factor),
             FleetFault::Noise(per_mille) => self.noise = per_mille,
@@ -108,15 +114,18 @@
         self.left.push((endpoint, self.now));
         self.tally.closes(endpoint);
         for seat in (0..self.seats.len()).filter(|seat| *seat != deaf) {
-            let leaving = vec![(endpoint, 1)];
-            self.tell(
-                seat,
-                CoreEvent::HostsListed {
-                    routers: Vec::new(),
-                    leaving,
-                },
-            );
+            self.show_leaving(place, seat);
         }
+        // Peers tell the router whose list lags, unless a partition leaves it alone; then only its
+        // own list can.
+        let late = self.now + LIST_LAG_US;
+        self.plan(late, FleetFault::ShowLeaving(place, deaf));
+    }
+
+    fn show_leaving(&mut self, place: usize, seat: usize) {
+        let leaving = vec![(self.names[place], 1)];
+        let routers = Vec::new();
+        self.tell(seat, CoreEvent::HostsListed { routers, leaving });
     }
 
     fn crash(&mut self, place: usize) {
