Ownership: vacant slots go to whoever waits, above the targets if need be

Cause: in and after a partition some endpoints are held beyond their limits. Ruled out: the limits of endpoints (all at 16) and membership (all views agree from 2 s after the heal). Change: after the grants up to the targets, what is still vacant is granted to routers with something waiting, least above target first; the next share-out asks the surplus back.

--- a/src/core/systems/ownership.rs
+++ b/src/core/systems/ownership.rs
@@ -252,6 +252,7 @@
     level_accounts(state, &mut pool);
     set_targets(state, &mut pool);
     grant_vacant(&mut pool);
+    grant_leftover(&mut pool);
     tell_members(state, pool_id, &mut pool);
     state.owned.insert(pool_id, pool);
 }
@@ -462,6 +463,35 @@
     }
 }
 
+/// Grants what is still vacant to routers with something waiting, above their targets.
+///
+/// After a partition some endpoints are held beyond their limits for a while. Then all routers
+/// are above their targets although other endpoints have room; seen as vacant slots beside long
+/// queues until the last long request ends. The next share-out asks the surplus back.
+fn grant_leftover(pool: &mut OwnedPool) {
+    let mut hosts: Vec<(u32, u32, HostName)> = pool
+        .members
+        .iter()
+        .filter(|(_, member)| member.waiting() > 0 && !member.draining)
+        .map(|(host, member)| {
+            let above = member.held.saturating_sub(member.target);
+            (above, member.waiting(), host.clone())
+        })
+        .collect();
+    hosts.sort();
+    for (_, waiting, host) in hosts {
+        for _ in 0..waiting {
+            let Some((_, endpoint)) = pool.vacant.last().copied() else {
+                return;
+            };
+            grant_one(pool, &host, endpoint);
+            if let Some(member) = pool.members.get_mut(&host) {
+                member.target = member.target.max(member.held);
+            }
+        }
+    }
+}
+
 fn grant_one(pool: &mut OwnedPool, host: &HostName, endpoint: EndpointId) {
     let Some(member) = pool.members.get_mut(host) else {
         return;
