--- a/src/admin/status.rs
+++ b/src/admin/status.rs
@@ -63,6 +63,17 @@
     AskingPeers,
 }
 
+impl NotReadyReason {
+    /// The reason in a word or two, for tables.
+    #[must_use]
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Draining => "draining",
+            Self::NoPublication => "no publication",
+        }
+    }
+}
+
 /// Publications as a router sees them.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PublicationStatus {
--- a/src/ctl/local.rs
+++ b/src/ctl/local.rs
@@ -10,12 +10,11 @@
 use rand::RngExt;
 use serde::Serialize;
 use serde_json::Value;
-use sha2::Digest;
-use sha2::Sha256;
 
 use crate::catalog::FleetCatalog;
 use crate::document::DocumentFault;
 use crate::document::FaultList;
+use crate::entry::catalog::key_hash_text;
 use crate::platform::HostList;
 use crate::publication;
 use crate::publication::rendered::PublicationChange;
@@ -201,7 +200,7 @@
     let mut bytes = [0_u8; KEY_BYTES];
     rand::rng().fill(&mut bytes);
     let key = hex(&bytes);
-    let hash = hex(&Sha256::digest(key.as_bytes()));
+    let hash = key_hash_text(&key);
     writer.value(&NewKey { key, hash }, |new, format| {
         let mut table = TextTable::new(&["part", "value"]);
         table.row(vec!["key, for the team".into(), new.key.as_str().into()]);
--- a/src/ctl/remote.rs
+++ b/src/ctl/remote.rs
@@ -132,9 +132,7 @@
         return TableCell::toned("yes", CellTone::Good);
     }
     let reasons = router.readiness.reasons.iter();
-    let reasons: Vec<String> = reasons
-        .map(|reason| format!("{reason:?}").to_lowercase())
-        .collect();
+    let reasons: Vec<&str> = reasons.map(|reason| reason.label()).collect();
     TableCell::toned(format!("no: {}", reasons.join(", ")), CellTone::Bad)
 }
 
--- a/tests/ctl.rs
+++ b/tests/ctl.rs
@@ -215,3 +215,27 @@
     assert!(refused.out.is_empty(), "{refused:?}");
     desk.fleet.stop().await;
 }
+
+// The configuration service has some two thousand reads a second for all readers. A router that
+// read it for each request, or in a loop, would use them up for the whole fleet.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_publication_costs_at_most_two_reads_a_router() {
+    let desk = OperatorDesk::start("reads").await;
+    let routers = u64::try_from(desk.fleet.routers.len()).unwrap();
+    let before = desk.fleet.platform.config_calls();
+    let text = std::fs::read_to_string(desk.path("publication.json")).unwrap();
+    desk.fleet.platform.publish(text);
+    for router in &desk.fleet.routers {
+        let mut catalog = router.control().catalog.clone();
+        let newest = catalog.wait_for(|catalog| catalog.revision().0 == 2);
+        newest.await.unwrap();
+    }
+    for _ in 0..5 {
+        let sent = desk.send(&["/portal/night"]).await;
+        assert_eq!(sent.code, Some(0), "{sent:?}");
+    }
+    // A watch that ends with the publication, and the one that follows it.
+    let calls = desk.fleet.platform.config_calls() - before;
+    assert!(calls <= 2 * routers, "{calls} calls");
+    desk.fleet.stop().await;
+}
