--- a/src/admin/status.rs
+++ b/src/admin/status.rs
@@ -70,6 +70,7 @@
         match self {
             Self::Draining => "draining",
             Self::NoPublication => "no publication",
+            Self::AskingPeers => "asking peers",
         }
     }
 }
