Control traffic: budgets keep a debt, and owners have one too

Cause: short calls near a pool's slots made the busiest router send 11.9 KB/s of control at 8 routers and 16 teams (slopes, 54 calls/s a router), against 4 KB/s. The budget of urgent reports let a whole message through whenever a tick had added a few bytes, since it could not go below 0; owners had none; and slots that nobody waited for were granted one by one. Ruled out: the size of messages (52 bytes on average) and membership (224 B/s). Change: one budget type with debt for reports (1,500 B/s) and allotments (2,500 B/s); without budget a pool is shared out every 400 ms; spare slots are spread every 400 ms.

--- a/src/configs/ownership.rs
+++ b/src/configs/ownership.rs
@@ -20,6 +20,9 @@
     pub correction_ms: u64,
     /// Service units of lead that a team keeps at most: remembered debt is clamped here.
     pub debt_units: u64,
+    /// Bytes a second that allotments may use on average, per owner. Beyond that a pool is shared
+    /// out only every `refresh_ms`.
+    pub bytes_per_s: u64,
     /// Milliseconds of silence after which an entry router's slots are granted to others.
     pub claim_ms: u64,
 }
@@ -33,6 +36,7 @@
             refresh_ms: 400,
             correction_ms: 10_000,
             debt_units: 200_000,
+            bytes_per_s: 2_500,
             claim_ms: 6_000,
         }
     }
--- a/src/core/state.rs
+++ b/src/core/state.rs
@@ -22,6 +22,7 @@
 use super::RouterIdentity;
 use super::action::CoreAction;
 use super::event::CoreEvent;
+use super::tables::byte_budget::ByteBudget;
 use super::tables::crashes::CrashTable;
 use super::tables::detector::DetectorTable;
 use super::tables::endpoints::EndpointTable;
@@ -82,9 +83,9 @@
     /// Pools that something happened to in this event.
     pub woken: BTreeSet<PoolId>,
     /// Bytes that urgent reports may still use.
-    pub urgent_bytes: u64,
-    /// When `urgent_bytes` was last topped up.
-    pub urgent_refilled: Moment,
+    pub report_budget: ByteBudget,
+    /// Bytes that allotments may still use.
+    pub allotment_budget: ByteBudget,
     /// True once operators asked for a drain.
     pub draining: bool,
     /// Since when nothing is left to do in a drain.
@@ -121,8 +122,8 @@
             retry_budgets: RetryBudgets::default(),
             backoffs: BTreeSet::new(),
             woken: BTreeSet::new(),
-            urgent_bytes: 0,
-            urgent_refilled: Moment(0),
+            report_budget: ByteBudget::default(),
+            allotment_budget: ByteBudget::default(),
             draining: false,
             drain_quiet_since: None,
             drained: false,
--- a/src/core/systems/ownership.rs
+++ b/src/core/systems/ownership.rs
@@ -6,6 +6,8 @@
 
 use std::collections::BTreeMap;
 
+use prost::Message;
+
 use crate::core::event::CoreEvent;
 use crate::core::share::ShareClaim;
 use crate::core::share::ceil_to_u32;
@@ -54,6 +56,8 @@
             }
         }
         CoreEvent::Tick => {
+            let rate = state.config.ownership.bytes_per_s;
+            state.allotment_budget.fill(state.now, rate);
             drop_gone_members(state);
             let pools: Vec<PoolId> = state.owned.keys().copied().collect();
             for pool in pools {
@@ -233,10 +237,12 @@
     let Some(pool) = state.owned.get(&pool_id) else {
         return;
     };
-    let wait = if pool.urgent {
-        config.share_gap_ms
-    } else {
-        config.share_out_ms
+    // Short calls near the number of slots make routers ask and give back many times a second.
+    // The budget bounds what that may cost; meanwhile each router goes on with what it holds.
+    let wait = match (state.allotment_budget.is_open(), pool.urgent) {
+        (true, true) => config.share_gap_ms,
+        (true, false) => config.share_out_ms,
+        (false, _) => config.refresh_ms,
     };
     if now < pool.settles_at || now.since(pool.shared_at) < TimeSpan::from_millis(wait) {
         return;
@@ -251,7 +257,12 @@
     advance_clock(state, &mut pool, passed);
     level_accounts(state, &mut pool);
     set_targets(state, &mut pool);
-    grant_vacant(&mut pool);
+    let refresh = TimeSpan::from_millis(state.config.ownership.refresh_ms);
+    let spread = now.since(pool.spread_at) >= refresh;
+    if spread {
+        pool.spread_at = now;
+    }
+    grant_vacant(&mut pool, spread);
     grant_leftover(&mut pool);
     tell_members(state, pool_id, &mut pool);
     state.owned.insert(pool_id, pool);
@@ -444,12 +455,15 @@
         .collect()
 }
 
-/// Grants vacant slots, to those furthest below their targets first.
-fn grant_vacant(pool: &mut OwnedPool) {
+/// Grants vacant slots, to those furthest below their targets first: to routers with something
+/// waiting always, and to the others only if spare slots shall be `spread` now, since those cost
+/// messages that help nobody at once.
+fn grant_vacant(pool: &mut OwnedPool, spread: bool) {
     let mut hosts: Vec<(u32, HostName)> = pool
         .members
         .iter()
         .filter(|(_, member)| member.target > member.held)
+        .filter(|(_, member)| spread || member.waiting() > 0)
         .map(|(host, member)| (member.target - member.held, host.clone()))
         .collect();
     hosts.sort_by(|left, right| right.cmp(left));
@@ -526,6 +540,9 @@
         let allotment = build(member, pool_id, epoch, clock, scarce, now, |team| {
             accounts.get(&team).map_or(clock, |row| row.time)
         });
+        if host != state.identity.host {
+            state.allotment_budget.spend(allotment.encoded_len());
+        }
         state.send(&host, PeerBody::Allotment(allotment));
     }
 }
--- a/src/core/systems/reporting.rs
+++ b/src/core/systems/reporting.rs
@@ -20,9 +20,6 @@
 /// Service units in one step of the `charged` field of a report.
 pub const CHARGE_STEP: i64 = 16;
 
-/// Bytes of framing around a control message, reckoned in the budget.
-const FRAME_BYTES: u64 = 8;
-
 /// Sends the reports that are due, on every event for the pools that something happened to.
 pub fn run(state: &mut CoreState, event: &CoreEvent) {
     if matches!(event, CoreEvent::Tick) {
@@ -37,14 +34,8 @@
 }
 
 fn refill(state: &mut CoreState) {
-    let passed = state.now.since(state.urgent_refilled);
-    let earned = state.config.reporting.urgent_bytes_per_s * passed.0 / 1_000_000;
-    if earned == 0 {
-        return;
-    }
-    let most = state.config.reporting.urgent_bytes_per_s;
-    state.urgent_bytes = (state.urgent_bytes + earned).min(most);
-    state.urgent_refilled = state.now;
+    let rate = state.config.reporting.urgent_bytes_per_s;
+    state.report_budget.fill(state.now, rate);
 }
 
 /// Turns to the pool's owner of the moment. A new owner starts with what runs here: free slots
@@ -111,7 +102,7 @@
         return;
     };
     let wants = pool.wants && pool.waiting > 0 && pool.open.is_empty();
-    let urgent = (pool.urgent || wants) && state.urgent_bytes > 0;
+    let urgent = (pool.urgent || wants) && state.report_budget.is_open();
     let passed = now.since(pool.reported_at);
     let due = match (urgent, pool.changed) {
         (true, _) => passed >= TimeSpan::from_millis(config.urgent_gap_ms),
@@ -129,8 +120,7 @@
     report.draining = state.draining;
     add_pressure(&state.slot_limits, &mut report);
     if urgent && owner.host != state.identity.host {
-        let bytes = report.encoded_len() as u64 + FRAME_BYTES;
-        state.urgent_bytes = state.urgent_bytes.saturating_sub(bytes);
+        state.report_budget.spend(report.encoded_len());
     }
     state.send(&owner.host, PeerBody::Demand(report));
 }
--- a/src/core/tables/mod.rs
+++ b/src/core/tables/mod.rs
@@ -1,5 +1,6 @@
 //! The tables of the decision core: entities as rows, no decisions.
 
+pub mod byte_budget;
 pub mod crashes;
 pub mod detector;
 pub mod endpoints;
--- a/src/core/tables/owned_pool.rs
+++ b/src/core/tables/owned_pool.rs
@@ -162,6 +162,8 @@
     pub vacant: BTreeSet<(u32, EndpointId)>,
     /// When slots were last shared out.
     pub shared_at: Moment,
+    /// When slots that nobody waits for were last spread over the entry routers.
+    pub spread_at: Moment,
     /// True if slots should be shared out soon.
     pub urgent: bool,
     /// True while requests wait for lack of slots.
@@ -183,6 +185,7 @@
             claimed: BTreeMap::new(),
             vacant: BTreeSet::new(),
             shared_at: Moment(0),
+            spread_at: Moment(0),
             urgent: false,
             scarce: false,
         }
