--- /dev/null
+++ b/tests/slot_counters.rs
@@ -0,0 +1,238 @@
+//! Slots of a pool under loss, doubling and reordering of control messages.
+
+mod cores;
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use proptest::prelude::*;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngAlgorithm;
+use proptest::test_runner::TestRng;
+use proptest::test_runner::TestRunner;
+
+use verbenaturn::configs::CoreConfig;
+use verbenaturn::core::RouterCore;
+use verbenaturn::core::RouterIdentity;
+use verbenaturn::core::action::CoreAction;
+use verbenaturn::core::event::AttemptOutcome;
+use verbenaturn::core::event::CoreEvent;
+use verbenaturn::core::event::ListedRouter;
+use verbenaturn::units::HostName;
+use verbenaturn::units::Moment;
+use verbenaturn::units::RouterIncarnation;
+use verbenaturn::wire::PeerBody;
+use verbenaturn::wire::PeerMessage;
+
+use self::cores::catalog;
+use self::cores::ended;
+use self::cores::facts;
+use self::cores::host;
+
+/// Routers, slots of the one endpoint, and microseconds between two steps.
+const ROUTERS: usize = 3;
+const SLOTS: u32 = 6;
+const STEP_US: u64 = 5_000;
+
+/// What becomes of the next message about slots.
+#[derive(Debug, Clone, Copy)]
+enum MessageFate {
+    Deliver,
+    Lose,
+    Double,
+    Delay,
+}
+
+/// Cores whose messages about slots meet the drawn fates; all others arrive at once.
+struct SlotRig {
+    cores: Vec<RouterCore>,
+    now: u64,
+    fates: VecDeque<MessageFate>,
+    delayed: VecDeque<(usize, usize, PeerMessage)>,
+    running: BTreeMap<u64, (usize, u32)>,
+}
+
+impl SlotRig {
+    fn new(fates: Vec<MessageFate>) -> Self {
+        let mut rig = Self {
+            cores: (0..ROUTERS).map(new_core).collect(),
+            now: 1_000_000,
+            fates: VecDeque::new(),
+            delayed: VecDeque::new(),
+            running: BTreeMap::new(),
+        };
+        for router in 0..ROUTERS {
+            rig.introduce(router);
+        }
+        // All views agree and the owner has listened before faults begin.
+        for _ in 0..200 {
+            rig.step();
+        }
+        rig.fates = fates.into();
+        rig
+    }
+
+    fn introduce(&mut self, router: usize) {
+        let routers = (0..ROUTERS)
+            .map(|other| ListedRouter {
+                host: host(other),
+                address: "127.0.0.1:9".into(),
+                domain: "domain-0".parse().unwrap(),
+                leaving: false,
+            })
+            .collect();
+        let leaving = Vec::new();
+        self.tell(router, CoreEvent::HostsListed { routers, leaving });
+        for other in (0..ROUTERS).filter(|other| *other != router) {
+            let incarnation = life(other);
+            let opened = CoreEvent::PeerOpened {
+                host: host(other),
+                incarnation,
+            };
+            self.tell(router, opened);
+        }
+        let catalog = Arc::new(catalog(1, SLOTS));
+        let text = Bytes::new();
+        self.tell(router, CoreEvent::Published { catalog, text });
+    }
+
+    fn tell(&mut self, router: usize, event: CoreEvent) {
+        let mut queue = VecDeque::from([(router, event)]);
+        while let Some((router, event)) = queue.pop_front() {
+            for action in self.cores[router].handle(Moment(self.now), event) {
+                match action {
+                    CoreAction::Send { host, message } => {
+                        queue.extend(self.carry(router, &host, message));
+                    }
+                    CoreAction::Dispatch {
+                        request, attempt, ..
+                    } => {
+                        self.running.insert(request.0, (router, attempt.0));
+                    }
+                    _ => {}
+                }
+            }
+        }
+    }
+
+    fn carry(
+        &mut self,
+        from: usize,
+        to: &HostName,
+        message: PeerMessage,
+    ) -> Vec<(usize, CoreEvent)> {
+        let to = (0..ROUTERS).find(|other| host(*other) == *to).unwrap();
+        let about_slots = matches!(
+            message.body,
+            Some(PeerBody::Demand(_) | PeerBody::Allotment(_))
+        );
+        let fate = if about_slots {
+            self.fates.pop_front().unwrap_or(MessageFate::Deliver)
+        } else {
+            MessageFate::Deliver
+        };
+        let arrival = |message| (to, arrival(from, message));
+        match fate {
+            MessageFate::Deliver => vec![arrival(message)],
+            MessageFate::Lose => Vec::new(),
+            MessageFate::Double => vec![arrival(message.clone()), arrival(message)],
+            MessageFate::Delay => {
+                self.delayed.push_back((from, to, message));
+                Vec::new()
+            }
+        }
+    }
+
+    /// One tick of all cores; a delayed message arrives after later ones.
+    fn step(&mut self) {
+        self.now += STEP_US;
+        if (self.now / STEP_US).is_multiple_of(7)
+            && let Some((from, to, message)) = self.delayed.pop_front()
+        {
+            self.tell(to, arrival(from, message));
+        }
+        for router in 0..ROUTERS {
+            self.tell(router, CoreEvent::Tick);
+        }
+    }
+
+    fn finish(&mut self, place: usize) {
+        let Some((request, (router, attempt))) = self.running.iter().nth(place) else {
+            return;
+        };
+        let (request, router, attempt) = (*request, *router, *attempt);
+        self.running.remove(&request);
+        self.tell(router, ended(request, attempt, AttemptOutcome::Whole));
+    }
+}
+
+fn life(router: usize) -> RouterIncarnation {
+    RouterIncarnation(500 + router as u64)
+}
+
+fn arrival(from: usize, message: PeerMessage) -> CoreEvent {
+    CoreEvent::Message {
+        from: host(from),
+        incarnation: life(from),
+        message,
+    }
+}
+
+fn new_core(router: usize) -> RouterCore {
+    let identity = RouterIdentity {
+        host: host(router),
+        incarnation: life(router),
+        domain: "domain-0".parse().unwrap(),
+        address: "127.0.0.1:9".into(),
+    };
+    RouterCore::new(identity, CoreConfig::default(), router as u64)
+}
+
+fn fates() -> impl Strategy<Value = Vec<MessageFate>> {
+    let fate = prop_oneof![
+        3 => Just(MessageFate::Deliver),
+        1 => Just(MessageFate::Lose),
+        1 => Just(MessageFate::Double),
+        1 => Just(MessageFate::Delay),
+    ];
+    proptest::collection::vec(fate, 0..120)
+}
+
+// Reports and allotments are lost, doubled and overtake each other while requests come and go at
+// all routers. At no moment may the endpoint run more than its slots: a slot counted as returned
+// twice would show as an engine over its limit. Once messages flow again every slot is used: a
+// slot that both ends believe the other holds would stand idle for ever.
+#[test]
+fn no_slot_is_doubled_and_none_is_leaked() {
+    let config = Config {
+        cases: 48,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let random = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+    let mut runner = TestRunner::new_with_rng(config, random);
+    let steps = proptest::collection::vec((0..ROUTERS, 0..8_usize), 60..160);
+    runner
+        .run(&(fates(), steps), |(fates, steps)| {
+            let mut rig = SlotRig::new(fates);
+            for (request, (router, place)) in (1_u64..).zip(steps) {
+                rig.tell(router, CoreEvent::Arrived(facts(request)));
+                rig.finish(place);
+                rig.step();
+                prop_assert!(rig.running.len() <= SLOTS as usize);
+            }
+            rig.fates.clear();
+            for request in 10_000..10_040 {
+                rig.tell(0, CoreEvent::Arrived(facts(request)));
+            }
+            for _ in 0..1_000 {
+                rig.step();
+                prop_assert!(rig.running.len() <= SLOTS as usize);
+            }
+            prop_assert_eq!(rig.running.len(), SLOTS as usize);
+            Ok(())
+        })
+        .unwrap();
+}
