--- a/examples/measure/checks.rs
+++ b/examples/measure/checks.rs
@@ -18,6 +18,8 @@
 const LOSS_BOUND: f64 = 0.01;
 /// Seconds after which a leaving endpoint gets nothing new.
 const LEAVING_BOUND: f64 = 5.0;
+/// Models that one endpoint may load in a scenario, which is shorter than the residence.
+const LOADS_BOUND: f64 = 1.0;
 /// Attempts per started request.
 const RETRY_BOUND: f64 = 1.1;
 
@@ -60,7 +62,7 @@
 
 /// Runs a scenario from a seed.
 pub fn run(scenario: FleetScenario, size: FleetSize, seed: u64) -> Vec<FleetCheck> {
-    let catalog = scenarios::catalog(size);
+    let catalog = scenarios::catalog_for(scenario, size);
     let load = LoadPlan {
         streams: scenarios::load(scenario, size),
         seed,
@@ -163,6 +165,13 @@
             "s",
             Some(LEAVING_BOUND),
         ),
+        (
+            "loads_per_endpoint",
+            f64::from(ours.most_loads()),
+            "models",
+            Some(LOADS_BOUND),
+        ),
+        ("loads", f64::from(ours.all_loads()), "models", None),
         (
             "endpoints_crashed",
             f64::from(ours.endpoints_crashed()),
--- a/examples/measure/faults.rs
+++ b/examples/measure/faults.rs
@@ -6,6 +6,9 @@
 use verbenaturn::core::action::RunOutcome;
 use verbenaturn::core::event::AttemptOutcome;
 use verbenaturn::core::event::CoreEvent;
+use verbenaturn::units::EndpointId;
+use verbenaturn::units::FenceNumber;
+use verbenaturn::units::PoolId;
 
 use super::fleet::CoreFleet;
 use super::fleet::Seat;
@@ -14,6 +17,9 @@
 /// Microseconds by which a lagging host list is behind the others.
 const LIST_LAG_US: u64 = 4_000_000;
 
+/// Microseconds that an endpoint takes to load a model.
+const LOAD_US: u64 = 3_000_000;
+
 /// What can go wrong, or be done by operators, at a moment of a scenario.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum FleetFault {
@@ -29,6 +35,8 @@
     Leave(usize, usize),
     /// A lagging list shows a router that an endpoint leaves.
     ShowLeaving(usize, usize),
+    /// An endpoint has loaded the model of this pool.
+    Loaded(usize, PoolId),
     /// An endpoint loses all that it runs.
     Crash(usize),
     /// A publication with this revision and all shares times this factor for odd teams.
@@ -48,6 +56,7 @@
             }
             FleetFault::Leave(place, deaf) => self.leave(place, deaf),
             FleetFault::ShowLeaving(place, seat) => self.show_leaving(place, seat),
+            FleetFault::Loaded(place, pool) => self.tally.moves(self.names[place], pool),
             FleetFault::Crash(place) => self.crash(place),
             FleetFault::Publish(revision, factor) => self.publish(revision, factor),
             FleetFault::Noise(per_mille) => self.noise = per_mille,
@@ -128,6 +137,20 @@
         self.tell(seat, CoreEvent::HostsListed { routers, leaving });
     }
 
+    /// An order arrives at an endpoint that refuses old fencing numbers and loads in `LOAD_US`.
+    pub(super) fn order(&mut self, endpoint: EndpointId, pool: PoolId, fence: FenceNumber) {
+        let seen = self.fences.entry(endpoint).or_default();
+        if fence <= *seen {
+            return;
+        }
+        *seen = fence;
+        if self.tally.home_of(endpoint) == pool {
+            return;
+        }
+        let place = self.place_of(endpoint);
+        self.plan(self.now + LOAD_US, FleetFault::Loaded(place, pool));
+    }
+
     fn crash(&mut self, place: usize) {
         let endpoint = self.names[place];
         self.tally.crashed(endpoint);
--- a/examples/measure/fleet.rs
+++ b/examples/measure/fleet.rs
@@ -26,6 +26,7 @@
 use verbenaturn::core::event::TicketName;
 use verbenaturn::units::AttemptNumber;
 use verbenaturn::units::EndpointId;
+use verbenaturn::units::FenceNumber;
 use verbenaturn::units::HostName;
 use verbenaturn::units::Moment;
 use verbenaturn::units::RequestFingerprint;
@@ -97,6 +98,7 @@
     tickets: BTreeMap<u64, TicketName>,
     watched: BTreeSet<(usize, u64, EndpointId)>,
     pub(super) lives: BTreeMap<EndpointId, u64>,
+    pub(super) fences: BTreeMap<EndpointId, FenceNumber>,
     seed: u64,
 }
 
@@ -129,6 +131,7 @@
             tickets: BTreeMap::new(),
             watched: BTreeSet::new(),
             lives: BTreeMap::new(),
+            fences: BTreeMap::new(),
             seed,
         };
         for index in 0..routers {
@@ -376,6 +379,11 @@
             {
                 self.push(self.now + LOAD_US, Item::Load(seat, life, endpoint));
             }
+            CoreAction::OrderModel {
+                endpoint,
+                pool,
+                fence,
+            } => self.order(endpoint, pool, fence),
             CoreAction::WatchLoad {
                 endpoint,
                 on: false,
@@ -391,7 +399,7 @@
             return;
         }
         self.push(self.now + LOAD_US, Item::Load(seat, life, endpoint));
-        let active = self.catalog.endpoints[&endpoint].pools[0];
+        let active = self.tally.home_of(endpoint);
         let (running, waiting) = self.tally.load_of(endpoint);
         let event = CoreEvent::EndpointLoad {
             endpoint,
@@ -399,7 +407,7 @@
             waiting,
             active,
             life: self.lives.get(&endpoint).copied().unwrap_or(1),
-            fence: 0,
+            fence: self.fences.get(&endpoint).map_or(0, |fence| fence.0),
         };
         self.tell(seat, event);
     }
@@ -473,7 +481,7 @@
         );
     }
 
-    fn place_of(&self, endpoint: EndpointId) -> usize {
+    pub(super) fn place_of(&self, endpoint: EndpointId) -> usize {
         let place = self.names.iter().position(|name| *name == endpoint);
         place.expect("the catalog's endpoints are listed")
     }
--- a/examples/measure/scenarios.rs
+++ b/examples/measure/scenarios.rs
@@ -82,7 +82,7 @@
 }
 
 /// All scenarios but `slopes`.
-pub const SCENARIOS: [FleetScenario; 15] = [
+pub const SCENARIOS: [FleetScenario; 16] = [
     scenario("steady", 60),
     scenario("skew", 60),
     scenario("flood", 60),
@@ -96,6 +96,7 @@
     scenario("pause", 40),
     scenario("poison", 40),
     scenario("overload", 60),
+    scenario("orders", 240),
     scenario("noise", 60),
     scenario("mixed", 60),
 ];
@@ -110,6 +111,30 @@
     "model".parse().expect("a plain name")
 }
 
+/// A second model that every engine can load, in the scenario `orders`.
+pub fn other_pool() -> PoolName {
+    "other-model".parse().expect("a plain name")
+}
+
+/// The catalog of a scenario.
+pub fn catalog_for(scenario: FleetScenario, size: FleetSize) -> FleetCatalog {
+    let mut catalog = catalog(size);
+    if scenario.name != "orders" {
+        return catalog;
+    }
+    let engine = PoolId::from(&engine_pool());
+    let other = PoolId::from(&other_pool());
+    let mut entry = catalog.pools[&engine].clone();
+    for endpoint in &entry.endpoints {
+        if let Some(row) = catalog.endpoints.get_mut(endpoint) {
+            row.pools.push(other);
+        }
+    }
+    entry.name = other_pool();
+    catalog.pools.insert(other, entry);
+    catalog
+}
+
 /// The pool of the portal or tablet endpoints.
 pub fn plain_pool() -> PoolName {
     "portal".parse().expect("a plain name")
@@ -289,6 +314,16 @@
                 stream.span = (from, from + 20_000_000);
             }
         }
+        "orders" => {
+            let other = stream(2, "query", (40, 200), closed, slots);
+            let pool = PoolId::from(&other_pool());
+            let span = (5_000_000, u64::MAX);
+            streams.push(CallStream {
+                pool,
+                span,
+                ..other
+            });
+        }
         "poison" => {
             let poison = stream(3, "query", (100, 100), CallPace::Open(0.2), 1);
             streams.push(CallStream {
@@ -334,6 +369,10 @@
             (25 * second, FleetFault::Restart(other)),
             (25 * second, FleetFault::Restart(one)),
         ],
+        "orders" => vec![
+            (130 * second, FleetFault::Part(one.max(1))),
+            (145 * second, FleetFault::Heal),
+        ],
         "stale_config" => vec![
             (10 * second, FleetFault::Publish(3, 2)),
             (15 * second, FleetFault::Publish(2, 5)),
--- a/examples/measure/tally.rs
+++ b/examples/measure/tally.rs
@@ -43,6 +43,7 @@
     shares: BTreeMap<TeamId, f64>,
     limits: BTreeMap<EndpointId, i64>,
     homes: BTreeMap<EndpointId, PoolId>,
+    loads: BTreeMap<EndpointId, u32>,
     running: BTreeMap<EndpointId, i64>,
     waiting: BTreeMap<PoolId, i64>,
     free: BTreeMap<PoolId, i64>,
@@ -160,6 +161,33 @@
         }
     }
 
+    /// The pool that an endpoint serves.
+    pub fn home_of(&self, endpoint: EndpointId) -> PoolId {
+        self.homes.get(&endpoint).copied().unwrap_or_default()
+    }
+
+    /// An endpoint serves another pool from now on.
+    pub fn moves(&mut self, endpoint: EndpointId, pool: PoolId) {
+        let running = self.running.get(&endpoint).copied().unwrap_or(0);
+        let limit = self.limits.get(&endpoint).copied().unwrap_or(0);
+        let free = (limit - running).max(0);
+        if let Some(before) = self.homes.insert(endpoint, pool) {
+            *self.free.entry(before).or_default() -= free;
+        }
+        *self.free.entry(pool).or_default() += free;
+        *self.loads.entry(endpoint).or_default() += 1;
+    }
+
+    /// Models that one endpoint loaded at most.
+    pub fn most_loads(&self) -> u32 {
+        self.loads.values().max().copied().unwrap_or(0)
+    }
+
+    /// Models that all endpoints loaded.
+    pub fn all_loads(&self) -> u32 {
+        self.loads.values().sum()
+    }
+
     /// An endpoint takes no more work, so its free slots are not idle.
     pub fn closes(&mut self, endpoint: EndpointId) {
         let running = self.running.get(&endpoint).copied().unwrap_or(0);
--- a/tests/differential.rs
+++ b/tests/differential.rs
@@ -85,6 +85,8 @@
         println!("{}", check.to_json(scenario, size, SEED));
     }
     assert_invariants(&checks, &run);
+    let broken: Vec<&FleetCheck> = checks.iter().filter(|check| !check.holds()).collect();
+    assert!(broken.is_empty(), "{run}: {broken:?}");
     if FAIR.contains(&name) {
         let breaches = breaches(&checks);
         assert!(breaches.is_empty(), "{run}: {breaches:?}");
@@ -128,6 +130,7 @@
     pause,
     poison,
     overload,
+    orders,
     noise,
     mixed,
 );
