--- a/src/core/systems/attempts.rs
+++ b/src/core/systems/attempts.rs
@@ -14,6 +14,7 @@
 use crate::core::systems::quarantine;
 use crate::core::tables::requests::RequestEntry;
 use crate::core::tables::requests::RequestStage;
+use crate::core::tables::requests::RunningAttempt;
 use crate::units::AttemptNumber;
 use crate::units::EndpointId;
 use crate::units::Moment;
@@ -94,17 +95,9 @@
     let Some(entry) = state.requests.get(request) else {
         return;
     };
-    // An answer of an older attempt that comes late must not end the newer attempt: the caller
-    // would get it twice or mixed. Attempts are numbered and only the running one counts.
-    let RequestStage::Running {
-        endpoint, since, ..
-    } = entry.stage
-    else {
+    let Some(RunningAttempt { endpoint, since }) = entry.running(attempt) else {
         return;
     };
-    if !entry.runs_attempt(attempt) {
-        return;
-    }
     let team = entry.facts.team;
     let pool_id = entry.facts.pool;
     settle(state, request, units(service));
--- a/src/core/systems/limits.rs
+++ b/src/core/systems/limits.rs
@@ -11,7 +11,7 @@
 use crate::core::event::RequestFacts;
 use crate::core::state::CoreState;
 use crate::core::tables::endpoints::LoadWatcher;
-use crate::core::tables::requests::RequestStage;
+use crate::core::tables::requests::RunningAttempt;
 use crate::core::tables::slot_limits::SlotLimit;
 use crate::units::AttemptNumber;
 use crate::units::EndpointId;
@@ -75,15 +75,9 @@
     let Some(entry) = state.requests.get(request) else {
         return;
     };
-    let RequestStage::Running {
-        endpoint, since, ..
-    } = entry.stage
-    else {
+    let Some(RunningAttempt { endpoint, since }) = entry.running(attempt) else {
         return;
     };
-    if !entry.runs_attempt(attempt) {
-        return;
-    }
     let (pool_id, goal) = (entry.facts.pool, goal_of(state, &entry.facts));
     let late = state.now.since(since) > goal;
     note_answer(state, pool_id, endpoint, late);
--- a/src/core/tables/requests.rs
+++ b/src/core/tables/requests.rs
@@ -31,6 +31,15 @@
     },
 }
 
+/// An attempt that runs now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RunningAttempt {
+    /// Where it runs.
+    pub endpoint: EndpointId,
+    /// When it was dispatched.
+    pub since: Moment,
+}
+
 /// One request.
 #[derive(Debug, Clone)]
 pub struct RequestEntry {
@@ -80,10 +89,25 @@
         self.facts.repeat == RepeatRule::Repeatable
     }
 
+    /// Where and since when `attempt` runs; `None` unless it is the attempt that runs now. Events
+    /// of older attempts are late and dropped by this: ending the newer attempt for them would
+    /// give the caller an answer twice or mixed.
+    #[must_use]
+    pub fn running(&self, attempt: AttemptNumber) -> Option<RunningAttempt> {
+        match self.stage {
+            RequestStage::Running {
+                attempt: running,
+                endpoint,
+                since,
+            } if running == attempt => Some(RunningAttempt { endpoint, since }),
+            _ => None,
+        }
+    }
+
     /// True if `attempt` is the one that runs. Events of older attempts are late and dropped.
     #[must_use]
     pub fn runs_attempt(&self, attempt: AttemptNumber) -> bool {
-        matches!(self.stage, RequestStage::Running { attempt: running, .. } if running == attempt)
+        self.running(attempt).is_some()
     }
 }
 
--- a/tests/publication.rs
+++ b/tests/publication.rs
@@ -313,3 +313,18 @@
     assert!(paths(&faults).contains(&"peers.advertised"), "{faults}");
     assert!(!paths(&faults).contains(&"platform.config_url"), "{faults}");
 }
+
+#[test]
+fn what_an_operator_reads_of_three_faults() {
+    // A first-week operator forgets a template, types a share of 0 and names a pool that is not
+    // there. One run of the check names all three with their places.
+    let text = publication("\"share\": 30", "\"share\": 0")
+        .replace(
+            "\"template\": \"clinic\", \"keys\"",
+            "\"template\": \"klinic\", \"keys\"",
+        )
+        .replace("[\"reviewer\"]", "[\"revewer\"]");
+    let faults = adopt(ConfigRevision(1), text.as_bytes()).unwrap_err();
+    let lines: Vec<String> = faults.faults().iter().map(ToString::to_string).collect();
+    insta::assert_snapshot!(lines.join("\n"));
+}
