--- /dev/null
+++ b/src/core/systems/ownership/levels.rs
@@ -0,0 +1,88 @@
+//! Each team's level against its pool's clock, and the weight that follows from it.
+
+use std::collections::BTreeMap;
+
+use crate::core::state::CoreState;
+use crate::core::tables::entry_pool::virtual_time;
+use crate::core::tables::owned_pool::OwnedPool;
+use crate::units::TeamId;
+use crate::units::TimeSpan;
+
+/// Seconds over which the pace of a pool's clock is smoothed.
+const PACE_MEMORY_S: f64 = 5.0;
+/// A team that waits as long counts for the pool's clock.
+const LASTING_WAIT: TimeSpan = TimeSpan::from_millis(1_000);
+/// Least and most that a lead or lag makes of a team's share.
+const LEAST_FACTOR: f64 = 0.25;
+const MOST_FACTOR: f64 = 2.0;
+
+/// Moves the pool's clock to the mean virtual time, weighted by share, of the teams that have
+/// waited for a while. Teams that wait only for moments would hold it back: they are served at
+/// once and gain little.
+#[allow(clippy::cast_precision_loss, clippy::cast_possible_truncation)]
+pub(super) fn advance_clock(state: &CoreState, pool: &mut OwnedPool, passed: TimeSpan) {
+    let now = state.now;
+    let mut shares = 0.0;
+    let mut times = 0.0;
+    for (team, account) in &pool.accounts {
+        let lasts = account
+            .waits_since
+            .is_some_and(|since| now.since(since) >= LASTING_WAIT);
+        if lasts {
+            let share = f64::from(state.catalog.share_of(*team).0);
+            shares += share;
+            times += share * (account.time - pool.clock) as f64;
+        }
+    }
+    if shares == 0.0 || passed.0 == 0 {
+        return;
+    }
+    let step = (times / shares).max(0.0);
+    pool.clock += step as i64;
+    let seconds = passed.0 as f64 / 1e6;
+    let part = (seconds / PACE_MEMORY_S).min(1.0);
+    pool.pace += (step / seconds - pool.pace) * part;
+}
+
+/// Sets teams that begin to wait to the clock at least, and clamps leads and lags.
+pub(super) fn level_accounts(state: &CoreState, pool: &mut OwnedPool) {
+    let mut waiting: BTreeMap<TeamId, u32> = BTreeMap::new();
+    for member in pool.members.values() {
+        for (team, demand) in &member.teams {
+            *waiting.entry(*team).or_default() += demand.waiting;
+        }
+    }
+    // With nobody waiting nobody is owed anything: all start level.
+    let quiet = waiting.values().all(|count| *count == 0);
+    let (now, clock) = (state.now, pool.clock);
+    let debt = i64::try_from(state.config.ownership.debt_units).unwrap_or(i64::MAX);
+    for (team, count) in &waiting {
+        let account = pool.accounts.entry(*team).or_default();
+        let waits = *count > 0;
+        let waited = account.waits_since.is_some();
+        // Idle time banks no credit: a team that begins to wait starts at the clock.
+        if waits && !waited {
+            account.time = account.time.max(clock);
+        }
+        if quiet {
+            account.time = clock;
+        }
+        // A debt without bound would starve its team after a partition, and a credit without
+        // bound the others; both are clamped.
+        let most = virtual_time(debt, state.catalog.share_of(*team));
+        account.time = account.time.clamp(clock - most, clock + most);
+        account.waits_since = waits.then(|| account.waits_since.unwrap_or(now));
+    }
+}
+
+/// A team's share, less if it is ahead of the clock and more if it is behind, so that it would
+/// be level again after the correction time.
+#[allow(clippy::cast_precision_loss)]
+pub(super) fn team_weight(state: &CoreState, pool: &OwnedPool, team: TeamId) -> f64 {
+    let share = f64::from(state.catalog.share_of(team).0.max(1));
+    let time = pool.accounts.get(&team).map_or(pool.clock, |row| row.time);
+    let lead = (time - pool.clock) as f64;
+    let correction = state.config.ownership.correction_ms as f64 / 1e3;
+    let ahead = lead / (pool.pace * correction).max(1.0);
+    share * (1.0 - ahead).clamp(LEAST_FACTOR, MOST_FACTOR)
+}
--- /dev/null
+++ b/src/core/systems/ownership/telling.rs
@@ -0,0 +1,92 @@
+//! Telling entry routers of grants, targets and the order of teams.
+
+use prost::Message;
+
+use crate::core::share::ceil_to_u32;
+use crate::core::state::CoreState;
+use crate::core::systems::dispatch::LEAD_STEP;
+use crate::core::tables::entry_pool::epoch_of;
+use crate::core::tables::owned_pool::MemberClaim;
+use crate::core::tables::owned_pool::OwnedPool;
+use crate::units::HostName;
+use crate::units::Moment;
+use crate::units::PoolId;
+use crate::units::TeamId;
+use crate::units::TimeSpan;
+use crate::wire::PeerBody;
+use crate::wire::allotment::SlotAllotment;
+
+pub(super) fn tell_members(state: &mut CoreState, pool_id: PoolId, pool: &mut OwnedPool) {
+    let now = state.now;
+    let refresh = TimeSpan::from_millis(state.config.ownership.refresh_ms);
+    let epoch = epoch_of(state.identity.incarnation);
+    let (clock, scarce) = (pool.clock, pool.scarce);
+    let hosts: Vec<HostName> = pool.members.keys().cloned().collect();
+    for host in hosts {
+        let Some(member) = pool.members.get_mut(&host) else {
+            continue;
+        };
+        let lowered = member.target < member.held
+            && member.sent.is_none_or(|(target, _)| target > member.target);
+        let moved = member.sent != Some((member.target, scarce));
+        let busy = member.waiting() > 0 || moved || member.report_seen > member.report_told;
+        let due = now.since(member.told_at) >= refresh && busy;
+        if !(member.urgent || lowered && scarce || due) {
+            continue;
+        }
+        let accounts = &pool.accounts;
+        let allotment = build(member, pool_id, epoch, clock, scarce, now, |team| {
+            accounts.get(&team).map_or(clock, |row| row.time)
+        });
+        if host != state.identity.host {
+            state.allotment_budget.spend(allotment.encoded_len());
+        }
+        state.send(&host, PeerBody::Allotment(allotment));
+    }
+}
+
+fn build(
+    member: &mut MemberClaim,
+    pool_id: PoolId,
+    epoch: u32,
+    clock: i64,
+    scarce: bool,
+    now: Moment,
+    time_of: impl Fn(TeamId) -> i64,
+) -> SlotAllotment {
+    member.allotment_sequence += 1;
+    member.told_at = now;
+    member.urgent = false;
+    member.sent = Some((member.target, scarce));
+    member.report_told = member.report_seen;
+    let mut allotment = SlotAllotment {
+        pool: pool_id.0,
+        epoch,
+        sequence: member.allotment_sequence,
+        term: member.term,
+        acked: member.report_seen,
+        target: member.target,
+        scarce,
+        clock: steps(clock),
+        ..SlotAllotment::default()
+    };
+    for (endpoint, claim) in &member.slots {
+        if claim.told_in > member.allotment_acked {
+            allotment.endpoints.push(endpoint.0);
+            allotment.granted.push(claim.granted);
+        }
+    }
+    for (team, demand) in &member.teams {
+        if demand.waiting > 0 {
+            allotment.teams.push(team.0);
+            allotment.lead.push((time_of(*team) - clock) / LEAD_STEP);
+            let quota = member.quotas.get(team).copied().unwrap_or(0.0);
+            allotment.quota.push(ceil_to_u32(quota));
+        }
+    }
+    allotment
+}
+
+fn steps(time: i64) -> u64 {
+    u64::try_from(time / LEAD_STEP).unwrap_or(0)
+}
