Quarantine: a copy that ran while its request was refused does not run again

Change: what waits among the suspects is refused before it is started, if its fingerprint is refused. measure states the bound of 2 for poison. Test: a_copy_that_ran_while_its_request_was_refused_does_not_run_again, failed before.

--- a/examples/measure/checks.rs
+++ b/examples/measure/checks.rs
@@ -18,6 +18,8 @@
 const LOSS_BOUND: f64 = 0.01;
 /// Seconds after which a leaving endpoint gets nothing new.
 const LEAVING_BOUND: f64 = 5.0;
+/// Endpoints that one crashing request may take down, resends included.
+const CRASH_BOUND: f64 = 2.0;
 /// Models that one endpoint may load in a scenario, which is shorter than the residence.
 const LOADS_BOUND: f64 = 1.0;
 /// Attempts per started request.
@@ -79,7 +81,7 @@
     fleet.run(scenario.end_us);
     let mut checks = invariants(&fleet);
     checks.extend(policies(gap_bound, &fleet.tally, &naive.tally));
-    checks.extend(costs(&fleet.tally));
+    checks.extend(costs(scenario, &fleet.tally));
     checks
 }
 
@@ -144,7 +146,7 @@
 }
 
 #[allow(clippy::cast_precision_loss)]
-fn costs(ours: &FleetTally) -> Vec<FleetCheck> {
+fn costs(scenario: FleetScenario, ours: &FleetTally) -> Vec<FleetCheck> {
     let rows = [
         (
             "control_bytes_per_s",
@@ -176,7 +178,7 @@
             "endpoints_crashed",
             f64::from(ours.endpoints_crashed()),
             "endpoints",
-            None,
+            (scenario.name == "poison").then_some(CRASH_BOUND),
         ),
         ("whole", ours.whole() as f64, "requests", None),
         ("refused", ours.refused() as f64, "requests", None),
--- a/src/core/systems/quarantine.rs
+++ b/src/core/systems/quarantine.rs
@@ -248,6 +248,17 @@
         };
         let (pool_id, team) = (entry.facts.pool, entry.facts.team);
         let fingerprint = entry.facts.fingerprint;
+        // A copy that was still running when the verdict fell comes here after its own crash. It
+        // was not among those that waited then, and would take down endpoint after endpoint.
+        if state
+            .crashes
+            .refused_until(fingerprint, state.now)
+            .is_some()
+        {
+            state.crashes.isolated.remove(&request);
+            refuse_waiting(state, fingerprint);
+            continue;
+        }
         let Some(endpoint) = place_for(state, pool_id, fingerprint) else {
             continue;
         };
--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -317,3 +317,59 @@
         assert!(fleet.core(0).state().crashes.suspect_count() <= 8);
     }
 }
+
+/// Runs until the router asks to dispatch, for two seconds at most.
+fn next_dispatch(fleet: &mut CoreFleet) -> Option<(u64, u32, EndpointId)> {
+    for _ in 0..400 {
+        for action in fleet.take(0) {
+            if let CoreAction::Dispatch {
+                request,
+                attempt,
+                endpoint,
+                ..
+            } = action
+            {
+                return Some((request.0, attempt.0, endpoint));
+            }
+        }
+        fleet.advance(5);
+    }
+    None
+}
+
+#[test]
+fn a_copy_that_ran_while_its_request_was_refused_does_not_run_again() {
+    // A caller sends the same broken review twice. One copy crashes two engines and the request
+    // is refused fleet-wide; the other copy is still running at that moment and then crashes its
+    // own engine. It must be refused, not be tried on a fourth and fifth engine.
+    let mut fleet = CoreFleet::new(1, catalog(ENDPOINTS, 4));
+    fleet.advance(500);
+    let crash = |fleet: &mut CoreFleet, request: u64, attempt: u32, endpoint: EndpointId| {
+        fleet.tell(0, ended(request, attempt, AttemptOutcome::LostBeforeAnswer));
+        fleet.tell(0, CoreEvent::EndpointRefused { endpoint });
+    };
+    fleet.tell(0, CoreEvent::Arrived(facts(1)));
+    let (_, _, first) = next_dispatch(&mut fleet).unwrap();
+    fleet.tell(0, CoreEvent::Arrived(facts(2)));
+    let (_, _, slow) = next_dispatch(&mut fleet).unwrap();
+    crash(&mut fleet, 1, 1, first);
+    let (again, attempt, second) = next_dispatch(&mut fleet).unwrap();
+    assert_eq!(again, 1);
+    crash(&mut fleet, 1, attempt, second);
+    fleet.advance(1_000);
+    crash(&mut fleet, 2, 1, slow);
+    let mut refused = false;
+    for _ in 0..4_000 {
+        for action in fleet.take(0) {
+            match action {
+                CoreAction::Dispatch { request, .. } => panic!("{request} runs again"),
+                CoreAction::Refuse {
+                    request, reason, ..
+                } => refused |= (request.0, reason) == (2, RefusalReason::Quarantined),
+                _ => {}
+            }
+        }
+        fleet.advance(5);
+    }
+    assert!(refused);
+}
