--- a/src/core/systems/dispatch.rs
+++ b/src/core/systems/dispatch.rs
@@ -4,6 +4,7 @@
 use crate::core::action::CoreAction;
 use crate::core::event::CoreEvent;
 use crate::core::state::CoreState;
+use crate::core::systems::admission;
 use crate::core::systems::attempts;
 use crate::core::systems::reporting;
 use crate::core::tables::entry_pool::EntryPool;
@@ -145,7 +146,7 @@
             return;
         };
         let Some(endpoint) = pick_endpoint(state, pool_id, next) else {
-            crate::core::systems::admission::enqueue_first(state, next.request);
+            admission::enqueue_first(state, next.request);
             return;
         };
         start(state, pool_id, next, endpoint);
--- a/src/core/systems/reporting.rs
+++ b/src/core/systems/reporting.rs
@@ -137,7 +137,6 @@
         term: pool.term,
         sequence: pool.report_sequence,
         acked: pool.allotment_seen,
-        spare: pool.held.saturating_sub(pool.busy),
         ..DemandReport::default()
     };
     add_teams(pool, &mut report);
--- a/src/core/tables/entry_pool.rs
+++ b/src/core/tables/entry_pool.rs
@@ -150,8 +150,6 @@
     pub prefixes: BTreeMap<u64, EndpointId>,
     /// Waiting requests in all.
     pub waiting: u32,
-    /// Since when requests wait while nothing is held here.
-    pub starved_since: Option<Moment>,
 }
 
 impl EntryPool {
--- a/src/wire/demand.rs
+++ b/src/wire/demand.rs
@@ -41,9 +41,6 @@
     /// Slots given back since the epoch began, per entry of `endpoints`.
     #[prost(uint64, repeated, tag = "11")]
     pub returned: Vec<u64>,
-    /// Slots held with no request to run on them.
-    #[prost(uint32, tag = "12")]
-    pub spare: u32,
     /// Pressure, per entry of `endpoints`: answers over the latency goal per mille.
     #[prost(uint32, repeated, tag = "13")]
     pub pressure: Vec<u32>,
