--- a/src/core/systems/attempts.rs
+++ b/src/core/systems/attempts.rs
@@ -179,11 +179,6 @@
     if !proved_not_run {
         entry.may_have_run = true;
     }
-    // An attempt that found no connection cost its endpoint nothing, and the endpoint rests after
-    // it. Counting it would refuse a request within 100 ms while its only endpoint restarts; it
-    // waits in its bounded queue instead, until its deadline at most.
-    let unsent = outcome == AttemptOutcome::NotSent;
-    entry.unsent += u32::from(unsent);
     if let AttemptOutcome::CutAt(offset) = outcome {
         entry.passed_on = entry.passed_on.max(offset);
     }
@@ -191,15 +186,14 @@
     // An unrepeatable request whose bytes may have reached an endpoint is never tried again: a
     // second execution is the doubled tag that the users forbid.
     let allowed = (proved_not_run && !entry.may_have_run) || entry.is_repeatable();
-    let tries_left = entry.attempts - entry.unsent < state.config.attempts.max_attempts;
+    let tries_left = entry.attempts < state.config.attempts.max_attempts;
     let so_far = outcome_so_far(entry);
     let (team, retries) = (entry.facts.team, entry.attempts.saturating_sub(1));
     if !allowed || !resumable {
         finish::refuse(state, request, RefusalReason::LinkLost, so_far, TimeSpan(0));
         return;
     }
-    let paid = tries_left && (unsent || state.retry_budgets.spend(team, &state.config.attempts));
-    if !paid {
+    if !tries_left || !state.retry_budgets.spend(team, &state.config.attempts) {
         let later = TimeSpan::from_millis(state.config.admission.retry_after_ms);
         finish::refuse(state, request, RefusalReason::RetryBudget, so_far, later);
         return;
--- a/src/core/tables/requests.rs
+++ b/src/core/tables/requests.rs
@@ -53,8 +53,6 @@
     pub stage: RequestStage,
     /// Attempts made so far.
     pub attempts: u32,
-    /// Attempts of which no byte left for an endpoint.
-    pub unsent: u32,
     /// Bytes or events of the answer that the caller has.
     pub passed_on: u64,
     /// Service charged for the running attempt.
@@ -75,7 +73,6 @@
             arrived,
             stage: RequestStage::New,
             attempts: 0,
-            unsent: 0,
             passed_on: 0,
             charged: 0,
             last_endpoint: None,
