Demand per team is summed once a share-out; one look-up of a running attempt

Change: OwnedPool::team_demands, called once and passed to both; quarantine calls RequestEntry::running. Behaviour as before, no test changed. The saving was not measured.

--- a/src/core/systems/ownership.rs
+++ b/src/core/systems/ownership.rs
@@ -248,8 +248,9 @@
     pool.shared_at = now;
     pool.urgent = false;
     advance_clock(state, &mut pool, passed);
-    level_accounts(state, &mut pool);
-    set_targets(state, &mut pool);
+    let demands = pool.team_demands();
+    level_accounts(state, &mut pool, &demands);
+    set_targets(state, &mut pool, &demands);
     let refresh = TimeSpan::from_millis(state.config.ownership.refresh_ms);
     let spread = now.since(pool.spread_at) >= refresh;
     if spread {
--- a/src/core/systems/ownership/levels.rs
+++ b/src/core/systems/ownership/levels.rs
@@ -5,6 +5,7 @@
 use crate::core::state::CoreState;
 use crate::core::tables::entry_pool::virtual_time;
 use crate::core::tables::owned_pool::OwnedPool;
+use crate::core::tables::owned_pool::TeamDemand;
 use crate::units::TeamId;
 use crate::units::TimeSpan;
 
@@ -45,20 +46,18 @@
 }
 
 /// Sets teams that begin to wait to the clock at least, and clamps leads and lags.
-pub(super) fn level_accounts(state: &CoreState, pool: &mut OwnedPool) {
-    let mut waiting: BTreeMap<TeamId, u32> = BTreeMap::new();
-    for member in pool.members.values() {
-        for (team, demand) in &member.teams {
-            *waiting.entry(*team).or_default() += demand.waiting;
-        }
-    }
+pub(super) fn level_accounts(
+    state: &CoreState,
+    pool: &mut OwnedPool,
+    demands: &BTreeMap<TeamId, TeamDemand>,
+) {
     // With nobody waiting nobody is owed anything: all start level.
-    let quiet = waiting.values().all(|count| *count == 0);
+    let quiet = demands.values().all(|demand| demand.waiting == 0);
     let (now, clock) = (state.now, pool.clock);
     let debt = i64::try_from(state.config.ownership.debt_units).unwrap_or(i64::MAX);
-    for (team, count) in &waiting {
+    for (team, demand) in demands {
         let account = pool.accounts.entry(*team).or_default();
-        let waits = *count > 0;
+        let waits = demand.waiting > 0;
         let waited = account.waits_since.is_some();
         // Idle time banks no credit: a team that begins to wait starts at the clock.
         if waits && !waited {
--- a/src/core/systems/ownership/targets.rs
+++ b/src/core/systems/ownership/targets.rs
@@ -10,6 +10,7 @@
 use crate::core::systems::limits;
 use crate::core::tables::owned_pool::MemberClaim;
 use crate::core::tables::owned_pool::OwnedPool;
+use crate::core::tables::owned_pool::TeamDemand;
 use crate::units::EndpointId;
 use crate::units::PoolId;
 use crate::units::TeamId;
@@ -50,15 +51,17 @@
 }
 
 /// Sets each entry router's target from fair shares of the teams it has.
-pub(super) fn set_targets(state: &CoreState, pool: &mut OwnedPool) {
+pub(super) fn set_targets(
+    state: &CoreState,
+    pool: &mut OwnedPool,
+    demands: &BTreeMap<TeamId, TeamDemand>,
+) {
     let total = pool.total();
-    let mut demands: BTreeMap<TeamId, u32> = BTreeMap::new();
-    for member in pool.members.values() {
-        for (team, demand) in &member.teams {
-            *demands.entry(*team).or_default() += demand.waiting + demand.running;
-        }
-    }
-    demands.retain(|_, demand| *demand > 0);
+    let demands: BTreeMap<TeamId, u32> = demands
+        .iter()
+        .map(|(team, demand)| (*team, demand.waiting + demand.running))
+        .filter(|(_, demand)| *demand > 0)
+        .collect();
     let wanted: u32 = demands.values().sum();
     pool.scarce = wanted > total;
     let shares = team_shares(state, pool, total, &demands);
--- a/src/core/systems/quarantine.rs
+++ b/src/core/systems/quarantine.rs
@@ -19,6 +19,7 @@
 use crate::core::tables::endpoints::LoadWatcher;
 use crate::core::tables::entry_pool::NextRequest;
 use crate::core::tables::requests::RequestStage;
+use crate::core::tables::requests::RunningAttempt;
 use crate::units::AttemptNumber;
 use crate::units::EndpointId;
 use crate::units::HostName;
@@ -71,12 +72,9 @@
     let Some(entry) = state.requests.get(request) else {
         return;
     };
-    let RequestStage::Running { endpoint, .. } = entry.stage else {
+    let Some(RunningAttempt { endpoint, .. }) = entry.running(attempt) else {
         return;
     };
-    if !entry.runs_attempt(attempt) {
-        return;
-    }
     let fingerprint = entry.facts.fingerprint;
     match outcome {
         AttemptOutcome::Whole => state.crashes.clear(fingerprint),
--- a/src/core/tables/owned_pool.rs
+++ b/src/core/tables/owned_pool.rs
@@ -285,6 +285,20 @@
         })
     }
 
+    /// Waiting and running requests of each team over all entry routers; charges are not added.
+    #[must_use]
+    pub fn team_demands(&self) -> BTreeMap<TeamId, TeamDemand> {
+        let mut demands: BTreeMap<TeamId, TeamDemand> = BTreeMap::new();
+        for member in self.members.values() {
+            for (team, demand) in &member.teams {
+                let sum = demands.entry(*team).or_default();
+                sum.waiting += demand.waiting;
+                sum.running += demand.running;
+            }
+        }
+        demands
+    }
+
     /// Slots of all endpoints.
     #[must_use]
     pub fn total(&self) -> u32 {
