--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -62,9 +62,8 @@
     #[must_use]
     pub fn end(&self) -> AttemptEnd {
         match self {
-            Self::Delivered(_) => AttemptEnd::Answered,
             Self::Answer(answer) if answer.head.status >= 500 => AttemptEnd::Failed,
-            Self::Answer(_) => AttemptEnd::Answered,
+            Self::Delivered(_) | Self::Answer(_) => AttemptEnd::Answered,
             Self::NotRun(NotRunCause::Refused) => AttemptEnd::Full,
             Self::NotRun(_) => AttemptEnd::NotReached,
             Self::Broken(_) => AttemptEnd::Failed,
@@ -104,7 +103,7 @@
             Ok(_) => {}
         }
     }
-    std::future::pending().await
+    std::future::pending::<()>().await;
 }
 
 /// Reads from the endpoint while it watches the caller and the time.
--- a/src/gateway/config.rs
+++ b/src/gateway/config.rs
@@ -94,6 +94,9 @@
     pub objective_part: f64,
     /// The same for requests beyond their team's share.
     pub over_share_part: f64,
+    /// Part of a route's objective that a long prompt may wait besides its own reading, when it
+    /// has a turn.
+    pub long_wait_part: f64,
     /// Least time after which a refused caller is asked to come back, in ms.
     pub retry_after_ms: u64,
     /// The same when no endpoint takes work or nothing is known of the routes, in ms.
@@ -141,6 +144,7 @@
             first_hold_ms: 3_000.0,
             objective_part: 0.8,
             over_share_part: 0.3,
+            long_wait_part: 0.5,
             retry_after_ms: 100,
             no_endpoint_retry_ms: 300,
             part_memory_ms: 10_000,
--- a/src/gateway/decide/core.rs
+++ b/src/gateway/decide/core.rs
@@ -25,6 +25,7 @@
 use super::placement::Placement;
 use super::placement::PlacementAsk;
 use super::shares::ShareTable;
+use super::sizes::SizeTable;
 
 /// Weight of a new measurement in an engine's learned speed: about twenty answers change it, a
 /// second or two of usual traffic.
@@ -140,6 +141,7 @@
     /// Shares of teams.
     pub shares: ShareTable,
     budget: RetryBudget,
+    sizes: SizeTable,
     holds: BTreeMap<ServiceKey, f64>,
     routers: usize,
     reading_speed: f64,
@@ -158,6 +160,7 @@
             endpoints: EndpointTable::default(),
             shares: ShareTable::new(seconds(config.share_window_s)),
             budget: RetryBudget::new(bounds),
+            sizes: SizeTable::default(),
             holds: BTreeMap::new(),
             routers: 1,
             reading_speed: config.reading_tokens_per_ms,
@@ -186,6 +189,10 @@
     /// Counts a call that arrived; whether it lies within its team's share.
     pub fn arrived(&mut self, now: Moment, ask: &CallAsk<'_>) -> bool {
         self.budget.request(now, ask.service);
+        if let Some(prompt) = ask.prompt {
+            let tokens = f64::from(prompt.prompt_tokens);
+            self.sizes.asked(now, &ask.route.name, tokens);
+        }
         match (ask.team, ask.prompt) {
             (Some(team), Some(prompt)) => self.shares.ask(now, team, prompt.share_tokens()),
             _ => true,
@@ -206,7 +213,7 @@
                 retry_after: TimeSpan::from_millis(self.config.no_endpoint_retry_ms),
             };
         };
-        let limit = self.limit_ms(ask, in_share);
+        let limit = self.limit_ms(ask, in_share, placement.alone_ms);
         #[allow(clippy::cast_precision_loss)]
         let expected = ask.waited.0 as f64 / 1e3 + placement.first_ms;
         if expected > limit {
@@ -220,7 +227,7 @@
                 retry_after: self.retry_after(expected - limit),
             };
         }
-        self.ticket(now, ask, placement)
+        self.ticket(now, ask, &placement)
     }
 
     fn placed(
@@ -249,8 +256,11 @@
     }
 
     /// The predicted time to a first output up to which a call is sent, in ms.
+    ///
+    /// A long prompt may take its whole objective to be read on an idle engine. When it has a
+    /// turn, its own reading does not count.
     #[allow(clippy::cast_precision_loss)]
-    fn limit_ms(&self, ask: &CallAsk<'_>, in_share: bool) -> f64 {
+    fn limit_ms(&self, ask: &CallAsk<'_>, in_share: bool, alone_ms: f64) -> f64 {
         let objective = ask.route.objective_ms as f64;
         let part = if in_share {
             self.config.objective_part
@@ -258,7 +268,15 @@
             self.config.over_share_part
         };
         let left = ask.left.0 as f64 / 1e3;
-        (objective * part).min(left)
+        let mut limit = objective * part;
+        let has_turn = ask.prompt.is_some_and(|prompt| {
+            let tokens = f64::from(prompt.prompt_tokens);
+            self.sizes.has_turn(&ask.route.name, tokens)
+        });
+        if has_turn && in_share {
+            limit = limit.max(alone_ms + objective * self.config.long_wait_part);
+        }
+        limit.min(left)
     }
 
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
@@ -267,7 +285,7 @@
         TimeSpan::from_millis(least.max(excess_ms as u64))
     }
 
-    fn ticket(&mut self, now: Moment, ask: &CallAsk<'_>, placement: Placement) -> Admission {
+    fn ticket(&mut self, now: Moment, ask: &CallAsk<'_>, placement: &Placement) -> Admission {
         let Some(row) = self.endpoints.get_mut(&placement.endpoint) else {
             return Admission::Refuse {
                 cause: RefusalCause::NoEndpoint,
@@ -277,6 +295,8 @@
         row.active += 1;
         row.pending_tokens += placement.uncached;
         if let Some(prompt) = ask.prompt {
+            let tokens = f64::from(prompt.prompt_tokens);
+            self.sizes.served(&ask.route.name, tokens);
             let shared = prompt.parts.len().saturating_sub(1);
             for part in &prompt.parts[..shared] {
                 row.parts.insert(part.id, now);
@@ -331,9 +351,9 @@
             AttemptEnd::Answered => {
                 row.reached();
                 row.failures.count(now, false);
-                let held = now.since(ticket.placed_at).0 as f64 / 1e3;
-                let hold = self.holds.entry(ticket.entry.service).or_insert(held);
-                *hold += LEARNING_WEIGHT * (held - *hold);
+                let stay = now.since(ticket.placed_at).0 as f64 / 1e3;
+                let mean = self.holds.entry(ticket.entry.service).or_insert(stay);
+                *mean += LEARNING_WEIGHT * (stay - *mean);
             }
             AttemptEnd::Failed => row.failures.count(now, true),
             AttemptEnd::NotReached => row.not_reached(now),
--- a/src/gateway/decide/mod.rs
+++ b/src/gateway/decide/mod.rs
@@ -9,6 +9,7 @@
 pub mod outliers;
 pub mod placement;
 pub mod shares;
+pub mod sizes;
 pub mod window;
 
 pub use budget::RetryBudget;
--- a/src/gateway/decide/placement.rs
+++ b/src/gateway/decide/placement.rs
@@ -69,6 +69,8 @@
     pub endpoint: EndpointKey,
     /// Predicted time to the first output, in ms.
     pub first_ms: f64,
+    /// The part of it that would remain on an idle engine, in ms.
+    pub alone_ms: f64,
     /// Prompt tokens that the endpoint must read.
     pub uncached: f64,
 }
@@ -183,6 +185,7 @@
             let placement = Placement {
                 endpoint: row.entry.key.clone(),
                 first_ms,
+                alone_ms: IDLE_FIRST_TOKEN_MS + uncached / model.tokens_per_ms,
                 uncached,
             };
             best = Some((cost, placement));
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -211,21 +211,21 @@
 
     fn apply(&mut self, changes: StateChanges, as_of: StoreRevision) {
         let now = self.shared.clock.now();
-        let mut changed = self.endpoints.end_lapses(now);
+        let mut is_new = self.endpoints.end_lapses(now);
         for change in changes.changes {
             match change {
                 StateChange::Put(StateItem::Routes(table)) => self.offer(*table),
                 StateChange::Put(StateItem::Endpoint(entry)) => {
                     self.endpoints.put(entry);
-                    changed = true;
+                    is_new = true;
                 }
                 StateChange::Removed(key) => {
                     self.endpoints.remove(now, &key);
-                    changed = true;
+                    is_new = true;
                 }
             }
         }
-        if changed {
+        if is_new {
             self.publish_endpoints(as_of);
         }
     }
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -35,7 +35,7 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// Pause between two sweeps of idle connections to endpoints.
-const SWEEP_PAUSE: Duration = Duration::from_millis(1_000);
+const SWEEP_PAUSE: Duration = Duration::from_secs(1);
 
 /// What the tasks of the traffic thread share.
 #[derive(Debug)]
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -6,6 +6,7 @@
 //! fetched over TCP ([`super::handover`]) by a router that has lost the store.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -111,7 +112,7 @@
 pub struct PeerTable {
     heard: BTreeMap<IpAddr, PeerRow>,
     /// Addresses that were only told of; they are asked now and then.
-    told: BTreeMap<IpAddr, ()>,
+    told: BTreeSet<IpAddr>,
 }
 
 impl PeerTable {
@@ -128,7 +129,7 @@
         }
         for router in &digest.routers {
             if let Ok(address) = router.parse() {
-                self.told.insert(address, ());
+                self.told.insert(address);
             }
         }
         self.told.remove(&from);
@@ -359,7 +360,7 @@
     /// Addresses that may have a router and do not answer: seeds, and those told of.
     fn silent(&self, live: &[IpAddr]) -> Vec<IpAddr> {
         let seeds = self.plan.seeds.iter().filter_map(|seed| seed_ip(seed));
-        let told = self.peers.told.keys().copied();
+        let told = self.peers.told.iter().copied();
         let lost = self.peers.heard.keys().copied();
         let mut silent: Vec<IpAddr> = seeds.chain(told).chain(lost).collect();
         silent.sort_unstable();
