--- a/src/gateway/decide/core.rs
+++ b/src/gateway/decide/core.rs
@@ -297,8 +297,7 @@
         if let Some(prompt) = ask.prompt {
             let tokens = f64::from(prompt.prompt_tokens);
             self.sizes.served(&ask.route.name, tokens);
-            let shared = prompt.parts.len().saturating_sub(1);
-            for part in &prompt.parts[..shared] {
+            for part in placement::shared_parts(prompt) {
                 row.parts.insert(part.id, now);
             }
         }
--- a/src/gateway/decide/placement.rs
+++ b/src/gateway/decide/placement.rs
@@ -12,14 +12,19 @@
 use crate::units::Moment;
 use crate::units::TimeSpan;
 
+use super::super::protocol::PromptPart;
 use super::super::protocol::PromptShape;
 use super::super::routes::EndpointKey;
 use super::super::routes::EngineShape;
 use super::endpoints::EndpointRow;
 
-/// Endpoints that are taken to keep a shared part. Two: one alone would be a hot spot whenever
-/// its part is asked for often, and each more reads the part once more.
-const PART_HOMES: usize = 2;
+/// How sure it is that the first and second endpoint in a part's rendezvous order keep it. The
+/// second gets what the first has no room for.
+const HOME_BELIEF: [f64; 2] = [1.0, 0.5];
+
+/// What re-reading a shared part counts beside the time that it takes, in multiples of that time:
+/// every request that waits at the engine waits for it too.
+const REREAD_WEIGHT: f64 = 2.0;
 
 /// Time for which an endpoint is taken to keep a part that this router sent there.
 const PART_KEPT: TimeSpan = TimeSpan::from_millis(4_000);
@@ -75,25 +80,26 @@
     pub uncached: f64,
 }
 
-/// The part by which a prompt's home is found: the deepest one that other requests share.
-fn home_part(prompt: &PromptShape) -> Option<u64> {
-    let shared = prompt.parts.len().checked_sub(2)?;
-    prompt.parts.get(shared).map(|part| part.id)
+/// The parts that other requests may share: all but the last.
+#[must_use]
+pub fn shared_parts(prompt: &PromptShape) -> &[PromptPart] {
+    let shared = prompt.parts.len().saturating_sub(1);
+    &prompt.parts[..shared]
 }
 
 fn rank_of(row: &EndpointRow, part: u64) -> u64 {
     xxh3_64_with_seed(&row.hash.to_le_bytes(), part)
 }
 
-/// The ranks of the endpoints that keep a part.
+/// The first endpoints in a part's rendezvous order, by rank.
 struct HomeRanks {
     part: u64,
-    best: [u64; PART_HOMES],
+    best: [u64; HOME_BELIEF.len()],
 }
 
 impl HomeRanks {
     fn of(rows: &[&EndpointRow], part: u64) -> Self {
-        let mut best = [0; PART_HOMES];
+        let mut best = [0; HOME_BELIEF.len()];
         for row in rows {
             let mut rank = rank_of(row, part);
             for kept in &mut best {
@@ -105,27 +111,45 @@
         Self { part, best }
     }
 
-    fn contain(&self, row: &EndpointRow) -> bool {
-        self.best.contains(&rank_of(row, self.part))
+    /// How sure it is that the endpoint keeps the part, from 0 to 1.
+    fn belief(&self, row: &EndpointRow) -> f64 {
+        let rank = rank_of(row, self.part);
+        let place = self.best.iter().position(|best| *best == rank);
+        place.map_or(0.0, |place| HOME_BELIEF[place])
     }
 }
 
-/// Prompt tokens that the endpoint must read: those after the last shared part that it keeps.
-fn uncached_tokens(row: &EndpointRow, prompt: &PromptShape, is_home: bool, now: Moment) -> f64 {
-    let mut kept = 0_u64;
-    let shared = prompt.parts.len().saturating_sub(1);
-    for part in &prompt.parts[..shared] {
+/// Prompt tokens that an endpoint is expected to read.
+#[derive(Debug, Clone, Copy, Default)]
+struct ReadingWork {
+    /// All of them.
+    tokens: f64,
+    /// Those of shared parts.
+    shared: f64,
+}
+
+/// The reading work of a prompt at one endpoint. A part is kept there with all parts before it
+/// if the endpoint is a home of it or this router sent it there a short while ago.
+fn reading_work(
+    row: &EndpointRow,
+    prompt: &PromptShape,
+    homes: &[HomeRanks],
+    now: Moment,
+) -> ReadingWork {
+    let mut shared = 0.0;
+    let mut kept = 0.0_f64;
+    for (part, home) in prompt.parts.iter().zip(homes) {
+        shared += f64::from(part.tokens);
         let seen = row.parts.get(&part.id);
         let recent = seen.is_some_and(|at| now.since(*at) < PART_KEPT);
-        if !recent && !is_home {
-            break;
-        }
-        kept += u64::from(part.tokens);
+        let belief = if recent { 1.0 } else { home.belief(row) };
+        kept = kept.max(shared * belief);
+    }
+    let total = f64::from(prompt.prompt_tokens).max(shared);
+    ReadingWork {
+        tokens: total - kept,
+        shared: shared - kept,
     }
-    let total = u64::from(prompt.prompt_tokens);
-    #[allow(clippy::cast_precision_loss)]
-    let uncached = total.saturating_sub(kept) as f64;
-    uncached
 }
 
 /// Time that a request waits for a slot, in ms.
@@ -165,28 +189,30 @@
 ) -> Option<Placement> {
     let mut usable = rows.to_vec();
     usable.retain(|row| row.takes_work(now) && !ask.tried.contains(&row.entry.key));
-    let homes = ask
-        .prompt
-        .and_then(home_part)
-        .map(|part| HomeRanks::of(&usable, part));
+    let shared = ask.prompt.map(shared_parts).unwrap_or_default();
+    let homes: Vec<HomeRanks> = shared
+        .iter()
+        .map(|part| HomeRanks::of(&usable, part.id))
+        .collect();
     let lowest = usable
         .iter()
         .map(|row| row.failures.rate(now))
         .fold(1.0, f64::min);
     let mut best: Option<(f64, Placement)> = None;
     for row in usable {
-        let is_home = homes.as_ref().is_some_and(|homes| homes.contain(row));
-        let uncached = ask
+        let work = ask
             .prompt
-            .map_or(0.0, |prompt| uncached_tokens(row, prompt, is_home, now));
-        let first_ms = predicted_ms(row, ask, model, uncached);
-        let cost = first_ms + side_cost(row, ask, now, lowest);
+            .map(|prompt| reading_work(row, prompt, &homes, now))
+            .unwrap_or_default();
+        let first_ms = predicted_ms(row, ask, model, work.tokens);
+        let reread_ms = REREAD_WEIGHT * work.shared / model.tokens_per_ms;
+        let cost = first_ms + reread_ms + side_cost(row, ask, now, lowest);
         if best.as_ref().is_none_or(|(least, _)| cost < *least) {
             let placement = Placement {
                 endpoint: row.entry.key.clone(),
                 first_ms,
-                alone_ms: IDLE_FIRST_TOKEN_MS + uncached / model.tokens_per_ms,
-                uncached,
+                alone_ms: IDLE_FIRST_TOKEN_MS + work.tokens / model.tokens_per_ms,
+                uncached: work.tokens,
             };
             best = Some((cost, placement));
         }
