--- a/examples/demo.rs
+++ b/examples/demo.rs
@@ -192,7 +192,7 @@
     };
     let address = leaving.callers;
     let drained = Instant::now();
-    // The platform's balancer sees a little later that the router is not ready any more.
+    // The source's balancer sees a little later that the router is not ready any more.
     let balancing = async {
         tokio::time::sleep(BALANCER_LAG).await;
         balancer.remove(address);
--- a/examples/load.rs
+++ b/examples/load.rs
@@ -306,7 +306,7 @@
         .map_or_else(PathBuf::new, |folder| folder.join("verbenaturnd"));
     let began = Instant::now();
     let mut fleet = ProcessFleet::start(&daemon.to_string_lossy(), 1).await;
-    fleet.platform.publish(site.publication(1).to_string());
+    fleet.sources.publish(site.publication(1).to_string());
     let routed = fleet.routers[0].callers;
     fleet.wait_serving(&[routed], TEAM).await;
     println!("start to first answer: {} ms", began.elapsed().as_millis());
--- a/examples/shared/fleet.rs
+++ b/examples/shared/fleet.rs
@@ -1,4 +1,4 @@
-//! Some routers in one process, with a stand-in of the platform, on loopback.
+//! Some routers in one process, with a stand-in of the sources, on loopback.
 
 use std::time::Duration;
 
@@ -12,23 +12,23 @@
 use verbenaturn::daemon::router::Router;
 use verbenaturn::daemon::router::RouterParts;
 use verbenaturn::peers::keys::PeerKeys;
-use verbenaturn::settings::PlatformSettings;
-use verbenaturn::settings::PlatformTiming;
+use verbenaturn::settings::SourceSettings;
+use verbenaturn::settings::SourceTiming;
 use verbenaturn::units::ConfigRevision;
 use verbenaturn::units::RouterIncarnation;
 
-use super::platform::StandinPlatform;
 use super::site::Site;
+use super::sources::StandinSources;
 
-/// Routers and their platform.
+/// Routers and their sources.
 pub struct LocalFleet {
-    /// The platform.
-    pub platform: StandinPlatform,
+    /// The sources.
+    pub sources: StandinSources,
     /// The routers.
     pub routers: Vec<Router>,
 }
 
-/// The parts of router `index`, without its platform.
+/// The parts of router `index`, without its sources.
 pub fn router_parts(index: usize) -> RouterParts {
     let peers = PeerParts {
         listen: "127.0.0.1:0".parse().unwrap(),
@@ -43,7 +43,7 @@
         incarnation: RouterIncarnation(rand::random()),
         callers: "127.0.0.1:0".parse().unwrap(),
         peers: Some(peers),
-        platform: None,
+        sources: None,
         core: CoreConfig::default(),
         traffic: TrafficConfig::default(),
         seed: index as u64,
@@ -53,23 +53,23 @@
 impl LocalFleet {
     /// Starts so many routers that all know each other and the publication of `site`.
     pub async fn start(count: usize, site: &Site) -> Self {
-        let platform = StandinPlatform::start(None).await.unwrap();
-        platform.publish(site.publication(1).to_string());
+        let sources = StandinSources::start(None).await.unwrap();
+        sources.publish(site.publication(1).to_string());
         let mut routers = Vec::new();
         for index in 0..count {
             let mut parts = router_parts(index);
-            parts.platform = Some(PlatformSettings {
-                config_url: Some(platform.config_url().into()),
-                hosts_url: Some(platform.hosts_url().into()),
-                timing: PlatformTiming {
+            parts.sources = Some(SourceSettings {
+                config_url: Some(sources.config_url().into()),
+                hosts_url: Some(sources.hosts_url().into()),
+                timing: SourceTiming {
                     hosts_poll_ms: 100,
-                    ..PlatformTiming::default()
+                    ..SourceTiming::default()
                 },
-                ..PlatformSettings::default()
+                ..SourceSettings::default()
             });
             routers.push(Router::start(parts).await.unwrap());
         }
-        let fleet = Self { platform, routers };
+        let fleet = Self { sources, routers };
         fleet.list_hosts(None);
         fleet.wait_joined().await;
         fleet
@@ -91,7 +91,7 @@
             })
             .collect();
         let list = json!({"routers": rows, "endpoints": []});
-        self.platform.list_hosts(list.to_string());
+        self.sources.list_hosts(list.to_string());
     }
 
     /// Waits until every router has a publication and sees all others alive.
--- a/examples/shared/processes.rs
+++ b/examples/shared/processes.rs
@@ -14,8 +14,8 @@
 use tokio::process::Command;
 
 use super::caller::Call;
-use super::platform::StandinPlatform;
 use super::site::key_of;
+use super::sources::StandinSources;
 
 const CALLER_PORT: u16 = 8_080;
 const PEER_PORT: u16 = 7_400;
@@ -25,8 +25,8 @@
 
 /// A fleet of processes.
 pub struct ProcessFleet {
-    /// The platform.
-    pub platform: StandinPlatform,
+    /// The sources.
+    pub sources: StandinSources,
     /// The routers.
     pub routers: Vec<RouterProcess>,
     folder: PathBuf,
@@ -62,7 +62,7 @@
 
     /// The same, with so many seconds for a shutdown.
     pub async fn start_with(program: &str, count: usize, deadline_s: u64) -> Self {
-        let platform = StandinPlatform::start(None).await.unwrap();
+        let sources = StandinSources::start(None).await.unwrap();
         let folder = std::env::temp_dir().join(format!("verbenaturn-{}", std::process::id()));
         fs::create_dir_all(&folder).unwrap();
         let key = folder.join("key");
@@ -81,9 +81,9 @@
                     "listen": SocketAddr::from((number_of(index), ADMIN_PORT)),
                     "credential_file": key,
                 },
-                "platform": {
-                    "config_url": platform.config_url(),
-                    "hosts_url": platform.hosts_url(),
+                "sources": {
+                    "config_url": sources.config_url(),
+                    "hosts_url": sources.hosts_url(),
                     "timing": {"hosts_poll_ms": 200},
                 },
                 "log": {"level": "warn"},
@@ -104,7 +104,7 @@
         });
         let fleet = Self {
             routers: routers.collect(),
-            platform,
+            sources,
             folder,
         };
         fleet.list_hosts(count, None);
@@ -124,7 +124,7 @@
             })
             .collect();
         let list = json!({"routers": rows, "endpoints": []});
-        self.platform.list_hosts(list.to_string());
+        self.sources.list_hosts(list.to_string());
     }
 
     /// Waits until every one of `routers` answers a call of `team`.
@@ -161,8 +161,17 @@
 
     /// Asks it to drain and end.
     pub async fn terminate(&self) {
+        self.signal("-TERM").await;
+    }
+
+    /// Tells it that its settings changed.
+    pub async fn hang_up(&self) {
+        self.signal("-HUP").await;
+    }
+
+    async fn signal(&self, name: &str) {
         let id = self.child.id().expect("it runs").to_string();
-        let sent = Command::new("kill").args(["-TERM", &id]).status().await;
+        let sent = Command::new("kill").args([name, &id]).status().await;
         assert!(sent.unwrap().success());
     }
 
--- a/examples/shared/single.rs
+++ b/examples/shared/single.rs
@@ -62,7 +62,7 @@
         domain: "suva-1".parse().unwrap(),
         callers: "127.0.0.1:0".parse().unwrap(),
         peers: None,
-        platform: None,
+        sources: None,
         core,
         traffic,
         seed: 1,
--- a/examples/shared/platform.rs
+++ b/examples/shared/sources.rs
@@ -1,6 +1,6 @@
-//! A stand-in of the platform: the configuration service and the host list over HTTP.
+//! A stand-in of the sources: the configuration service and the host list over HTTP.
 //!
-//! `GET /config` and `GET /hosts` as `verbenaturn::platform::http` reads them, with counters and
+//! `GET /config` and `GET /hosts` as `verbenaturn::sources::http` reads them, with counters and
 //! switches for the ways in which the real ones fail. Ends when it is dropped.
 
 use std::net::SocketAddr;
@@ -48,7 +48,7 @@
 }
 
 #[derive(Debug, Clone, Default)]
-struct PlatformState {
+struct SourceState {
     config: PublishedValue,
     hosts: Bytes,
     mood: ServiceMood,
@@ -63,14 +63,14 @@
 
 /// The stand-in.
 #[derive(Debug)]
-pub struct StandinPlatform {
+pub struct StandinSources {
     address: SocketAddr,
-    state: watch::Sender<PlatformState>,
+    state: watch::Sender<SourceState>,
     counters: Arc<CallCounters>,
     _stop: DropGuard,
 }
 
-impl StandinPlatform {
+impl StandinSources {
     /// Starts on a free loopback port, or on `address`.
     ///
     /// # Errors
@@ -79,7 +79,7 @@
         let wanted = address.unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 0)));
         let listener = TcpListener::bind(wanted).await?;
         let address = listener.local_addr()?;
-        let (state, reader) = watch::channel(PlatformState::default());
+        let (state, reader) = watch::channel(SourceState::default());
         let counters = Arc::new(CallCounters::default());
         let stop = CancellationToken::new();
         let routes = routes(reader, Arc::clone(&counters));
@@ -153,7 +153,7 @@
 }
 
 fn routes(
-    state: watch::Receiver<PlatformState>,
+    state: watch::Receiver<SourceState>,
     counters: Arc<CallCounters>,
 ) -> impl Filter<Extract = (Response<Bytes>,), Error = warp::Rejection> + Clone + Send + Sync {
     let shared = warp::any().map(move || (state.clone(), Arc::clone(&counters)));
@@ -170,7 +170,7 @@
     warp::get().and(config.or(hosts).unify())
 }
 
-type SharedState = (watch::Receiver<PlatformState>, Arc<CallCounters>);
+type SharedState = (watch::Receiver<SourceState>, Arc<CallCounters>);
 
 async fn answer_config(
     tag: Option<String>,
@@ -215,14 +215,14 @@
     }
 }
 
-fn is_news(state: &PlatformState, known: Option<u64>) -> bool {
+fn is_news(state: &SourceState, known: Option<u64>) -> bool {
     match state.mood {
         ServiceMood::Well => known != Some(state.config.revision),
         _ => true,
     }
 }
 
-async fn answer_by_mood(state: PlatformState, known: Option<u64>) -> Response<Bytes> {
+async fn answer_by_mood(state: SourceState, known: Option<u64>) -> Response<Bytes> {
     let next = known.unwrap_or(state.config.revision) + 1;
     match state.mood {
         ServiceMood::Well if state.config.revision == 0 => status(StatusCode::NOT_FOUND),
--- a/examples/shared/traffic.rs
+++ b/examples/shared/traffic.rs
@@ -25,7 +25,7 @@
 /// Rest before a refused call is sent again.
 const REST: Duration = Duration::from_millis(100);
 
-/// The platform's balancer before the routers, as simple as can be.
+/// The source's balancer before the routers, as simple as can be.
 #[derive(Debug, Default)]
 pub struct Balancer {
     routers: Mutex<Vec<SocketAddr>>,
--- a/src/admin/board.rs
+++ b/src/admin/board.rs
@@ -1,5 +1,5 @@
 //! What the traffic threads know and the decision core does not: refused publications and
-//! failures of the platform.
+//! failures of the sources.
 
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -43,13 +43,13 @@
         let mut status = self.lock();
         status.watching = on;
         if !on {
-            status.platform_fault = None;
+            status.source_fault = None;
         }
     }
 
     /// The configuration service answered, or failed with this.
-    pub fn platform(&self, fault: Option<String>) {
-        self.lock().platform_fault = fault;
+    pub fn sources(&self, fault: Option<String>) {
+        self.lock().source_fault = fault;
     }
 
     /// The host list was read, or failed with this.
--- a/src/admin/metrics.rs
+++ b/src/admin/metrics.rs
@@ -156,11 +156,11 @@
     gauge(
         meter,
         status,
-        "verbenaturn_platform_failing",
+        "verbenaturn_source_failing",
         "1 while the configuration service or the host list fails.",
         |status| {
             let publication = &status.publication;
-            u64::from(publication.platform_fault.is_some() || publication.hosts_fault.is_some())
+            u64::from(publication.source_fault.is_some() || publication.hosts_fault.is_some())
         },
     );
     gauge(
--- a/src/admin/records.rs
+++ b/src/admin/records.rs
@@ -30,7 +30,7 @@
     pub answers: AnswerHistory,
     /// Samples of the core.
     pub samples: SampleHistory,
-    /// Refused publications and failures of the platform.
+    /// Refused publications and failures of the sources.
     pub board: StatusBoard,
     /// Metrics.
     pub metrics: RouterMetrics,
--- a/src/admin/status.rs
+++ b/src/admin/status.rs
@@ -89,7 +89,7 @@
     /// Whether this router watches the configuration service; the others are told by peers.
     pub watching: bool,
     /// What went wrong with the configuration service last, if its last answer was a failure.
-    pub platform_fault: Option<String>,
+    pub source_fault: Option<String>,
     /// What went wrong with the host list last, if its last read was a failure.
     pub hosts_fault: Option<String>,
 }
--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -1,7 +1,7 @@
 //! The rendered publication: what the whole fleet runs on, indexed by id.
 //!
 //! A catalog is built once from a checked publication and never changed. Source: the
-//! platform's configuration service, see `publication`.
+//! sources's configuration service, see `publication`.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -144,7 +144,7 @@
 /// The rendered publication.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct FleetCatalog {
-    /// The platform's revision.
+    /// The source's revision.
     pub revision: ConfigRevision,
     /// All teams.
     pub teams: BTreeMap<TeamId, TeamEntry>,
--- a/src/core/action.rs
+++ b/src/core/action.rs
@@ -147,7 +147,7 @@
         /// The peer.
         host: HostName,
     },
-    /// Start or stop watching the platform's configuration service.
+    /// Start or stop watching the source's configuration service.
     WatchPlatform(bool),
     /// Parse, check and render this publication; answer with `Published` if it is good.
     AdoptText {
--- a/src/core/event.rs
+++ b/src/core/event.rs
@@ -149,7 +149,7 @@
         /// The endpoint.
         endpoint: EndpointId,
     },
-    /// The platform's host list, which lags.
+    /// The source's host list, which lags.
     HostsListed {
         /// Routers on the list.
         routers: Vec<ListedRouter>,
@@ -174,7 +174,7 @@
         revision: ConfigRevision,
     },
     /// The configuration service answered (true) or failed (false).
-    PlatformAnswered(bool),
+    SourceAnswered(bool),
     /// A control message arrived.
     Message {
         /// The sender's host.
@@ -202,7 +202,7 @@
     Tick,
 }
 
-/// A router on the platform's host list.
+/// A router on the source's host list.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ListedRouter {
     /// Its host.
--- a/src/core/systems/publication.rs
+++ b/src/core/systems/publication.rs
@@ -1,6 +1,6 @@
 //! Which publication is in force: never an older one than before, and the newest that anybody has.
 //!
-//! Few routers watch the platform's service: in each failure domain the two live ones of highest
+//! Few routers watch the source's service: in each failure domain the two live ones of highest
 //! rendezvous rank. Revisions ride on pings; a router that hears of a higher one asks that peer.
 
 use std::sync::Arc;
@@ -34,7 +34,7 @@
     match event {
         CoreEvent::Published { .. } => take_published(state, event),
         CoreEvent::PublicationRefused { revision } => refused(state, *revision),
-        CoreEvent::PlatformAnswered(true) => state.publication_sync.service_seen = Some(now),
+        CoreEvent::SourceAnswered(true) => state.publication_sync.service_seen = Some(now),
         CoreEvent::HostsListed { .. } => state.publication_sync.listed = true,
         CoreEvent::PeerClosed { host } => peer_closed(state, host),
         CoreEvent::Message { from, message, .. } => match &message.body {
@@ -127,7 +127,7 @@
     {
         state.publication_sync.fetch = None;
     }
-    // A lagging reader of the platform may hand out an old revision after a newer one; seen as
+    // A lagging reader of the sources may hand out an old revision after a newer one; seen as
     // shares that jump back. Revisions only grow, so refusing a lower one is always right.
     if catalog.revision <= state.catalog.revision {
         return;
--- a/src/ctl/local.rs
+++ b/src/ctl/local.rs
@@ -15,12 +15,12 @@
 use crate::document::DocumentFault;
 use crate::document::FaultList;
 use crate::entry::catalog::key_hash_text;
-use crate::platform::HostList;
 use crate::publication;
 use crate::publication::rendered::PublicationChange;
 use crate::publication::rendered::RenderedPublication;
 use crate::publication::rendered::changes;
 use crate::settings::read_settings;
+use crate::sources::HostList;
 use crate::units::ConfigRevision;
 
 use super::client::one_client;
--- a/src/ctl/remote.rs
+++ b/src/ctl/remote.rs
@@ -91,7 +91,7 @@
     let well = |router: &RouterStatus| {
         router.readiness.ready
             && router.publication.refused.is_none()
-            && router.publication.platform_fault.is_none()
+            && router.publication.source_fault.is_none()
             && router.publication.hosts_fault.is_none()
     };
     Ok(report.exit(report.routers.iter().all(well)))
@@ -146,7 +146,7 @@
             let _ = writeln!(text, "{host}: revision {revision} refused: {fault}");
         }
     }
-    let faults = [&publication.platform_fault, &publication.hosts_fault];
+    let faults = [&publication.source_fault, &publication.hosts_fault];
     for fault in faults.into_iter().flatten() {
         let _ = writeln!(text, "{host}: {fault}");
     }
--- a/src/ctl/schemas.rs
+++ b/src/ctl/schemas.rs
@@ -4,9 +4,9 @@
 use serde_json::Value;
 
 use crate::document::schema_of;
-use crate::platform::HostList;
 use crate::publication::document::PublicationDocument;
 use crate::settings::ProcessSettings;
+use crate::sources::HostList;
 
 use super::exit::CtlError;
 use super::exit::ExitKind;
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -6,6 +6,6 @@
 pub mod mesh;
 pub mod message;
 pub mod outside;
-pub mod platform;
 pub mod process;
 pub mod router;
+pub mod sources;
--- a/src/daemon/outside.rs
+++ b/src/daemon/outside.rs
@@ -10,11 +10,11 @@
 use crate::endpoint::orders::order_model;
 use crate::entry::context::EntryContext;
 use crate::peers::mesh::PeerMesh;
-use crate::platform::ConfigText;
-use crate::platform::follow::WatchOrder;
+use crate::sources::ConfigText;
+use crate::sources::follow::WatchOrder;
 
 use super::message::OutsideCommand;
-use super::platform::adopt;
+use super::sources::adopt;
 
 /// Carries out commands.
 #[derive(Debug)]
--- a/src/daemon/process.rs
+++ b/src/daemon/process.rs
@@ -70,7 +70,7 @@
         incarnation: RouterIncarnation::drawn_at(unix_seconds(), rand::random()),
         callers: settings.callers.listen,
         peers: Some(peers),
-        platform: Some(settings.platform.clone()),
+        sources: Some(settings.sources.clone()),
         core: settings.core.clone(),
         traffic: settings.traffic.clone(),
         seed: rand::random(),
--- a/src/daemon/router.rs
+++ b/src/daemon/router.rs
@@ -31,8 +31,8 @@
 use crate::peers::mesh::PeerEvent;
 use crate::peers::mesh::PeerMesh;
 use crate::peers::tls::PeerTls;
-use crate::platform::follow::WatchOrder;
-use crate::settings::PlatformSettings;
+use crate::settings::SourceSettings;
+use crate::sources::follow::WatchOrder;
 use crate::units::DomainName;
 use crate::units::HostName;
 use crate::units::RequestId;
@@ -43,7 +43,7 @@
 use super::control::ControlLink;
 use super::mesh;
 use super::outside::OutsideHands;
-use super::platform;
+use super::sources;
 
 /// Events of the mesh that wait for the control thread.
 const WAITING_EVENTS: usize = 1_024;
@@ -61,8 +61,8 @@
     pub callers: SocketAddr,
     /// How it speaks with peers; absent for a router alone.
     pub peers: Option<PeerParts>,
-    /// Where the platform is; absent if publications are handed in.
-    pub platform: Option<PlatformSettings>,
+    /// Where the sources is; absent if publications are handed in.
+    pub sources: Option<SourceSettings>,
     /// Settings of the decision core.
     pub core: CoreConfig,
     /// Settings of the traffic side.
@@ -183,9 +183,9 @@
             on: true,
             ..WatchOrder::default()
         });
-        if let Some(settings) = &parts.platform {
+        if let Some(settings) = &parts.sources {
             context.records.board.watches(true);
-            platform::follow(settings, &context, order, &tasks, &closing);
+            sources::follow(settings, &context, order, &tasks, &closing);
         }
         let hands = OutsideHands {
             context: Arc::clone(&context),
--- a/src/daemon/platform.rs
+++ b/src/daemon/sources.rs
@@ -1,4 +1,4 @@
-//! What the platform says, for the core.
+//! What the sources says, for the core.
 
 use std::sync::Arc;
 
@@ -9,16 +9,16 @@
 
 use crate::core::event::CoreEvent;
 use crate::entry::context::EntryContext;
-use crate::platform::ConfigText;
-use crate::platform::PlatformConfig;
-use crate::platform::PlatformHosts;
-use crate::platform::follow::ConfigNews;
-use crate::platform::follow::HostNews;
-use crate::platform::follow::WatchOrder;
-use crate::platform::follow::follow_config;
-use crate::platform::follow::follow_hosts;
 use crate::publication;
-use crate::settings::PlatformSettings;
+use crate::settings::SourceSettings;
+use crate::sources::ConfigText;
+use crate::sources::SourceConfig;
+use crate::sources::SourceHosts;
+use crate::sources::follow::ConfigNews;
+use crate::sources::follow::HostNews;
+use crate::sources::follow::WatchOrder;
+use crate::sources::follow::follow_config;
+use crate::sources::follow::follow_hosts;
 use crate::units::ConfigRevision;
 
 /// News that wait for the control thread.
@@ -27,7 +27,7 @@
 /// Follows the configuration service and the host list. The service is watched while `order`
 /// says so.
 pub fn follow(
-    settings: &PlatformSettings,
+    settings: &SourceSettings,
     context: &Arc<EntryContext>,
     order: watch::Receiver<WatchOrder>,
     tasks: &TaskTracker,
@@ -35,12 +35,12 @@
 ) {
     let timing = settings.timing.clone();
     let (sender, news) = mpsc::channel(WAITING_NEWS);
-    let source = PlatformConfig::new(settings);
+    let source = SourceConfig::new(settings);
     let following = follow_config(source, timing.clone(), order, sender, closing.clone());
     tasks.spawn(following);
     tasks.spawn(take_config(Arc::clone(context), news));
     let (sender, news) = mpsc::channel(WAITING_NEWS);
-    let source = PlatformHosts::new(settings);
+    let source = SourceHosts::new(settings);
     tasks.spawn(follow_hosts(source, timing, sender, closing.clone()));
     tasks.spawn(take_hosts(Arc::clone(context), news));
 }
@@ -52,7 +52,7 @@
             ConfigNews::Failed(report) => Some(report.to_string()),
             _ => None,
         };
-        board.platform(fault);
+        board.sources(fault);
         let answered = match news {
             ConfigNews::Newer(text) => {
                 adopt(&context, text);
@@ -64,7 +64,7 @@
                 false
             }
         };
-        let answered = CoreEvent::PlatformAnswered(answered);
+        let answered = CoreEvent::SourceAnswered(answered);
         context.control.tell(answered);
     }
 }
--- a/src/entry/catalog.rs
+++ b/src/entry/catalog.rs
@@ -52,7 +52,7 @@
         }
     }
 
-    /// The platform's revision of it.
+    /// The source's revision of it.
     #[must_use]
     pub fn revision(&self) -> ConfigRevision {
         self.fleet.revision
--- a/src/publication/document.rs
+++ b/src/publication/document.rs
@@ -1,4 +1,4 @@
-//! What operators write and the platform publishes.
+//! What operators write and the sources publishes.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
--- a/src/publication/mod.rs
+++ b/src/publication/mod.rs
@@ -26,7 +26,7 @@
 use self::document::PublicationDocument;
 use self::rules::DeclaredNames;
 
-/// Largest publication, in bytes: what the platform's service holds in one value.
+/// Largest publication, in bytes: what the source's service holds in one value.
 pub const MAX_PUBLICATION_BYTES: usize = 1_048_576;
 
 /// Reads and checks a publication.
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,4 +1,4 @@
-//! Settings of one process: where it listens, who it is, where the platform is.
+//! Settings of one process: where it listens, who it is, where the sources is.
 //!
 //! They are read once at start. What all routers share is published instead, see
 //! [`crate::publication`].
@@ -44,7 +44,7 @@
     /// The listener for operators.
     pub admin: AdminSettings,
     /// Where publications and the host list come from.
-    pub platform: PlatformSettings,
+    pub sources: SourceSettings,
     /// Logs.
     #[serde(default)]
     pub log: LogSettings,
@@ -117,7 +117,7 @@
 /// Where publications and the host list come from: for each a URL or a file.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(default, deny_unknown_fields)]
-pub struct PlatformSettings {
+pub struct SourceSettings {
     /// URL (http) of the publication at the configuration service.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub config_url: Option<SmolStr>,
@@ -131,13 +131,13 @@
     #[serde(skip_serializing_if = "Option::is_none")]
     pub hosts_file: Option<PathBuf>,
     /// Timing of reads.
-    pub timing: PlatformTiming,
+    pub timing: SourceTiming,
 }
 
-/// Timing of reads from the platform.
+/// Timing of reads from the sources.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(default, deny_unknown_fields)]
-pub struct PlatformTiming {
+pub struct SourceTiming {
     /// Seconds that the configuration service is asked to hold a watch open.
     #[schemars(range(min = 1, max = 600))]
     pub watch_s: u64,
@@ -156,7 +156,7 @@
     pub hosts_poll_ms: u64,
 }
 
-impl Default for PlatformTiming {
+impl Default for SourceTiming {
     fn default() -> Self {
         Self {
             watch_s: 30,
@@ -244,8 +244,8 @@
     }
     let tree = tree::parse(text)?;
     let mut faults = shape::check(&schema_of::<ProcessSettings>(), &tree);
-    if let Some(platform) = section(&tree, "platform", &faults) {
-        faults.extend(platform_faults(&platform));
+    if let Some(sources) = section(&tree, "sources", &faults) {
+        faults.extend(source_faults(&sources));
     }
     if let Some(peers) = section(&tree, "peers", &faults) {
         faults.extend(peer_fault(&peers));
@@ -265,16 +265,16 @@
     serde_json::from_value(tree.get(name)?.clone()).ok()
 }
 
-fn platform_faults(platform: &PlatformSettings) -> Vec<DocumentFault> {
+fn source_faults(sources: &SourceSettings) -> Vec<DocumentFault> {
     let config = one_source(
-        "platform.config",
-        platform.config_url.as_deref(),
-        platform.config_file.is_some(),
+        "sources.config",
+        sources.config_url.as_deref(),
+        sources.config_file.is_some(),
     );
     let hosts = one_source(
-        "platform.hosts",
-        platform.hosts_url.as_deref(),
-        platform.hosts_file.is_some(),
+        "sources.hosts",
+        sources.hosts_url.as_deref(),
+        sources.hosts_file.is_some(),
     );
     config.into_iter().chain(hosts).collect()
 }
--- a/src/platform/error.rs
+++ b/src/sources/error.rs
@@ -1,4 +1,4 @@
-//! What goes wrong with the platform, at which step and with whom.
+//! What goes wrong with the sources, at which step and with whom.
 
 use std::fmt;
 
@@ -9,7 +9,7 @@
 
 /// The step at which an error arose.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum PlatformStep {
+pub enum SourceStep {
     /// Reading the publication.
     ReadConfig,
     /// Waiting for a newer publication.
@@ -20,7 +20,7 @@
 
 /// What went wrong.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum PlatformFault {
+pub enum SourceFault {
     /// No connection, or it broke.
     Unreachable,
     /// No whole answer in time.
@@ -46,18 +46,18 @@
     Faulty(FaultList),
 }
 
-/// An error at the platform's edge.
+/// An error at the source's edge.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct PlatformError {
+pub struct SourceError {
     /// The step.
-    pub step: PlatformStep,
+    pub step: SourceStep,
     /// The URL or file.
     pub source: SmolStr,
     /// What went wrong.
-    pub fault: PlatformFault,
+    pub fault: SourceFault,
 }
 
-impl fmt::Display for PlatformStep {
+impl fmt::Display for SourceStep {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter.write_str(match self {
             Self::ReadConfig => "reading the publication",
@@ -67,7 +67,7 @@
     }
 }
 
-impl fmt::Display for PlatformFault {
+impl fmt::Display for SourceFault {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Unreachable => formatter.write_str("no connection"),
@@ -93,7 +93,7 @@
     }
 }
 
-impl fmt::Display for PlatformError {
+impl fmt::Display for SourceError {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             formatter,
@@ -103,4 +103,4 @@
     }
 }
 
-impl std::error::Error for PlatformError {}
+impl std::error::Error for SourceError {}
--- a/src/platform/file.rs
+++ b/src/sources/file.rs
@@ -1,4 +1,4 @@
-//! The platform as files, for small sites.
+//! The sources as files, for small sites.
 //!
 //! The publication's `revision` stands in the file itself: a counter kept by each router would
 //! start anew with the process, and two routers would number one text differently. A file must be
@@ -27,15 +27,15 @@
 use crate::document::DocumentFault;
 use crate::document::FaultList;
 use crate::publication::MAX_PUBLICATION_BYTES;
-use crate::settings::PlatformTiming;
+use crate::settings::SourceTiming;
 use crate::units::ConfigRevision;
 
 use super::ConfigSource;
 use super::ConfigText;
 use super::HostSource;
-use super::error::PlatformError;
-use super::error::PlatformFault;
-use super::error::PlatformStep;
+use super::error::SourceError;
+use super::error::SourceFault;
+use super::error::SourceStep;
 use super::hosts::HostList;
 use super::hosts::MAX_HOSTS_BYTES;
 
@@ -67,7 +67,7 @@
     }
 }
 
-/// A file of the platform.
+/// A file of the sources.
 #[derive(Debug)]
 struct FileReader {
     path: PathBuf,
@@ -75,22 +75,22 @@
 }
 
 impl FileReader {
-    fn error(&self, step: PlatformStep, fault: PlatformFault) -> Report<PlatformError> {
-        Report::new(PlatformError {
+    fn error(&self, step: SourceStep, fault: SourceFault) -> Report<SourceError> {
+        Report::new(SourceError {
             step,
             source: SmolStr::new(self.path.to_string_lossy()),
             fault,
         })
     }
 
-    async fn read(&self, step: PlatformStep) -> Result<Bytes, Report<PlatformError>> {
+    async fn read(&self, step: SourceStep) -> Result<Bytes, Report<SourceError>> {
         let text = read_bounded(&self.path, self.max_bytes).await;
         let text = text.map_err(|error| {
-            self.error(step, PlatformFault::Unreadable)
+            self.error(step, SourceFault::Unreadable)
                 .attach(error.to_string())
         })?;
         if text.len() > self.max_bytes {
-            return Err(self.error(step, PlatformFault::TooLarge(self.max_bytes)));
+            return Err(self.error(step, SourceFault::TooLarge(self.max_bytes)));
         }
         Ok(Bytes::from(text))
     }
@@ -133,7 +133,7 @@
 impl FileConfigSource {
     /// A source at a path.
     #[must_use]
-    pub fn new(path: PathBuf, timing: &PlatformTiming) -> Self {
+    pub fn new(path: PathBuf, timing: &SourceTiming) -> Self {
         Self {
             reader: FileReader {
                 path,
@@ -150,7 +150,7 @@
         seen.unwrap_or_else(PoisonError::into_inner).clone()
     }
 
-    async fn load(&self, step: PlatformStep) -> Result<ConfigText, Report<PlatformError>> {
+    async fn load(&self, step: SourceStep) -> Result<ConfigText, Report<SourceError>> {
         let stamp = fs::metadata(&self.reader.path).await;
         let stamp = stamp.ok().map(|metadata| FileStamp::of(&metadata));
         let seen = self.seen();
@@ -175,17 +175,17 @@
 
     fn revision(
         &self,
-        step: PlatformStep,
+        step: SourceStep,
         text: &[u8],
-    ) -> Result<ConfigRevision, Report<PlatformError>> {
+    ) -> Result<ConfigRevision, Report<SourceError>> {
         let field: RevisionField = serde_json::from_slice(text).map_err(|error| {
             let fault = DocumentFault::new("", format!("not a publication: {error}"));
             self.reader
-                .error(step, PlatformFault::Faulty(FaultList::from(vec![fault])))
+                .error(step, SourceFault::Faulty(FaultList::from(vec![fault])))
         })?;
         match field.revision {
             Some(number) if number > 0 => Ok(ConfigRevision(number)),
-            _ => Err(self.reader.error(step, PlatformFault::NoRevision)),
+            _ => Err(self.reader.error(step, SourceFault::NoRevision)),
         }
     }
 
@@ -193,19 +193,19 @@
     /// leave routers that were restarted since with another text than the rest.
     fn compare(
         &self,
-        step: PlatformStep,
+        step: SourceStep,
         seen: &ConfigText,
         news: &ConfigText,
-    ) -> Result<(), Report<PlatformError>> {
+    ) -> Result<(), Report<SourceError>> {
         if news.revision < seen.revision {
-            let fault = PlatformFault::OldRevision {
+            let fault = SourceFault::OldRevision {
                 came: news.revision,
                 seen: seen.revision,
             };
             return Err(self.reader.error(step, fault));
         }
         if news.revision == seen.revision && news.text != seen.text {
-            let fault = PlatformFault::SameRevision(news.revision);
+            let fault = SourceFault::SameRevision(news.revision);
             return Err(self.reader.error(step, fault));
         }
         Ok(())
@@ -213,15 +213,15 @@
 }
 
 impl ConfigSource for FileConfigSource {
-    async fn read(&self) -> Result<ConfigText, Report<PlatformError>> {
-        self.load(PlatformStep::ReadConfig).await
+    async fn read(&self) -> Result<ConfigText, Report<SourceError>> {
+        self.load(SourceStep::ReadConfig).await
     }
 
     async fn watch(
         &self,
         after: ConfigRevision,
-    ) -> Result<Option<ConfigText>, Report<PlatformError>> {
-        let step = PlatformStep::WatchConfig;
+    ) -> Result<Option<ConfigText>, Report<SourceError>> {
+        let step = SourceStep::WatchConfig;
         let end = Instant::now() + self.hold;
         loop {
             let news = self.load(step).await?;
@@ -229,7 +229,7 @@
                 return Ok(Some(news));
             }
             if news.revision < after {
-                let fault = PlatformFault::OldRevision {
+                let fault = SourceFault::OldRevision {
                     came: news.revision,
                     seen: after,
                 };
@@ -264,10 +264,9 @@
 }
 
 impl HostSource for FileHostSource {
-    async fn read(&self) -> Result<HostList, Report<PlatformError>> {
-        let step = PlatformStep::ReadHosts;
+    async fn read(&self) -> Result<HostList, Report<SourceError>> {
+        let step = SourceStep::ReadHosts;
         let text = self.reader.read(step).await?;
-        HostList::read(&text)
-            .map_err(|faults| self.reader.error(step, PlatformFault::Faulty(faults)))
+        HostList::read(&text).map_err(|faults| self.reader.error(step, SourceFault::Faulty(faults)))
     }
 }
--- a/src/platform/follow.rs
+++ b/src/sources/follow.rs
@@ -1,4 +1,4 @@
-//! Follows the platform for a daemon, until cancelled.
+//! Follows the sources for a daemon, until cancelled.
 
 use std::time::Duration;
 
@@ -9,14 +9,14 @@
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
-use crate::settings::PlatformTiming;
+use crate::settings::SourceTiming;
 use crate::units::ConfigRevision;
 
 use super::ConfigSource;
 use super::ConfigText;
 use super::HostList;
 use super::HostSource;
-use super::PlatformError;
+use super::SourceError;
 
 /// What became of one read or watch of the configuration service.
 #[derive(Debug)]
@@ -26,7 +26,7 @@
     /// The service answered; there is nothing newer.
     Unchanged,
     /// The service failed, or went back.
-    Failed(Report<PlatformError>),
+    Failed(Report<SourceError>),
 }
 
 /// What became of one read of the host list.
@@ -35,7 +35,7 @@
     /// The list.
     Listed(HostList),
     /// It could not be read.
-    Failed(Report<PlatformError>),
+    Failed(Report<SourceError>),
 }
 
 /// Whether to watch the configuration service, and from where on.
@@ -53,7 +53,7 @@
 /// it. While `order` is off no call is made and none is left waiting.
 pub async fn follow_config(
     source: impl ConfigSource,
-    timing: PlatformTiming,
+    timing: SourceTiming,
     mut order: watch::Receiver<WatchOrder>,
     sender: mpsc::Sender<ConfigNews>,
     cancel: CancellationToken,
@@ -108,7 +108,7 @@
 /// Reads the host list at intervals and sends what comes to `sender`.
 pub async fn follow_hosts(
     source: impl HostSource,
-    timing: PlatformTiming,
+    timing: SourceTiming,
     sender: mpsc::Sender<HostNews>,
     cancel: CancellationToken,
 ) {
@@ -128,7 +128,7 @@
     }
 }
 
-async fn rest(timing: &PlatformTiming, cancel: &CancellationToken) -> bool {
+async fn rest(timing: &SourceTiming, cancel: &CancellationToken) -> bool {
     tokio::select! {
         () = cancel.cancelled() => false,
         () = sleep(jittered(timing.retry_ms)) => true,
--- a/src/platform/hosts.rs
+++ b/src/sources/hosts.rs
@@ -21,8 +21,8 @@
 /// Largest host list, in bytes.
 pub const MAX_HOSTS_BYTES: usize = 4 * 1_048_576;
 
-/// The host list as the platform gives it. Fields that are not known here are left alone: the
-/// list is the platform's, not this project's.
+/// The host list as the sources gives it. Fields that are not known here are left alone: the
+/// list is the source's, not this project's.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(default)]
 pub struct HostList {
--- a/src/platform/http.rs
+++ b/src/sources/http.rs
@@ -1,4 +1,4 @@
-//! The platform over HTTP.
+//! The sources over HTTP.
 //!
 //! The configuration service answers `GET` with the publication and its revision as entity tag,
 //! such as `ETag: "42"`. A watch is the same request with `If-None-Match: "42"` and
@@ -29,21 +29,21 @@
 use tokio::time::timeout;
 
 use crate::publication::MAX_PUBLICATION_BYTES;
-use crate::settings::PlatformTiming;
+use crate::settings::SourceTiming;
 use crate::units::ConfigRevision;
 
 use super::ConfigSource;
 use super::ConfigText;
 use super::HostSource;
-use super::error::PlatformError;
-use super::error::PlatformFault;
-use super::error::PlatformStep;
+use super::error::SourceError;
+use super::error::SourceFault;
+use super::error::SourceStep;
 use super::hosts::HostList;
 use super::hosts::MAX_HOSTS_BYTES;
 
 const PREFER: HeaderName = HeaderName::from_static("prefer");
 
-/// A value of the platform, read by URL.
+/// A value of the sources, read by URL.
 #[derive(Debug)]
 struct HttpReader {
     url: SmolStr,
@@ -52,7 +52,7 @@
 }
 
 impl HttpReader {
-    fn new(url: &str, timing: &PlatformTiming) -> Self {
+    fn new(url: &str, timing: &SourceTiming) -> Self {
         Self {
             url: SmolStr::new(url),
             client: Client::builder(TokioExecutor::new()).build_http(),
@@ -60,8 +60,8 @@
         }
     }
 
-    fn error(&self, step: PlatformStep, fault: PlatformFault) -> Report<PlatformError> {
-        Report::new(PlatformError {
+    fn error(&self, step: SourceStep, fault: SourceFault) -> Report<SourceError> {
+        Report::new(SourceError {
             step,
             source: self.url.clone(),
             fault,
@@ -71,51 +71,51 @@
     /// One request with its whole answer, within `limit` of time and `max_bytes`.
     async fn get(
         &self,
-        step: PlatformStep,
+        step: SourceStep,
         request: http::request::Builder,
         limit: Duration,
         max_bytes: usize,
-    ) -> Result<Response<Bytes>, Report<PlatformError>> {
+    ) -> Result<Response<Bytes>, Report<SourceError>> {
         let request = request
             .uri(self.url.as_str())
             .body(Empty::new())
             .map_err(|error| {
-                self.error(step, PlatformFault::Unreachable)
+                self.error(step, SourceFault::Unreachable)
                     .attach(error.to_string())
             })?;
         let exchange = async {
             let answer = self.client.request(request).await.map_err(|error| {
-                self.error(step, PlatformFault::Unreachable)
+                self.error(step, SourceFault::Unreachable)
                     .attach(error.to_string())
             })?;
             self.body(step, answer, max_bytes).await
         };
         timeout(limit, exchange)
             .await
-            .map_err(|_| self.error(step, PlatformFault::TimedOut))?
+            .map_err(|_| self.error(step, SourceFault::TimedOut))?
     }
 
     async fn body(
         &self,
-        step: PlatformStep,
+        step: SourceStep,
         answer: Response<Incoming>,
         max_bytes: usize,
-    ) -> Result<Response<Bytes>, Report<PlatformError>> {
+    ) -> Result<Response<Bytes>, Report<SourceError>> {
         let (parts, body) = answer.into_parts();
         let whole = Limited::new(body, max_bytes).collect().await;
         let text = whole.map_err(|error| {
             let fault = if error.is::<LengthLimitError>() {
-                PlatformFault::TooLarge(max_bytes)
+                SourceFault::TooLarge(max_bytes)
             } else {
-                PlatformFault::Unreachable
+                SourceFault::Unreachable
             };
             self.error(step, fault).attach(error.to_string())
         })?;
         Ok(Response::from_parts(parts, text.to_bytes()))
     }
 
-    fn status(&self, step: PlatformStep, status: StatusCode) -> Report<PlatformError> {
-        self.error(step, PlatformFault::Status(status.as_u16()))
+    fn status(&self, step: SourceStep, status: StatusCode) -> Report<SourceError> {
+        self.error(step, SourceFault::Status(status.as_u16()))
     }
 }
 
@@ -130,7 +130,7 @@
 impl HttpConfigSource {
     /// A source at a URL that the settings' check has passed.
     #[must_use]
-    pub fn new(url: &str, timing: &PlatformTiming) -> Self {
+    pub fn new(url: &str, timing: &SourceTiming) -> Self {
         Self {
             reader: HttpReader::new(url, timing),
             hold: Duration::from_secs(timing.watch_s),
@@ -140,14 +140,14 @@
 
     fn config_text(
         &self,
-        step: PlatformStep,
+        step: SourceStep,
         answer: Response<Bytes>,
-    ) -> Result<ConfigText, Report<PlatformError>> {
+    ) -> Result<ConfigText, Report<SourceError>> {
         if answer.status() != StatusCode::OK {
             return Err(self.reader.status(step, answer.status()));
         }
         let Some(revision) = revision_of(&answer) else {
-            return Err(self.reader.error(step, PlatformFault::NoRevision));
+            return Err(self.reader.error(step, SourceFault::NoRevision));
         };
         Ok(ConfigText {
             revision,
@@ -166,8 +166,8 @@
 }
 
 impl ConfigSource for HttpConfigSource {
-    async fn read(&self) -> Result<ConfigText, Report<PlatformError>> {
-        let step = PlatformStep::ReadConfig;
+    async fn read(&self) -> Result<ConfigText, Report<SourceError>> {
+        let step = SourceStep::ReadConfig;
         let limit = self.reader.timeout;
         let request = Request::builder();
         let answer = self
@@ -180,8 +180,8 @@
     async fn watch(
         &self,
         after: ConfigRevision,
-    ) -> Result<Option<ConfigText>, Report<PlatformError>> {
-        let step = PlatformStep::WatchConfig;
+    ) -> Result<Option<ConfigText>, Report<SourceError>> {
+        let step = SourceStep::WatchConfig;
         let start = Instant::now();
         let request = Request::builder()
             .header(IF_NONE_MATCH, format!("\"{after}\""))
@@ -201,7 +201,7 @@
         }
         let news = self.config_text(step, answer)?;
         if news.revision < after {
-            let fault = PlatformFault::OldRevision {
+            let fault = SourceFault::OldRevision {
                 came: news.revision,
                 seen: after,
             };
@@ -220,7 +220,7 @@
 impl HttpHostSource {
     /// A source at a URL that the settings' check has passed.
     #[must_use]
-    pub fn new(url: &str, timing: &PlatformTiming) -> Self {
+    pub fn new(url: &str, timing: &SourceTiming) -> Self {
         Self {
             reader: HttpReader::new(url, timing),
         }
@@ -228,8 +228,8 @@
 }
 
 impl HostSource for HttpHostSource {
-    async fn read(&self) -> Result<HostList, Report<PlatformError>> {
-        let step = PlatformStep::ReadHosts;
+    async fn read(&self) -> Result<HostList, Report<SourceError>> {
+        let step = SourceStep::ReadHosts;
         let limit = self.reader.timeout;
         let answer = self
             .reader
@@ -239,6 +239,6 @@
             return Err(self.reader.status(step, answer.status()));
         }
         HostList::read(answer.body())
-            .map_err(|faults| self.reader.error(step, PlatformFault::Faulty(faults)))
+            .map_err(|faults| self.reader.error(step, SourceFault::Faulty(faults)))
     }
 }
--- a/src/platform/mod.rs
+++ b/src/sources/mod.rs
@@ -1,4 +1,4 @@
-//! The platform at the edge of the process: the configuration service and the host list.
+//! The sources at the edge of the process: the configuration service and the host list.
 //!
 //! Each is a narrow trait with an HTTP implementation and one for a file. Nothing can be written
 //! to either. [`follow`] runs them for a daemon.
@@ -14,11 +14,11 @@
 use bytes::Bytes;
 use error_stack::Report;
 
-use crate::settings::PlatformSettings;
+use crate::settings::SourceSettings;
 use crate::units::ConfigRevision;
 
-pub use self::error::PlatformError;
-pub use self::error::PlatformFault;
+pub use self::error::SourceError;
+pub use self::error::SourceFault;
 use self::file::FileConfigSource;
 use self::file::FileHostSource;
 pub use self::hosts::HostList;
@@ -28,7 +28,7 @@
 /// A publication as read, unchecked.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ConfigText {
-    /// The platform's revision. Never 0.
+    /// The source's revision. Never 0.
     pub revision: ConfigRevision,
     /// The published text, at most [`crate::publication::MAX_PUBLICATION_BYTES`] bytes.
     pub text: Bytes,
@@ -40,7 +40,7 @@
     ///
     /// # Errors
     /// When the source can't be reached, does not answer in time or answers something else.
-    fn read(&self) -> impl Future<Output = Result<ConfigText, Report<PlatformError>>> + Send;
+    fn read(&self) -> impl Future<Output = Result<ConfigText, Report<SourceError>>> + Send;
 
     /// Waits for a publication newer than `after`; nothing if none came in the time that a watch
     /// is held open.
@@ -50,7 +50,7 @@
     fn watch(
         &self,
         after: ConfigRevision,
-    ) -> impl Future<Output = Result<Option<ConfigText>, Report<PlatformError>>> + Send;
+    ) -> impl Future<Output = Result<Option<ConfigText>, Report<SourceError>>> + Send;
 }
 
 /// Where the host list comes from.
@@ -59,12 +59,12 @@
     ///
     /// # Errors
     /// When the source can't be reached, does not answer in time or answers something else.
-    fn read(&self) -> impl Future<Output = Result<HostList, Report<PlatformError>>> + Send;
+    fn read(&self) -> impl Future<Output = Result<HostList, Report<SourceError>>> + Send;
 }
 
 /// The sources of publications that there are.
 #[derive(Debug)]
-pub enum PlatformConfig {
+pub enum SourceConfig {
     /// The configuration service.
     Http(Box<HttpConfigSource>),
     /// A file.
@@ -73,17 +73,17 @@
 
 /// The sources of host lists that there are.
 #[derive(Debug)]
-pub enum PlatformHosts {
+pub enum SourceHosts {
     /// A service.
     Http(Box<HttpHostSource>),
     /// A file.
     File(FileHostSource),
 }
 
-impl PlatformConfig {
+impl SourceConfig {
     /// The source that checked settings name.
     #[must_use]
-    pub fn new(settings: &PlatformSettings) -> Self {
+    pub fn new(settings: &SourceSettings) -> Self {
         match (&settings.config_url, &settings.config_file) {
             (Some(url), _) => Self::Http(Box::new(HttpConfigSource::new(url, &settings.timing))),
             (None, file) => {
@@ -94,10 +94,10 @@
     }
 }
 
-impl PlatformHosts {
+impl SourceHosts {
     /// The source that checked settings name.
     #[must_use]
-    pub fn new(settings: &PlatformSettings) -> Self {
+    pub fn new(settings: &SourceSettings) -> Self {
         match (&settings.hosts_url, &settings.hosts_file) {
             (Some(url), _) => Self::Http(Box::new(HttpHostSource::new(url, &settings.timing))),
             (None, file) => Self::File(FileHostSource::new(file.clone().unwrap_or_default())),
@@ -105,8 +105,8 @@
     }
 }
 
-impl ConfigSource for PlatformConfig {
-    async fn read(&self) -> Result<ConfigText, Report<PlatformError>> {
+impl ConfigSource for SourceConfig {
+    async fn read(&self) -> Result<ConfigText, Report<SourceError>> {
         match self {
             Self::Http(source) => source.read().await,
             Self::File(source) => source.read().await,
@@ -116,7 +116,7 @@
     async fn watch(
         &self,
         after: ConfigRevision,
-    ) -> Result<Option<ConfigText>, Report<PlatformError>> {
+    ) -> Result<Option<ConfigText>, Report<SourceError>> {
         match self {
             Self::Http(source) => source.watch(after).await,
             Self::File(source) => source.watch(after).await,
@@ -124,8 +124,8 @@
     }
 }
 
-impl HostSource for PlatformHosts {
-    async fn read(&self) -> Result<HostList, Report<PlatformError>> {
+impl HostSource for SourceHosts {
+    async fn read(&self) -> Result<HostList, Report<SourceError>> {
         match self {
             Self::Http(source) => source.read().await,
             Self::File(source) => source.read().await,
--- a/src/units/number.rs
+++ b/src/units/number.rs
@@ -48,7 +48,7 @@
     AttemptNumber, u32
 );
 number_type!(
-    /// The platform's revision of a publication.
+    /// The source's revision of a publication.
     ConfigRevision, u64
 );
 number_type!(
--- a/src/wire/publication.rs
+++ b/src/wire/publication.rs
@@ -1,4 +1,4 @@
-//! Publications passed between routers, so that few of them read the platform's service.
+//! Publications passed between routers, so that few of them read the source's service.
 
 use prost::Message;
 
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -34,7 +34,7 @@
     for router in 0..8 {
         let watches = fleet.core(router).state().publication_sync.watching;
         if watches == Some(true) {
-            fleet.tell(router, CoreEvent::PlatformAnswered(true));
+            fleet.tell(router, CoreEvent::SourceAnswered(true));
         }
     }
 }
@@ -100,7 +100,7 @@
     }
     fleet.advance_by(HOUR_MS / 2, 50_000);
     for router in 0..8 {
-        fleet.tell(router, CoreEvent::PlatformAnswered(false));
+        fleet.tell(router, CoreEvent::SourceAnswered(false));
         assert_eq!(knowledge(&fleet, router), ConfigKnowledge::Uncertain);
     }
     fleet.stop(5);
--- a/tests/ctl.rs
+++ b/tests/ctl.rs
@@ -161,7 +161,7 @@
     desk.fleet.stop().await;
 }
 
-// A publication with a fault reaches the platform. The routers keep the last good one, and the
+// A publication with a fault reaches the sources. The routers keep the last good one, and the
 // operator who wonders why nothing changed sees the fault and its path in `status`.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_refused_publication_is_shown_and_the_last_good_one_stays() {
@@ -173,7 +173,7 @@
     let checked = tool(&["check", &desk.path("next.json")]).await;
     assert_eq!(checked.code, Some(1));
     assert!(checked.out.contains("teams.nadi.share"), "{checked:?}");
-    desk.fleet.platform.publish(next);
+    desk.fleet.sources.publish(next);
     let status = loop {
         let status = desk.ask(None, &["status"]).await;
         if status.code == Some(1) {
@@ -222,9 +222,9 @@
 async fn a_publication_costs_at_most_two_reads_a_router() {
     let desk = OperatorDesk::start("reads").await;
     let routers = u64::try_from(desk.fleet.routers.len()).unwrap();
-    let before = desk.fleet.platform.config_calls();
+    let before = desk.fleet.sources.config_calls();
     let text = std::fs::read_to_string(desk.path("publication.json")).unwrap();
-    desk.fleet.platform.publish(text);
+    desk.fleet.sources.publish(text);
     for router in &desk.fleet.routers {
         let mut catalog = router.control().catalog.clone();
         let newest = catalog.wait_for(|catalog| catalog.revision().0 == 2);
@@ -235,7 +235,7 @@
         assert_eq!(sent.code, Some(0), "{sent:?}");
     }
     // A watch that ends with the publication, and the one that follows it.
-    let calls = desk.fleet.platform.config_calls() - before;
+    let calls = desk.fleet.sources.config_calls() - before;
     assert!(calls <= 2 * routers, "{calls} calls");
     desk.fleet.stop().await;
 }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -59,7 +59,7 @@
         site = site.endpoint(&format!("engine-{number}"), engine, 8);
     }
     let mut fleet = ProcessFleet::start(env!("CARGO_BIN_EXE_verbenaturnd"), ROUTERS).await;
-    fleet.platform.publish(site.publication(1).to_string());
+    fleet.sources.publish(site.publication(1).to_string());
     let mut addresses: Vec<_> = fleet.routers.iter().map(|router| router.callers).collect();
     fleet.wait_serving(&addresses, "nurses").await;
 
@@ -91,14 +91,14 @@
     fleet.list_hosts(ROUTERS, Some(1));
     let mut drained = fleet.routers.remove(0);
     drained.terminate().await;
-    // The platform's balancer sees a little later that the router is not ready any more.
+    // The source's balancer sees a little later that the router is not ready any more.
     pause(200).await;
     balancer.remove(drained.callers);
     addresses.remove(0);
     assert!(drained.ended().await.success(), "the drain cut something");
 
     let site = site.team("late", 2).team("registry", 1);
-    fleet.platform.publish(site.publication(2).to_string());
+    fleet.sources.publish(site.publication(2).to_string());
     fleet.wait_serving(&addresses, "late").await;
     pause(500).await;
 
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -211,7 +211,7 @@
     }
 }
 
-// The platform's host list is an hour old: it names a router that was replaced, misses one that
+// The source's host list is an hour old: it names a router that was replaced, misses one that
 // runs, and calls a third one leaving. None of this may change who is taken for a member.
 #[test]
 fn a_stale_host_list_changes_nothing_that_is_known() {
--- a/tests/publication.rs
+++ b/tests/publication.rs
@@ -94,7 +94,7 @@
       "callers": {"listen": "127.0.0.1:8080"},
       "peers": {"listen": "127.0.0.1:8081", "key_files": ["peer.key"]},
       "admin": {"listen": "127.0.0.1:8082", "credential_file": "admin.key"},
-      "platform": {"config_file": "publication.json", "hosts_file": "hosts.json"}}"#;
+      "sources": {"config_file": "publication.json", "hosts_file": "hosts.json"}}"#;
     let settings = read_settings(text.as_bytes()).unwrap();
     assert_eq!(settings.peer_address().port(), 8_081);
     assert!(read_settings(&text.as_bytes()[..text.len() / 2]).is_err());
@@ -289,7 +289,7 @@
   "callers": {"listen": "127.0.0.1:8080"},
   "peers": {"listen": "0.0.0.0:8081", "key_files": []},
   "admin": {"listen": "127.0.0.1", "credential_file": "admin.key"},
-  "platform": {"config_url": "ftp://x", "hosts_file": "hosts.json", "hosts_url": "http://h/hosts"},
+  "sources": {"config_url": "ftp://x", "hosts_file": "hosts.json", "hosts_url": "http://h/hosts"},
   "log": {"level": "loud"}, "colour": "red",
   "core": {"admission": {"queue_limit": -1}}}"#;
 
@@ -302,8 +302,8 @@
         "core.admission.queue_limit",
         "log.level",
         "peers.key_files",
-        "platform.config_url",
-        "platform.hosts_url",
+        "sources.config_url",
+        "sources.hosts_url",
     ];
     assert_eq!(paths(&faults), expected, "{faults}");
     let other = SETTINGS
@@ -311,7 +311,7 @@
         .replace("ftp://x", "http://x/c");
     let faults = read_settings(other.as_bytes()).unwrap_err();
     assert!(paths(&faults).contains(&"peers.advertised"), "{faults}");
-    assert!(!paths(&faults).contains(&"platform.config_url"), "{faults}");
+    assert!(!paths(&faults).contains(&"sources.config_url"), "{faults}");
 }
 
 #[test]
--- a/tests/publication_properties.rs
+++ b/tests/publication_properties.rs
@@ -5,9 +5,9 @@
 use proptest::test_runner::RngSeed;
 use serde_json::Value;
 
-use verbenaturn::platform::HostList;
 use verbenaturn::publication::adopt;
 use verbenaturn::settings::read_settings;
+use verbenaturn::sources::HostList;
 use verbenaturn::units::ConfigRevision;
 
 const GOOD: &str = include_str!("../docs/operators/first-day/publication-2.json");
--- a/tests/platform.rs
+++ b/tests/sources.rs
@@ -1,7 +1,7 @@
-//! The platform's edge when the platform misbehaves.
+//! The source's edge when the sources misbehaves.
 
 #[allow(dead_code)]
-#[path = "../examples/shared/platform.rs"]
+#[path = "../examples/shared/sources.rs"]
 mod standin;
 
 use std::path::PathBuf;
@@ -14,22 +14,22 @@
 
 use crate::standin::PublishedValue;
 use crate::standin::ServiceMood;
-use crate::standin::StandinPlatform;
-use verbenaturn::platform::ConfigSource;
-use verbenaturn::platform::HostSource;
-use verbenaturn::platform::PlatformFault;
-use verbenaturn::platform::file::FileConfigSource;
-use verbenaturn::platform::follow::ConfigNews;
-use verbenaturn::platform::follow::WatchOrder;
-use verbenaturn::platform::follow::follow_config;
-use verbenaturn::platform::http::HttpConfigSource;
-use verbenaturn::platform::http::HttpHostSource;
+use crate::standin::StandinSources;
 use verbenaturn::publication::MAX_PUBLICATION_BYTES;
-use verbenaturn::settings::PlatformTiming;
+use verbenaturn::settings::SourceTiming;
+use verbenaturn::sources::ConfigSource;
+use verbenaturn::sources::HostSource;
+use verbenaturn::sources::SourceFault;
+use verbenaturn::sources::file::FileConfigSource;
+use verbenaturn::sources::follow::ConfigNews;
+use verbenaturn::sources::follow::WatchOrder;
+use verbenaturn::sources::follow::follow_config;
+use verbenaturn::sources::http::HttpConfigSource;
+use verbenaturn::sources::http::HttpHostSource;
 use verbenaturn::units::ConfigRevision;
 
-fn quick() -> PlatformTiming {
-    PlatformTiming {
+fn quick() -> SourceTiming {
+    SourceTiming {
         watch_s: 1,
         timeout_ms: 300,
         retry_ms: 40,
@@ -38,14 +38,14 @@
     }
 }
 
-async fn standin() -> (StandinPlatform, HttpConfigSource) {
-    let platform = StandinPlatform::start(None).await.unwrap();
-    let source = HttpConfigSource::new(&platform.config_url(), &quick());
-    (platform, source)
+async fn standin() -> (StandinSources, HttpConfigSource) {
+    let sources = StandinSources::start(None).await.unwrap();
+    let source = HttpConfigSource::new(&sources.config_url(), &quick());
+    (sources, source)
 }
 
-async fn open_watches(platform: &StandinPlatform, count: i64) {
-    while platform.open_watches() != count {
+async fn open_watches(sources: &StandinSources, count: i64) {
+    while sources.open_watches() != count {
         sleep(Duration::from_millis(2)).await;
     }
 }
@@ -59,35 +59,35 @@
 
 #[tokio::test]
 async fn a_watch_brings_the_next_publication() {
-    let (platform, source) = standin().await;
+    let (sources, source) = standin().await;
     let fault = source.read().await.unwrap_err();
-    assert_eq!(fault.current_context().fault, PlatformFault::Status(404));
-    platform.publish("{}");
+    assert_eq!(fault.current_context().fault, SourceFault::Status(404));
+    sources.publish("{}");
     let first = source.read().await.unwrap();
     assert_eq!(first.revision, ConfigRevision(1));
     let (news, _) = tokio::join!(source.watch(first.revision), async {
-        open_watches(&platform, 1).await;
-        platform.publish("{ }")
+        open_watches(&sources, 1).await;
+        sources.publish("{ }")
     });
     let news = news.unwrap().unwrap();
     assert_eq!(news.revision, ConfigRevision(2));
     assert_eq!(&news.text[..], b"{ }");
     assert_eq!(source.watch(news.revision).await.unwrap(), None);
-    assert_eq!(platform.config_calls(), 4);
+    assert_eq!(sources.config_calls(), 4);
 }
 
 // The configuration service takes the connection and never answers. Without a limit of its own
 // the router would wait for ever and stay on its old publication after the service is well again.
 #[tokio::test]
 async fn a_hanging_service_is_given_up() {
-    let (platform, source) = standin().await;
-    platform.publish("{}");
-    platform.set_mood(ServiceMood::Hanging);
+    let (sources, source) = standin().await;
+    sources.publish("{}");
+    sources.set_mood(ServiceMood::Hanging);
     let read = source.read().await.unwrap_err();
-    assert_eq!(read.current_context().fault, PlatformFault::TimedOut);
+    assert_eq!(read.current_context().fault, SourceFault::TimedOut);
     let watch = source.watch(ConfigRevision(1)).await.unwrap_err();
-    assert_eq!(watch.current_context().fault, PlatformFault::TimedOut);
-    platform.set_mood(ServiceMood::Well);
+    assert_eq!(watch.current_context().fault, SourceFault::TimedOut);
+    sources.set_mood(ServiceMood::Well);
     assert!(source.read().await.is_ok());
 }
 
@@ -95,10 +95,10 @@
 // it would bring back shares that operators have changed since.
 #[tokio::test]
 async fn an_older_revision_is_no_news() {
-    let (platform, source) = standin().await;
-    platform.set_mood(ServiceMood::Old(value(3, "{}")));
+    let (sources, source) = standin().await;
+    sources.set_mood(ServiceMood::Old(value(3, "{}")));
     let fault = source.watch(ConfigRevision(5)).await.unwrap_err();
-    let old = PlatformFault::OldRevision {
+    let old = SourceFault::OldRevision {
         came: ConfigRevision(3),
         seen: ConfigRevision(5),
     };
@@ -108,12 +108,12 @@
 
 #[tokio::test]
 async fn a_value_over_a_megabyte_is_not_read() {
-    let (platform, source) = standin().await;
-    platform.set_mood(ServiceMood::Oversized(MAX_PUBLICATION_BYTES + 1));
+    let (sources, source) = standin().await;
+    sources.set_mood(ServiceMood::Oversized(MAX_PUBLICATION_BYTES + 1));
     let fault = source.read().await.unwrap_err();
-    let too_large = PlatformFault::TooLarge(MAX_PUBLICATION_BYTES);
+    let too_large = SourceFault::TooLarge(MAX_PUBLICATION_BYTES);
     assert_eq!(fault.current_context().fault, too_large);
-    platform.set_mood(ServiceMood::Oversized(MAX_PUBLICATION_BYTES));
+    sources.set_mood(ServiceMood::Oversized(MAX_PUBLICATION_BYTES));
     assert_eq!(
         source.read().await.unwrap().text.len(),
         MAX_PUBLICATION_BYTES
@@ -122,12 +122,12 @@
 
 #[tokio::test]
 async fn host_lists_with_faults_name_them() {
-    let (platform, _) = standin().await;
-    let source = HttpHostSource::new(&platform.hosts_url(), &quick());
-    platform.list_hosts(r#"{"routers": [{"host": "a", "address": "b", "domain": "c"}]}"#);
+    let (sources, _) = standin().await;
+    let source = HttpHostSource::new(&sources.hosts_url(), &quick());
+    sources.list_hosts(r#"{"routers": [{"host": "a", "address": "b", "domain": "c"}]}"#);
     let fault = source.read().await.unwrap_err();
     assert!(fault.to_string().contains("routers.0.address"), "{fault}");
-    platform.list_hosts(r#"{"endpoints": [{"name": "e", "leaving": true}]}"#);
+    sources.list_hosts(r#"{"endpoints": [{"name": "e", "leaving": true}]}"#);
     assert_eq!(source.read().await.unwrap().endpoints.len(), 1);
 }
 
@@ -136,8 +136,8 @@
 // alone once a peer watches in its place.
 #[tokio::test]
 async fn following_survives_a_service_that_fails() {
-    let (platform, source) = standin().await;
-    platform.publish("{}");
+    let (sources, source) = standin().await;
+    sources.publish("{}");
     let (order, orders) = watch::channel(WatchOrder {
         on: true,
         after: ConfigRevision(0),
@@ -155,27 +155,27 @@
         panic!("the first read failed");
     };
     assert_eq!(first.revision, ConfigRevision(1));
-    platform.set_mood(ServiceMood::Failing(503));
+    sources.set_mood(ServiceMood::Failing(503));
     while !matches!(news.recv().await.unwrap(), ConfigNews::Failed(_)) {}
-    platform.set_mood(ServiceMood::Well);
-    platform.publish("{ }");
+    sources.set_mood(ServiceMood::Well);
+    sources.publish("{ }");
     let second = loop {
         if let ConfigNews::Newer(text) = news.recv().await.unwrap() {
             break text;
         }
     };
     assert_eq!(second.revision, ConfigRevision(2));
-    open_watches(&platform, 1).await;
+    open_watches(&sources, 1).await;
     order.send_modify(|order| order.on = false);
-    open_watches(&platform, 0).await;
-    let calls = platform.config_calls();
-    platform.publish("{  }");
+    open_watches(&sources, 0).await;
+    let calls = sources.config_calls();
+    sources.publish("{  }");
     order.send_replace(WatchOrder {
         on: true,
         after: ConfigRevision(3),
     });
-    open_watches(&platform, 1).await;
-    assert_eq!(platform.config_calls(), calls + 1);
+    open_watches(&sources, 1).await;
+    assert_eq!(sources.config_calls(), calls + 1);
     assert!(news.try_recv().is_err(), "a publication that peers brought");
     cancel.cancel();
     task.await.unwrap();
@@ -198,18 +198,18 @@
     assert_eq!(source.watch(ConfigRevision(5)).await.unwrap(), None);
     write(r#"{"revision": 4}"#);
     let fault = source.watch(ConfigRevision(5)).await.unwrap_err();
-    let old = PlatformFault::OldRevision {
+    let old = SourceFault::OldRevision {
         came: ConfigRevision(4),
         seen: ConfigRevision(5),
     };
     assert_eq!(fault.current_context().fault, old);
     write(r#"{"revision": 5, "teams": {}}"#);
     let fault = source.watch(ConfigRevision(5)).await.unwrap_err();
-    let same = PlatformFault::SameRevision(ConfigRevision(5));
+    let same = SourceFault::SameRevision(ConfigRevision(5));
     assert_eq!(fault.current_context().fault, same);
     write(r#"{"teams": {}}"#);
     let fault = source.read().await.unwrap_err();
-    assert_eq!(fault.current_context().fault, PlatformFault::NoRevision);
+    assert_eq!(fault.current_context().fault, SourceFault::NoRevision);
     write(r#"{"revision": 6, "te"#);
     let fault = source.read().await.unwrap_err();
     assert!(fault.to_string().contains("line 1"), "{fault}");
