--- a/src/bin/verbenaturnd.rs
+++ b/src/bin/verbenaturnd.rs
@@ -1,6 +1,5 @@
 //! The router daemon.
 
-use std::fs;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -11,8 +10,6 @@
 
 use verbenaturn::daemon::logs;
 use verbenaturn::daemon::process;
-use verbenaturn::settings::ProcessSettings;
-use verbenaturn::settings::read_settings;
 
 /// Exit code for settings that can't be used.
 const EXIT_SETTINGS: u8 = 2;
@@ -37,15 +34,11 @@
         )
 }
 
-fn settings_of(file: &PathBuf) -> Result<ProcessSettings, String> {
-    let text = fs::read(file).map_err(|fault| format!("{}: {fault}", file.display()))?;
-    read_settings(&text).map_err(|faults| format!("{}:\n{faults}", file.display()))
-}
-
 fn main() -> ExitCode {
     let matches = command().get_matches();
     let file = matches.get_one::<PathBuf>("settings").cloned();
-    let settings = match settings_of(&file.unwrap_or_default()) {
+    let file = file.unwrap_or_default();
+    let settings = match process::load_settings(&file) {
         Ok(settings) => settings,
         Err(faults) => {
             eprintln!("verbenaturnd: settings can't be used: {faults}");
@@ -72,7 +65,7 @@
             return ExitCode::FAILURE;
         }
     };
-    let ended = runtime.block_on(process::run(&settings));
+    let ended = runtime.block_on(process::run(&settings, &file));
     // Tasks of requests that were cut are not waited for.
     runtime.shutdown_background();
     ended.unwrap_or_else(|report| {
--- a/src/daemon/process.rs
+++ b/src/daemon/process.rs
@@ -1,6 +1,8 @@
 //! The life of a router process: start, signals, drain, end.
 
 use std::fmt;
+use std::fs;
+use std::path::Path;
 use std::process::ExitCode;
 use std::time::Duration;
 use std::time::SystemTime;
@@ -14,10 +16,12 @@
 use tokio::time;
 
 use crate::settings::ProcessSettings;
+use crate::settings::read_settings;
 use crate::units::RouterIncarnation;
 
 use super::files::admin_credential;
 use super::files::peer_parts;
+use super::logs;
 use super::router::Router;
 use super::router::RouterParts;
 
@@ -39,6 +43,7 @@
 struct StopSignals {
     terminate: Signal,
     interrupt: Signal,
+    reload: Signal,
 }
 
 impl StopSignals {
@@ -46,17 +51,43 @@
         Ok(Self {
             terminate: signal(SignalKind::terminate())?,
             interrupt: signal(SignalKind::interrupt())?,
+            reload: signal(SignalKind::hangup())?,
         })
     }
 
-    async fn next(&mut self) {
-        tokio::select! {
-            _ = self.terminate.recv() => {}
-            _ = self.interrupt.recv() => {}
+    /// Returns when the process is asked to stop. SIGHUP reads the settings again.
+    async fn next(&mut self, file: &Path) {
+        loop {
+            tokio::select! {
+                _ = self.terminate.recv() => return,
+                _ = self.interrupt.recv() => return,
+                _ = self.reload.recv() => reload(file),
+            }
         }
     }
 }
 
+/// Reads the settings again. The level of logs takes effect; addresses and limits need a restart,
+/// and a file with faults changes nothing.
+fn reload(file: &Path) {
+    match load_settings(file) {
+        Ok(settings) => {
+            logs::set_level(settings.log.level);
+            spdlog::info!("daemon: settings read again.");
+        }
+        Err(faults) => spdlog::error!("daemon: settings stay as they are: {faults}"),
+    }
+}
+
+/// Reads and checks a settings file.
+///
+/// # Errors
+/// A text that names the file and all its faults.
+pub fn load_settings(file: &Path) -> Result<ProcessSettings, String> {
+    let text = fs::read(file).map_err(|fault| format!("{}: {fault}", file.display()))?;
+    read_settings(&text).map_err(|faults| format!("{}:\n{faults}", file.display()))
+}
+
 /// The parts of the router that checked settings describe.
 ///
 /// # Errors
@@ -83,11 +114,14 @@
         .map_or(0, |passed| passed.as_secs())
 }
 
-/// Runs a router until a signal has ended it.
+/// Runs a router until a signal has ended it. `file` is where the settings came from.
 ///
 /// # Errors
 /// If it does not start.
-pub async fn run(settings: &ProcessSettings) -> Result<ExitCode, Report<ProcessError>> {
+pub async fn run(
+    settings: &ProcessSettings,
+    file: &Path,
+) -> Result<ExitCode, Report<ProcessError>> {
     let mut signals = StopSignals::listen().change_context(ProcessError)?;
     let parts = router_parts(settings)?;
     let credential = admin_credential(&settings.admin).change_context(ProcessError)?;
@@ -100,7 +134,7 @@
     let (host, callers) = (&settings.host, router.callers);
     spdlog::info!("daemon: operators are answered on {admin}.");
     spdlog::info!("daemon: {host} incarnation {incarnation} takes calls on {callers}.");
-    signals.next().await;
+    signals.next(file).await;
     spdlog::info!("daemon: drain begins; a second signal ends it at once.");
     let deadline = Duration::from_secs(settings.shutdown.deadline_s);
     let linger = Duration::from_millis(settings.shutdown.linger_ms).min(deadline / 2);
@@ -110,7 +144,7 @@
     };
     tokio::select! {
         () = ending => {}
-        () = signals.next() => return Ok(cut(&router, "second signal").await),
+        () = signals.next(file) => return Ok(cut(&router, "second signal").await),
         () = time::sleep(deadline) => return Ok(cut(&router, "deadline").await),
     }
     spdlog::info!("daemon: nothing is left in flight.");
