Readers of the store, shedding at overloaded routers, shares charged for what is served

Now: eight readers, the others fetch from peers; not ready and closing connections when short of descriptors or late; shares are charged for what is sent.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -21,6 +21,7 @@
 use super::http::EventSplitter;
 use super::http::RequestHead;
 use super::http::WireStream;
+use super::load::is_full;
 use super::protocol::CallFacts;
 use super::protocol::CallProtocol;
 use super::relay::BufferedAnswer;
@@ -149,7 +150,9 @@
 ) -> AfterCall {
     let _in_flight = traffic.shared.begin_call();
     let arrived = Instant::now();
-    let keep = keep && !traffic.shared.life.draining.is_cancelled();
+    // A caller that connects anew comes to another router.
+    let sheds = traffic.shared.life.draining.is_cancelled() || traffic.shared.is_overloaded();
+    let keep = keep && !sheds;
     let Ok(facts) = traffic.protocol.call_facts(&head) else {
         return reject(
             traffic,
@@ -167,6 +170,11 @@
         let reply = OwnReply::later(OwnStatus::Unavailable, wait);
         return refuse(traffic, caller, &id, reply, "no routes yet", keep).await;
     };
+    if is_full(&traffic.shared) {
+        let wait = Duration::from_millis(traffic.shared.config.elsewhere_retry_ms);
+        let reply = OwnReply::later(OwnStatus::Unavailable, wait);
+        return refuse(traffic, caller, &id, reply, "router is full", false).await;
+    }
     if traffic.shared.life.closing.is_cancelled() {
         let wait = Duration::from_millis(traffic.shared.config.retry_after_ms);
         let reply = OwnReply::later(OwnStatus::Unavailable, wait);
--- a/src/gateway/config.rs
+++ b/src/gateway/config.rs
@@ -101,6 +101,8 @@
     pub retry_after_ms: u64,
     /// The same when no endpoint takes work or nothing is known of the routes, in ms.
     pub no_endpoint_retry_ms: u64,
+    /// The same when this router alone is full, in ms: another one serves at once.
+    pub elsewhere_retry_ms: u64,
     /// Time for which parts sent to an endpoint are remembered, in ms.
     pub part_memory_ms: u64,
     /// Time that a connection to an endpoint may take, in ms.
@@ -108,6 +110,10 @@
     /// Idle time after which a connection to an endpoint is not used again where the endpoint
     /// states none, in ms.
     pub idle_reuse_ms: u64,
+    /// Descriptors that the process may use.
+    pub descriptors: usize,
+    /// How late the traffic thread's timers may be, in ms, until the router asks for fewer callers.
+    pub overload_lag_ms: u64,
     /// Bytes of callers' bodies that are held at the same time.
     pub body_memory_bytes: usize,
     /// Largest answer of a plain service, in bytes; it is passed on when it is whole.
@@ -147,9 +153,12 @@
             long_wait_part: 0.5,
             retry_after_ms: 100,
             no_endpoint_retry_ms: 300,
+            elsewhere_retry_ms: 20,
             part_memory_ms: 10_000,
             connect_timeout_ms: 300,
             idle_reuse_ms: 300,
+            descriptors: 4_096,
+            overload_lag_ms: 60,
             body_memory_bytes: 25_165_824,
             max_answer_bytes: 4_194_304,
             watch_ms: 2_500,
--- a/src/gateway/decide/core.rs
+++ b/src/gateway/decide/core.rs
@@ -297,6 +297,9 @@
         if let Some(prompt) = ask.prompt {
             let tokens = f64::from(prompt.prompt_tokens);
             self.sizes.served(&ask.route.name, tokens);
+            if let Some(team) = ask.team {
+                self.shares.serve(team, prompt.share_tokens());
+            }
             for part in placement::shared_parts(prompt) {
                 row.parts.insert(part.id, now);
             }
--- a/src/gateway/decide/shares.rs
+++ b/src/gateway/decide/shares.rs
@@ -56,7 +56,10 @@
             })
     }
 
-    /// Counts a request; whether it lies within its team's share.
+    /// Counts a request that came; whether its team has some of its share left.
+    ///
+    /// A request may be larger than a second's share: it passes on any rest, and leaves debt when
+    /// it is [`Self::serve`]d.
     pub fn ask(&mut self, now: Moment, team: &TeamKey, tokens: f64) -> bool {
         let counts = self.counts(team);
         counts.asked.add(now, tokens);
@@ -68,25 +71,34 @@
         counts.credited_at = now;
         let most = allowed * BURST_S;
         counts.credit = (counts.credit + allowed * passed_s).min(most);
-        // A request may be larger than a second's share: it passes on any credit and leaves debt.
-        if counts.credit <= 0.0 {
-            return false;
+        counts.credit > 0.0
+    }
+
+    /// Counts a request that is sent. One that was refused, for whatever reason, costs its team
+    /// nothing; one that is sent although its team has nothing left uses room that is idle.
+    pub fn serve(&mut self, team: &TeamKey, tokens: f64) {
+        let counts = self.counts(team);
+        if counts.allowed.is_some() && counts.credit > 0.0 {
+            counts.credit -= tokens;
         }
-        counts.credit -= tokens;
-        true
+    }
+
+    #[allow(clippy::cast_precision_loss)]
+    fn window_s(&self) -> f64 {
+        self.window.0 as f64 / 1e6
     }
 
     /// What each team asked of this router, in tokens a second.
     pub fn asked(&mut self, now: Moment) -> BTreeMap<TeamKey, f64> {
-        #[allow(clippy::cast_precision_loss)]
-        let seconds = self.window.0 as f64 / 1e6;
+        let seconds = self.window_s();
         self.teams
             .iter_mut()
             .map(|(team, counts)| (team.clone(), counts.asked.sum(now) / seconds))
             .collect()
     }
 
-    /// Sets this router's part of each team's share from what all routers were asked.
+    /// Sets this router's part of each team's share from what all routers were asked. `rate` is
+    /// what all endpoints together handle, in tokens a second.
     pub fn share_out(&mut self, now: Moment, rate: f64, elsewhere: &BTreeMap<u64, f64>) {
         let own = self.asked(now);
         let mut demands = elsewhere.clone();
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -19,7 +19,7 @@
 use super::shared::SharedState;
 
 /// A part of the published state that is read and watched by itself.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum StateSection {
     /// Routes, services, teams and limits.
     Routes,
@@ -27,6 +27,11 @@
     Endpoints,
 }
 
+impl StateSection {
+    /// All sections.
+    pub const ALL: [Self; 2] = [Self::Routes, Self::Endpoints];
+}
+
 impl fmt::Display for StateSection {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter.write_str(match self {
@@ -133,7 +138,8 @@
     failing_since: Option<Moment>,
 }
 
-/// Follows one section until the process ends.
+/// Follows one section until the process ends, while this router is one of those that read the
+/// store.
 pub async fn follow_section<S: StateStore>(
     store: Arc<S>,
     shared: Arc<SharedState>,
@@ -147,9 +153,11 @@
         failing_since: None,
     };
     loop {
+        follower.shared.reader_wanted().await;
         if let Some(as_of) = follower.read().await {
             follower.watch_from(as_of).await;
         }
+        follower.shared.set_in_touch(section, false);
     }
 }
 
@@ -184,7 +192,7 @@
     async fn watch_from(&mut self, mut after: StoreRevision) {
         let wait = Duration::from_millis(self.shared.config.watch_ms);
         let limit = wait + Duration::from_millis(self.shared.config.store_timeout_ms);
-        loop {
+        while self.shared.is_reader() {
             let asked = self.endpoints.wait(self.shared.clock.now(), wait);
             // A connection that went silent shows only by an answer that does not come.
             let watch = timeout(limit, self.store.watch(self.section, after, asked)).await;
@@ -248,7 +256,7 @@
 
     fn reached(&mut self) {
         let now = self.shared.clock.now();
-        self.shared.store_reached(now);
+        self.shared.set_in_touch(self.section, true);
         if let Some(since) = self.failing_since.take() {
             let outage = now.since(since);
             let (section, ms) = (self.section, outage.as_millis());
@@ -260,6 +268,7 @@
 
     async fn failed(&mut self, step: &str, fault: &StoreFault) -> Option<StoreRevision> {
         let section = self.section;
+        self.shared.set_in_touch(section, false);
         if self.failing_since.is_none() {
             self.failing_since = Some(self.shared.clock.now());
             spdlog::warn!("store: section={section} step={step} lost fault=\"{fault}\"");
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -23,6 +23,7 @@
 use super::http::WireStream;
 use super::http::framing::expects_continue;
 use super::http::head::has_connection_option;
+use super::load::watch_load;
 use super::pool::EndpointPool;
 use super::protocol::CallProtocol;
 use super::reply::OwnReply;
@@ -52,6 +53,7 @@
 pub async fn serve_callers<P: CallProtocol>(traffic: Rc<Traffic<P>>, listener: TcpListener) {
     let ended = traffic.shared.life.ended.clone();
     spawn_local(sweep_pool(Rc::clone(&traffic)));
+    spawn_local(watch_load(Arc::clone(&traffic.shared)));
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -16,8 +16,8 @@
 use rand::RngExt;
 use smol_str::SmolStr;
 use tokio::net::UdpSocket;
-use tokio::time::Instant;
 use tokio::time::interval;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::units::Moment;
 use crate::units::TimeSpan;
@@ -44,8 +44,14 @@
 /// must hold while routers can't see each other.
 const BUDGET_MEMORY: TimeSpan = TimeSpan::from_millis(30_000);
 
-/// Time without an answer of the store after which state is fetched from a peer.
-const STORE_SILENCE: TimeSpan = TimeSpan::from_millis(1_500);
+/// Routers that read the store themselves; the others are told by them. The store's calls are
+/// limited for all routers together, and each of its changes wakes each reader. Eight are enough
+/// that some are left when a third of all routers is cut off, and few enough that the calls don't
+/// grow with the fleet.
+const READERS: usize = 8;
+
+/// Time without any router in touch with the store after which twice as many try to read it.
+const VOLUNTEER_PAUSE: TimeSpan = TimeSpan::from_millis(1_000);
 
 /// Load of one router at one endpoint.
 #[derive(Clone, PartialEq, Message)]
@@ -99,6 +105,9 @@
     /// IP numbers of other routers.
     #[prost(string, repeated, tag = "8")]
     pub routers: Vec<String>,
+    /// Whether the sender hears of all changes from the store itself.
+    #[prost(bool, tag = "9")]
+    pub in_touch: bool,
 }
 
 #[derive(Debug)]
@@ -178,14 +187,35 @@
             .count()
     }
 
-    /// A live router that knows newer routes or endpoints.
+    /// A live router that knows newer routes or endpoints; any of them, so that not all ask the
+    /// same one.
     fn ahead(&self, now: Moment, timeout: TimeSpan, known: (u64, u64)) -> Option<IpAddr> {
         let newer = self.live(now, timeout).filter(|(_, row)| {
             row.digest.routes_version > known.0 || row.digest.endpoints_revision > known.1
         });
-        newer
-            .max_by_key(|(_, row)| (row.digest.routes_version, row.digest.endpoints_revision))
-            .map(|(address, _)| *address)
+        let newer: Vec<&IpAddr> = newer.map(|(address, _)| address).collect();
+        if newer.is_empty() {
+            return None;
+        }
+        Some(*newer[rand::rng().random_range(0..newer.len())])
+    }
+
+    /// Whether this router is one of the readers of the store: the first ones in an order that all
+    /// routers compute alike, and more of them the longer none is in touch.
+    #[must_use]
+    pub fn is_reader(&self, now: Moment, timeout: TimeSpan, own: IpAddr, doublings: u32) -> bool {
+        let rank = |address: &IpAddr| xxh3_64(address.to_string().as_bytes());
+        let own = rank(&own);
+        let before = self
+            .live(now, timeout)
+            .filter(|(address, _)| rank(address) < own);
+        before.count() < READERS << doublings.min(16)
+    }
+
+    /// Whether a live router hears of all changes from the store itself.
+    #[must_use]
+    pub fn has_touch(&self, now: Moment, timeout: TimeSpan) -> bool {
+        self.live(now, timeout).any(|(_, row)| row.digest.in_touch)
     }
 
     fn forget(&mut self, now: Moment) {
@@ -212,6 +242,10 @@
     peers: PeerTable,
     round: u64,
     next: usize,
+    /// When a router in touch with the store was last known.
+    touched: Moment,
+    /// What was last told of the versions known.
+    told_versions: (u64, u64),
 }
 
 /// Exchanges digests until the process ends.
@@ -223,21 +257,16 @@
         peers: PeerTable::default(),
         round: 0,
         next: 0,
+        touched: Moment(0),
+        told_versions: (0, 0),
     };
     let pause = Duration::from_millis(gossip.shared.config.gossip_ms.max(1));
     let mut ticks = interval(pause);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
-    let mut fetched = Instant::now();
     loop {
         tokio::select! {
-            _ = ticks.tick() => {
-                gossip.tick().await;
-                if fetched.elapsed() > pause * 5 {
-                    fetched = Instant::now();
-                    gossip.fetch_if_behind();
-                }
-            }
+            _ = ticks.tick() => gossip.tick().await,
             received = gossip.socket.recv_from(&mut buffer) => match received {
                 Ok((length, from)) => gossip.received(&buffer[..length], from),
                 Err(fault) => spdlog::debug!("peers: step=receive fault=\"{fault}\""),
@@ -276,6 +305,8 @@
         let now = self.shared.clock.now();
         self.peers.forget(now);
         self.take_over(now);
+        self.choose_reader(now);
+        self.fetch_if_behind(now);
         let digest = self.digest(now).encode_to_vec();
         for address in self.receivers(now) {
             let target = SocketAddr::new(address, self.plan.listen.port());
@@ -330,6 +361,7 @@
                 })
                 .collect(),
             routers: self.told_addresses(now),
+            in_touch: self.shared.is_in_touch(),
         }
     }
 
@@ -347,7 +379,11 @@
     fn receivers(&mut self, now: Moment) -> Vec<IpAddr> {
         let timeout = self.timeout();
         let live: Vec<IpAddr> = self.peers.live(now, timeout).map(|(ip, _)| *ip).collect();
-        let count = live.len().min(MESSAGES_PER_ROUND);
+        let count = if self.has_news() {
+            live.len()
+        } else {
+            live.len().min(MESSAGES_PER_ROUND)
+        };
         let turned = live.iter().cycle().skip(self.next % live.len().max(1));
         let mut receivers: Vec<IpAddr> = turned.take(count).copied().collect();
         self.next = self.next.wrapping_add(count);
@@ -357,6 +393,35 @@
         receivers
     }
 
+    /// Whether the store itself told this router something that the others don't know yet. All of
+    /// them are told in the same round: a change has to be in force everywhere within seconds.
+    fn has_news(&mut self) -> bool {
+        let versions = self.versions();
+        let is_new = versions != self.told_versions;
+        self.told_versions = versions;
+        is_new && self.shared.is_in_touch()
+    }
+
+    fn versions(&self) -> (u64, u64) {
+        let version = self.shared.routes().map_or(0, |table| table.version);
+        (version, self.shared.endpoints_revision().0)
+    }
+
+    fn choose_reader(&mut self, now: Moment) {
+        let timeout = self.timeout();
+        if self.shared.is_in_touch() || self.peers.has_touch(now, timeout) {
+            self.touched = now;
+        }
+        let silence = now.since(self.touched).0 / VOLUNTEER_PAUSE.0;
+        let doublings = u32::try_from(silence).unwrap_or(u32::MAX);
+        let own = self.plan.listen.ip();
+        let reads = self.peers.is_reader(now, timeout, own, doublings);
+        if reads != self.shared.is_reader() {
+            spdlog::info!("peers: reads_store={reads} silence_s={silence}");
+            self.shared.set_reader(reads);
+        }
+    }
+
     /// Addresses that may have a router and do not answer: seeds, and those told of.
     fn silent(&self, live: &[IpAddr]) -> Vec<IpAddr> {
         let seeds = self.plan.seeds.iter().filter_map(|seed| seed_ip(seed));
@@ -370,16 +435,12 @@
         silent
     }
 
-    /// Fetches the published state from a peer if the store is silent and the peer knows more.
-    fn fetch_if_behind(&self) {
-        let now = self.shared.clock.now();
-        let reached = self.shared.store_reached_at();
-        if reached.is_some_and(|at| now.since(at) < STORE_SILENCE) {
+    /// Fetches what a peer knows newer, unless the store itself tells this router.
+    fn fetch_if_behind(&self, now: Moment) {
+        if self.shared.is_in_touch() || self.shared.is_fetching() {
             return;
         }
-        let version = self.shared.routes().map_or(0, |table| table.version);
-        let known = (version, self.shared.endpoints_revision().0);
-        if let Some(address) = self.peers.ahead(now, self.timeout(), known) {
+        if let Some(address) = self.peers.ahead(now, self.timeout(), self.versions()) {
             let target = SocketAddr::new(address, self.plan.listen.port());
             tokio::spawn(handover::fetch_state(Arc::clone(&self.shared), target));
         }
--- a/src/gateway/handover.rs
+++ b/src/gateway/handover.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use futures_util::SinkExt;
 use futures_util::StreamExt;
+use prost::Message;
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::net::TcpListener;
@@ -32,15 +33,29 @@
 /// Exchanges that one router serves at the same time.
 const MOST_EXCHANGES: usize = 8;
 
-/// The question; its form leaves room for others.
-const QUESTION: &[u8] = b"published-state";
+/// The question: what the asker knows already.
+#[derive(Clone, PartialEq, Message)]
+struct StateQuestion {
+    /// Version of its routes; 0 for none.
+    #[prost(uint64, tag = "1")]
+    routes_version: u64,
+    /// Revision of its endpoints.
+    #[prost(uint64, tag = "2")]
+    endpoints_revision: u64,
+}
 
-/// What a router knows.
+/// What the answering router knows newer.
 #[derive(Debug, Serialize, Deserialize)]
 struct KnownState {
     routes: Option<RouteTable>,
-    endpoints: BTreeMap<EndpointKey, EndpointEntry>,
-    endpoints_revision: u64,
+    endpoints: Option<EndpointNews>,
+}
+
+/// Endpoints and the store's revision that they come from.
+#[derive(Debug, Serialize, Deserialize)]
+struct EndpointNews {
+    entries: BTreeMap<EndpointKey, EndpointEntry>,
+    revision: u64,
 }
 
 fn framed(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
@@ -83,14 +98,23 @@
     let Some(Ok(question)) = frames.next().await else {
         return;
     };
-    if question != QUESTION {
-        return;
-    }
+    let question = match StateQuestion::decode(question) {
+        Ok(question) => question,
+        Err(fault) => {
+            spdlog::warn!("peers: step=handover question fault=\"{fault}\"");
+            return;
+        }
+    };
     let list = shared.endpoints();
+    let routes = shared.routes();
+    let newer = routes.filter(|table| table.version > question.routes_version);
+    let has_news = list.as_of.0 > question.endpoints_revision;
     let state = KnownState {
-        routes: shared.routes().map(|table| (*table).clone()),
-        endpoints: list.entries,
-        endpoints_revision: list.as_of.0,
+        routes: newer.map(|table| (*table).clone()),
+        endpoints: has_news.then_some(EndpointNews {
+            entries: list.entries,
+            revision: list.as_of.0,
+        }),
     };
     match serde_json::to_vec(&state) {
         Ok(bytes) => {
@@ -104,7 +128,14 @@
 
 /// Fetches the published state of a peer and takes over what is newer.
 pub async fn fetch_state(shared: Arc<SharedState>, peer: SocketAddr) {
-    let state = match timeout(EXCHANGE_LIMIT, ask_state(peer)).await {
+    shared.set_fetching(true);
+    let question = StateQuestion {
+        routes_version: shared.routes().map_or(0, |table| table.version),
+        endpoints_revision: shared.endpoints_revision().0,
+    };
+    let asked = timeout(EXCHANGE_LIMIT, ask_state(peer, &question)).await;
+    shared.set_fetching(false);
+    let state = match asked {
         Ok(Ok(state)) => state,
         Ok(Err(fault)) => {
             spdlog::warn!("peers: router={peer} step=handover fault=\"{fault}\"");
@@ -121,18 +152,18 @@
             spdlog::info!("peers: routes version={version} in force source={peer}");
         }
     }
-    let revision = StoreRevision(state.endpoints_revision);
-    if revision > shared.endpoints_revision() {
-        let count = state.endpoints.len();
-        if shared.offer_endpoints(revision, state.endpoints) {
+    if let Some(news) = state.endpoints {
+        let revision = StoreRevision(news.revision);
+        let count = news.entries.len();
+        if shared.offer_endpoints(revision, news.entries) {
             spdlog::info!("peers: endpoints={count} revision={revision} source={peer}");
         }
     }
 }
 
-async fn ask_state(peer: SocketAddr) -> std::io::Result<KnownState> {
+async fn ask_state(peer: SocketAddr, question: &StateQuestion) -> std::io::Result<KnownState> {
     let mut frames = framed(TcpStream::connect(peer).await?);
-    frames.send(Bytes::from_static(QUESTION)).await?;
+    frames.send(Bytes::from(question.encode_to_vec())).await?;
     let Some(answer) = frames.next().await else {
         return Err(std::io::ErrorKind::UnexpectedEof.into());
     };
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 pub mod gossip;
 pub mod handover;
 pub mod http;
+pub mod load;
 pub mod metrics;
 pub mod pool;
 pub mod process;
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -11,8 +11,9 @@
 use super::http::head::has_connection_option;
 use super::routes::EndpointKey;
 
-/// Most idle connections kept to one endpoint. More than an engine's batch is never in use.
-const MOST_IDLE: usize = 32;
+/// Most idle connections kept to one endpoint. A router has a few requests at each endpoint at
+/// the same time; more idle ones than that are left over from a peak.
+const MOST_IDLE: usize = 12;
 
 /// Time before an endpoint's stated idle limit at which a connection is no longer used: a request
 /// must not cross the endpoint's close. Covers the way there and a timer that fires late.
@@ -25,12 +26,24 @@
 }
 
 /// Idle connections, newest last.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct EndpointPool {
+    /// Most connections in all, so that a router before hundreds of endpoints keeps descriptors
+    /// for its callers.
+    most: usize,
     idle: RefCell<BTreeMap<EndpointKey, Vec<IdleConnection>>>,
 }
 
 impl EndpointPool {
+    /// An empty pool for at most so many connections.
+    #[must_use]
+    pub fn new(most: usize) -> Self {
+        Self {
+            most,
+            idle: RefCell::default(),
+        }
+    }
+
     /// A connection on which nothing is outstanding, if there is one.
     ///
     /// Guards against the answer of another request: a connection that has anything to read, or
@@ -50,8 +63,9 @@
     /// Keeps a connection whose answer was whole.
     pub fn put(&self, endpoint: &EndpointKey, stream: WireStream, idle_limit: Duration) {
         let mut idle = self.idle.borrow_mut();
+        let total: usize = idle.values().map(Vec::len).sum();
         let connections = idle.entry(endpoint.clone()).or_default();
-        if connections.len() < MOST_IDLE {
+        if connections.len() < MOST_IDLE && total < self.most {
             connections.push(IdleConnection {
                 stream,
                 usable_until: Instant::now() + idle_limit,
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -39,6 +39,7 @@
 use super::gossip::GossipPlan;
 use super::gossip::run_gossip;
 use super::handover::serve_state;
+use super::load::IDLE_DIVISOR;
 use super::metrics::GatewayMetrics;
 use super::pool::EndpointPool;
 use super::protocol::CallProtocol;
@@ -187,10 +188,11 @@
 
     async fn serve(self) -> io::Result<()> {
         let listener = TcpListener::from_std(self.callers)?;
+        let idle = self.shared.config.descriptors / IDLE_DIVISOR;
         let traffic = Rc::new(Traffic {
             shared: self.shared,
             protocol: self.protocol,
-            pool: EndpointPool::default(),
+            pool: EndpointPool::new(idle),
         });
         serve_callers(traffic, listener).await;
         Ok(())
@@ -223,7 +225,7 @@
         Arc::clone(&shared),
         TcpListener::from_std(listeners.peers)?,
     ));
-    for section in [StateSection::Routes, StateSection::Endpoints] {
+    for section in StateSection::ALL {
         let store = Arc::clone(&store);
         tokio::spawn(follow_section(store, Arc::clone(&shared), section));
     }
--- a/src/gateway/readiness.rs
+++ b/src/gateway/readiness.rs
@@ -78,8 +78,10 @@
     }
 }
 
-/// Whether callers should come here: routes are known, and the router is not on its way out.
+/// Whether callers should come here: routes are known, and the router is neither on its way out
+/// nor overloaded.
 #[must_use]
 pub fn is_ready(shared: &SharedState) -> bool {
-    shared.routes().is_some() && !shared.life.draining.is_cancelled()
+    let stays = !shared.life.draining.is_cancelled();
+    shared.routes().is_some() && stays && !shared.is_overloaded()
 }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -1,21 +1,25 @@
 //! What the control thread and the traffic thread both see.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Instant;
 
 use smol_str::SmolStr;
+use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
 use crate::units::Moment;
 
 use super::config::GatewayConfig;
 use super::decide::GatewayCore;
+use super::follow::StateSection;
 use super::follow::StoreRevision;
 use super::metrics::GatewayMetrics;
 use super::routes::EndpointEntry;
@@ -93,7 +97,8 @@
     core: Mutex<GatewayCore>,
     routes: Mutex<Option<Arc<RouteTable>>>,
     endpoints: Mutex<EndpointList>,
-    store_reached: Mutex<Option<Moment>>,
+    sections_in_touch: Mutex<BTreeSet<StateSection>>,
+    reader: watch::Sender<bool>,
     /// The router's clock.
     pub clock: RouterClock,
     /// Settings of decisions.
@@ -104,6 +109,8 @@
     pub metrics: GatewayMetrics,
     in_flight: AtomicUsize,
     body_bytes: AtomicUsize,
+    fetching: AtomicBool,
+    overloaded: AtomicBool,
 }
 
 impl SharedState {
@@ -114,13 +121,16 @@
             core: Mutex::new(GatewayCore::new(config.clone(), domain)),
             routes: Mutex::new(None),
             endpoints: Mutex::new(EndpointList::default()),
-            store_reached: Mutex::new(None),
+            sections_in_touch: Mutex::default(),
+            reader: watch::Sender::new(true),
             clock: RouterClock::start(),
             config,
             life: LifeStages::new(),
             metrics,
             in_flight: AtomicUsize::new(0),
             body_bytes: AtomicUsize::new(0),
+            fetching: AtomicBool::new(false),
+            overloaded: AtomicBool::new(false),
         }
     }
 
@@ -187,22 +197,56 @@
         list.as_of
     }
 
-    /// The store answered.
-    pub fn store_reached(&self, now: Moment) {
-        let mut reached = self
-            .store_reached
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        *reached = Some(now);
+    /// Notes whether this router hears of a section's changes from the store itself.
+    pub fn set_in_touch(&self, section: StateSection, in_touch: bool) {
+        let sections = self.sections_in_touch.lock();
+        let mut sections = sections.unwrap_or_else(PoisonError::into_inner);
+        if in_touch {
+            sections.insert(section);
+        } else {
+            sections.remove(&section);
+        }
     }
 
-    /// When the store last answered; nothing if it never did.
+    /// Whether this router hears of all changes from the store itself.
     #[must_use]
-    pub fn store_reached_at(&self) -> Option<Moment> {
-        *self
-            .store_reached
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+    pub fn is_in_touch(&self) -> bool {
+        let sections = self.sections_in_touch.lock();
+        let sections = sections.unwrap_or_else(PoisonError::into_inner);
+        sections.len() == StateSection::ALL.len()
+    }
+
+    /// Decides whether this router reads the store itself.
+    pub fn set_reader(&self, reads: bool) {
+        self.reader.send_if_modified(|before| {
+            let changed = *before != reads;
+            *before = reads;
+            changed
+        });
+    }
+
+    /// Whether this router reads the store itself.
+    #[must_use]
+    pub fn is_reader(&self) -> bool {
+        *self.reader.borrow()
+    }
+
+    /// Waits until this router has to read the store itself.
+    pub async fn reader_wanted(&self) {
+        let mut reader = self.reader.subscribe();
+        // The sender lives as long as this state, so the wait can't fail.
+        let _ = reader.wait_for(|reads| *reads).await;
+    }
+
+    /// Whether the published state is being fetched from a peer.
+    #[must_use]
+    pub fn is_fetching(&self) -> bool {
+        self.fetching.load(Ordering::Relaxed)
+    }
+
+    /// Notes whether the published state is being fetched from a peer.
+    pub fn set_fetching(&self, fetching: bool) {
+        self.fetching.store(fetching, Ordering::Relaxed);
     }
 
     /// Counts a call in flight until the guard is dropped.
@@ -219,6 +263,17 @@
         self.in_flight.load(Ordering::Relaxed)
     }
 
+    /// Whether this router has more work than it can do in time.
+    #[must_use]
+    pub fn is_overloaded(&self) -> bool {
+        self.overloaded.load(Ordering::Relaxed)
+    }
+
+    /// Notes whether this router has more work than it can do in time.
+    pub fn set_overloaded(&self, overloaded: bool) {
+        self.overloaded.store(overloaded, Ordering::Relaxed);
+    }
+
     /// Takes memory for a body until the guard is dropped; nothing if there is none left.
     pub fn take_memory(self: &Arc<Self>, bytes: usize) -> Option<MemoryGuard> {
         let before = self.body_bytes.fetch_add(bytes, Ordering::Relaxed);
