A router refused alone starts from what its peers told; left callers are not sent on

GONE: a lagging router reads requests whose callers have left; it looks once more before it sends. Loads of peers are summed as digests come, not all of them each round.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -160,6 +160,11 @@
     call: &mut CallState,
     ticket: &mut AttemptTicket,
 ) -> AttemptOutcome {
+    // A router that lags reads requests whose callers have left in the meantime; an endpoint would
+    // work on them for nobody.
+    if caller.has_left() {
+        return AttemptOutcome::CallerLeft;
+    }
     let mut endpoint = match connected(traffic, ticket).await {
         Ok(stream) => stream,
         Err(fault) => {
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -128,6 +128,10 @@
     ) -> impl Future<Output = Result<StateChanges, StoreFault>> + Send;
 }
 
+/// Age at which another router's word that it hears from the store is too old to say that the
+/// store was there during an outage of this router's: a few rounds of messages.
+const ALONE_WINDOW: TimeSpan = TimeSpan::from_millis(500);
+
 /// One section as this router follows it.
 struct SectionFollower<S> {
     store: Arc<S>,
@@ -183,6 +187,8 @@
         }
         if self.section == StateSection::Endpoints {
             let now = self.shared.clock.now();
+
+            self.endpoints.rebase(self.shared.endpoints().entries);
             self.endpoints.replace(now, registered);
             self.publish_endpoints(as_of);
         }
@@ -260,12 +266,22 @@
         if let Some(since) = self.failing_since.take() {
             let outage = now.since(since);
             let (section, ms) = (self.section, outage.as_millis());
-            spdlog::info!("store: section={section} reached again after_ms={ms}");
-            let grace = TimeSpan::from_millis(self.shared.config.lapse_grace_ms);
-            self.endpoints.outage_ended(now, grace);
+            let alone = self.failed_alone(now, since);
+            spdlog::info!("store: section={section} reached again after_ms={ms} alone={alone}");
+            if !alone {
+                let grace = TimeSpan::from_millis(self.shared.config.lapse_grace_ms);
+                self.endpoints.outage_ended(now, grace);
+            }
         }
     }
 
+    /// Whether the store was away for this router only: others heard from it in the meantime, so
+    /// that no registration lapsed for want of the store.
+    fn failed_alone(&self, now: Moment, since: Moment) -> bool {
+        let touched = self.shared.peers_touched_at();
+        touched.is_some_and(|at| at > since && now.since(at) < ALONE_WINDOW)
+    }
+
     async fn failed(&mut self, step: &str, fault: &StoreFault) -> Option<StoreRevision> {
         let section = self.section;
         self.shared.set_in_touch(section, false);
@@ -319,6 +335,13 @@
         }
     }
 
+    /// Starts from the endpoints in force. A router that could not read the store was told by
+    /// others; what it read itself before that is old, and entries that are missing against it
+    /// have not lapsed but left.
+    pub fn rebase(&mut self, in_force: BTreeMap<EndpointKey, EndpointEntry>) {
+        self.registered = in_force;
+    }
+
     /// Takes over all that is registered.
     pub fn replace(&mut self, now: Moment, registered: BTreeMap<EndpointKey, EndpointEntry>) {
         let missing: Vec<EndpointKey> = self
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -122,6 +122,9 @@
     heard: BTreeMap<IpAddr, PeerRow>,
     /// Addresses that were only told of; they are asked now and then.
     told: BTreeSet<IpAddr>,
+    /// Sums of the loads in `heard`, by endpoint. Kept up with each digest: adding up all loads of
+    /// a hundred routers each round takes a tenth of a small host's processor.
+    loads: BTreeMap<u64, PeerLoad>,
 }
 
 impl PeerTable {
@@ -142,10 +145,55 @@
             }
         }
         self.told.remove(&from);
-        self.heard.insert(from, PeerRow { digest, heard: now });
+        self.add_loads(&digest);
+        if let Some(before) = self.heard.insert(from, PeerRow { digest, heard: now }) {
+            self.remove_loads(&before.digest);
+        }
         true
     }
 
+    fn add_loads(&mut self, digest: &RouterDigest) {
+        for load in &digest.loads {
+            let sum = self.loads.entry(load.endpoint).or_default();
+            sum.active += load.active;
+            sum.pending_tokens += f64::from(load.pending_tokens);
+        }
+    }
+
+    fn remove_loads(&mut self, digest: &RouterDigest) {
+        for load in &digest.loads {
+            let Some(sum) = self.loads.get_mut(&load.endpoint) else {
+                continue;
+            };
+            sum.active = sum.active.saturating_sub(load.active);
+            sum.pending_tokens -= f64::from(load.pending_tokens);
+            if sum.active == 0 {
+                self.loads.remove(&load.endpoint);
+            }
+        }
+    }
+
+    /// Drops the loads of routers that fell silent: what they had at endpoints has ended, or
+    /// nobody can say.
+    pub fn end_silent(&mut self, now: Moment, timeout: TimeSpan) {
+        let silent: Vec<IpAddr> = self
+            .heard
+            .iter()
+            .filter(|(_, row)| now.since(row.heard) >= timeout && !row.digest.loads.is_empty())
+            .map(|(address, _)| *address)
+            .collect();
+        for address in silent {
+            let Some(row) = self.heard.get_mut(&address) else {
+                continue;
+            };
+            let loads = std::mem::take(&mut row.digest.loads);
+            self.remove_loads(&RouterDigest {
+                loads,
+                ..RouterDigest::default()
+            });
+        }
+    }
+
     fn live(&self, now: Moment, timeout: TimeSpan) -> impl Iterator<Item = (&IpAddr, &PeerRow)> {
         self.heard
             .iter()
@@ -154,16 +202,8 @@
 
     /// Sums of the live routers' loads by endpoint.
     #[must_use]
-    pub fn loads(&self, now: Moment, timeout: TimeSpan) -> BTreeMap<u64, PeerLoad> {
-        let mut sums: BTreeMap<u64, PeerLoad> = BTreeMap::new();
-        for (_, row) in self.live(now, timeout) {
-            for load in &row.digest.loads {
-                let sum = sums.entry(load.endpoint).or_default();
-                sum.active += load.active;
-                sum.pending_tokens += f64::from(load.pending_tokens);
-            }
-        }
-        sums
+    pub fn loads(&self) -> &BTreeMap<u64, PeerLoad> {
+        &self.loads
     }
 
     /// Sums of what teams ask of the live routers, in tokens a second.
@@ -304,6 +344,7 @@
         self.round += 1;
         let now = self.shared.clock.now();
         self.peers.forget(now);
+        self.peers.end_silent(now, self.timeout());
         self.take_over(now);
         self.choose_reader(now);
         self.fetch_if_behind(now);
@@ -319,14 +360,13 @@
     /// Gives the core what the others told.
     fn take_over(&self, now: Moment) {
         let timeout = self.timeout();
-        let loads = self.peers.loads(now, timeout);
         let demands = self.peers.demands(now, timeout);
         let rate = self
             .shared
             .routes()
             .map_or(0.0, |table| table.limits.tokens_per_s);
         let mut core = self.shared.core();
-        core.set_peer_loads(&loads);
+        core.set_peer_loads(self.peers.loads());
         core.set_routers(self.peers.budget_routers(now));
         core.shares.share_out(now, rate, &demands);
         core.forget_parts(now);
@@ -409,7 +449,11 @@
 
     fn choose_reader(&mut self, now: Moment) {
         let timeout = self.timeout();
-        if self.shared.is_in_touch() || self.peers.has_touch(now, timeout) {
+        if self.peers.has_touch(now, timeout) {
+            self.shared.peers_in_touch(now);
+            self.touched = now;
+        }
+        if self.shared.is_in_touch() {
             self.touched = now;
         }
         let silence = now.since(self.touched).0 / VOLUNTEER_PAUSE.0;
--- a/src/gateway/http/connection.rs
+++ b/src/gateway/http/connection.rs
@@ -99,6 +99,21 @@
         )
     }
 
+    /// Whether the peer has closed its side, as far as this host has heard. What the peer sent
+    /// ahead is kept.
+    #[must_use]
+    pub fn has_left(&mut self) -> bool {
+        let mut ahead = [0_u8; 1_024];
+        match self.stream.try_read(&mut ahead) {
+            Ok(0) => true,
+            Ok(count) => {
+                self.buffer.extend_from_slice(&ahead[..count]);
+                false
+            }
+            Err(fault) => fault.kind() != io::ErrorKind::WouldBlock,
+        }
+    }
+
     /// Ends the sending side in an orderly way.
     pub async fn finish(mut self) {
         if let Err(fault) = self.stream.shutdown().await {
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -99,6 +99,7 @@
     endpoints: Mutex<EndpointList>,
     sections_in_touch: Mutex<BTreeSet<StateSection>>,
     reader: watch::Sender<bool>,
+    peers_touched: Mutex<Option<Moment>>,
     /// The router's clock.
     pub clock: RouterClock,
     /// Settings of decisions.
@@ -123,6 +124,7 @@
             endpoints: Mutex::new(EndpointList::default()),
             sections_in_touch: Mutex::default(),
             reader: watch::Sender::new(true),
+            peers_touched: Mutex::new(None),
             clock: RouterClock::start(),
             config,
             life: LifeStages::new(),
@@ -216,6 +218,21 @@
         sections.len() == StateSection::ALL.len()
     }
 
+    /// Notes that another router hears of all changes from the store.
+    pub fn peers_in_touch(&self, now: Moment) {
+        let touched = self.peers_touched.lock();
+        *touched.unwrap_or_else(PoisonError::into_inner) = Some(now);
+    }
+
+    /// When another router last heard of all changes from the store; nothing if none ever did.
+    #[must_use]
+    pub fn peers_touched_at(&self) -> Option<Moment> {
+        *self
+            .peers_touched
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Decides whether this router reads the store itself.
     pub fn set_reader(&self, reads: bool) {
         self.reader.send_if_modified(|before| {
