--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -254,7 +254,7 @@
     call: &mut CallState,
     table: &Arc<RouteTable>,
 ) -> CallEnd {
-    let in_share = {
+    let standing = {
         let ask = ask_of(call, table);
         traffic
             .shared
@@ -265,7 +265,7 @@
         let admission = {
             let ask = ask_of(call, table);
             let now = traffic.shared.clock.now();
-            traffic.shared.core().admit(now, &ask, in_share)
+            traffic.shared.core().admit(now, &ask, standing)
         };
         let mut ticket = match admission {
             Admission::Send(ticket) => ticket,
--- a/src/gateway/decide/core.rs
+++ b/src/gateway/decide/core.rs
@@ -24,6 +24,7 @@
 use super::placement::EngineModel;
 use super::placement::Placement;
 use super::placement::PlacementAsk;
+use super::shares::ShareStanding;
 use super::shares::ShareTable;
 use super::sizes::SizeTable;
 
@@ -38,6 +39,13 @@
 /// Prompt tokens below which the time to a first token says nothing about reading speed.
 const LEARNING_TOKENS: f64 = 2_000.0;
 
+/// Times its share up to which a team beyond it is served more while endpoints are busy. Twice
+/// what another team gets counts as unfair; a share is spread by random arrivals, so less.
+const MOST_SERVED: f64 = 1.8;
+
+/// Part of the objective within which an endpoint counts as idle: its capacity would be lost.
+const IDLE_PART: f64 = 0.08;
+
 /// What a call asks of the core.
 #[derive(Debug)]
 pub struct CallAsk<'a> {
@@ -186,8 +194,8 @@
         }
     }
 
-    /// Counts a call that arrived; whether it lies within its team's share.
-    pub fn arrived(&mut self, now: Moment, ask: &CallAsk<'_>) -> bool {
+    /// Counts a call that arrived; how it stands to its team's share.
+    pub fn arrived(&mut self, now: Moment, ask: &CallAsk<'_>) -> ShareStanding {
         self.budget.request(now, ask.service);
         if let Some(prompt) = ask.prompt {
             let tokens = f64::from(prompt.prompt_tokens);
@@ -195,7 +203,7 @@
         }
         match (ask.team, ask.prompt) {
             (Some(team), Some(prompt)) => self.shares.ask(now, team, prompt.share_tokens()),
-            _ => true,
+            _ => ShareStanding::Within,
         }
     }
 
@@ -205,7 +213,7 @@
     }
 
     /// Decides where a call goes, or that it is refused.
-    pub fn admit(&mut self, now: Moment, ask: &CallAsk<'_>, in_share: bool) -> Admission {
+    pub fn admit(&mut self, now: Moment, ask: &CallAsk<'_>, standing: ShareStanding) -> Admission {
         let engine = ask.shape.and_then(|shape| shape.engine);
         let Some(placement) = self.placed(now, ask, engine) else {
             return Admission::Refuse {
@@ -213,14 +221,13 @@
                 retry_after: TimeSpan::from_millis(self.config.no_endpoint_retry_ms),
             };
         };
-        let limit = self.limit_ms(ask, in_share, placement.alone_ms);
+        let limit = self.limit_ms(ask, standing, placement.alone_ms);
         #[allow(clippy::cast_precision_loss)]
         let expected = ask.waited.0 as f64 / 1e3 + placement.first_ms;
         if expected > limit {
-            let cause = if in_share {
-                RefusalCause::Overload
-            } else {
-                RefusalCause::OverShare
+            let cause = match standing {
+                ShareStanding::Within => RefusalCause::Overload,
+                ShareStanding::Beyond(_) => RefusalCause::OverShare,
             };
             return Admission::Refuse {
                 cause,
@@ -260,12 +267,11 @@
     /// A long prompt may take its whole objective to be read on an idle engine. When it has a
     /// turn, its own reading does not count.
     #[allow(clippy::cast_precision_loss)]
-    fn limit_ms(&self, ask: &CallAsk<'_>, in_share: bool, alone_ms: f64) -> f64 {
+    fn limit_ms(&self, ask: &CallAsk<'_>, standing: ShareStanding, alone_ms: f64) -> f64 {
         let objective = ask.route.objective_ms as f64;
-        let part = if in_share {
-            self.config.objective_part
-        } else {
-            self.config.over_share_part
+        let part = match standing {
+            ShareStanding::Within => self.config.objective_part,
+            ShareStanding::Beyond(served) => self.beyond_part(served),
         };
         let left = ask.left.0 as f64 / 1e3;
         let mut limit = objective * part;
@@ -273,12 +279,22 @@
             let tokens = f64::from(prompt.prompt_tokens);
             self.sizes.has_turn(&ask.route.name, tokens)
         });
-        if has_turn && in_share {
+        if has_turn && standing == ShareStanding::Within {
             limit = limit.max(alone_ms + objective * self.config.long_wait_part);
         }
         limit.min(left)
     }
 
+    /// The part of the objective for a team that is served so many times its share.
+    ///
+    /// What endpoints can do beyond the published rate would go to whoever asks most often. The
+    /// more a team has of it already, the emptier an endpoint must be to give it more, so that
+    /// teams beyond their shares get about the same.
+    fn beyond_part(&self, served: f64) -> f64 {
+        let left = (MOST_SERVED - served) / (MOST_SERVED - 1.0);
+        (self.config.over_share_part * left).max(IDLE_PART)
+    }
+
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     fn retry_after(&self, excess_ms: f64) -> TimeSpan {
         let least = self.config.retry_after_ms;
@@ -298,7 +314,7 @@
             let tokens = f64::from(prompt.prompt_tokens);
             self.sizes.served(&ask.route.name, tokens);
             if let Some(team) = ask.team {
-                self.shares.serve(team, prompt.share_tokens());
+                self.shares.serve(now, team, prompt.share_tokens());
             }
             for part in placement::shared_parts(prompt) {
                 row.parts.insert(part.id, now);
--- a/src/gateway/decide/shares.rs
+++ b/src/gateway/decide/shares.rs
@@ -17,9 +17,19 @@
 /// through a clump of arrivals; the published window of shares is several seconds.
 const BURST_S: f64 = 1.0;
 
+/// How a request stands to its team's share.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum ShareStanding {
+    /// Within the share, or nothing is limited.
+    Within,
+    /// Beyond it; the number is what the team is served against its share, from 1 up.
+    Beyond(f64),
+}
+
 #[derive(Debug)]
 struct TeamCounts {
     asked: WindowCount,
+    served: WindowCount,
     /// Tokens that may be used within the share.
     credit: f64,
     credited_at: Moment,
@@ -50,34 +60,41 @@
             .entry(team.clone())
             .or_insert_with(|| TeamCounts {
                 asked: WindowCount::new(window),
+                served: WindowCount::new(window),
                 credit: 0.0,
                 credited_at: Moment(0),
                 allowed: None,
             })
     }
 
-    /// Counts a request that came; whether its team has some of its share left.
+    /// Counts a request that came; how it stands to its team's share.
     ///
     /// A request may be larger than a second's share: it passes on any rest, and leaves debt when
     /// it is [`Self::serve`]d.
-    pub fn ask(&mut self, now: Moment, team: &TeamKey, tokens: f64) -> bool {
+    pub fn ask(&mut self, now: Moment, team: &TeamKey, tokens: f64) -> ShareStanding {
+        let seconds = self.window_s();
         let counts = self.counts(team);
         counts.asked.add(now, tokens);
         let Some(allowed) = counts.allowed else {
-            return true;
+            return ShareStanding::Within;
         };
         #[allow(clippy::cast_precision_loss)]
         let passed_s = now.since(counts.credited_at).0 as f64 / 1e6;
         counts.credited_at = now;
         let most = allowed * BURST_S;
         counts.credit = (counts.credit + allowed * passed_s).min(most);
-        counts.credit > 0.0
+        if counts.credit > 0.0 {
+            return ShareStanding::Within;
+        }
+        let served = counts.served.sum(now) / seconds;
+        ShareStanding::Beyond((served / allowed.max(1.0)).max(1.0))
     }
 
     /// Counts a request that is sent. One that was refused, for whatever reason, costs its team
     /// nothing; one that is sent although its team has nothing left uses room that is idle.
-    pub fn serve(&mut self, team: &TeamKey, tokens: f64) {
+    pub fn serve(&mut self, now: Moment, team: &TeamKey, tokens: f64) {
         let counts = self.counts(team);
+        counts.served.add(now, tokens);
         if counts.allowed.is_some() && counts.credit > 0.0 {
             counts.credit -= tokens;
         }
--- a/tests/engines/mod.rs
+++ b/tests/engines/mod.rs
@@ -221,9 +221,9 @@
         result.asked[index] += 1;
         result.longest.0 += u32::from(is_long);
         let call = ask(&routes[index], &service, &shape, &team, &prompt);
-        let in_share = cores[router].arrived(Moment(now), &call);
+        let standing = cores[router].arrived(Moment(now), &call);
         let ticket = match policy {
-            PlacementPolicy::Gateway => match cores[router].admit(Moment(now), &call, in_share) {
+            PlacementPolicy::Gateway => match cores[router].admit(Moment(now), &call, standing) {
                 Admission::Send(ticket) => Some(ticket),
                 Admission::Refuse { .. } => {
                     result.refused[index] += 1;
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -12,6 +12,7 @@
 use verbenaturn::gateway::decide::GatewayCore;
 use verbenaturn::gateway::decide::RetryBudget;
 use verbenaturn::gateway::decide::budget::RetryBounds;
+use verbenaturn::gateway::decide::shares::ShareStanding;
 use verbenaturn::gateway::decide::shares::ShareTable;
 use verbenaturn::gateway::decide::shares::max_min_level;
 use verbenaturn::gateway::follow::EndpointView;
@@ -97,8 +98,8 @@
 fn sent(core: &mut GatewayCore, now: Moment, prompt: &PromptShape) -> Option<EndpointKey> {
     let (route, service, shape, team) = (route("r", 800), service(), engine_service(), nadi());
     let call = ask(&route, &service, &shape, &team, prompt);
-    let in_share = core.arrived(now, &call);
-    match core.admit(now, &call, in_share) {
+    let standing = core.arrived(now, &call);
+    match core.admit(now, &call, standing) {
         Admission::Send(ticket) => Some(ticket.entry.key),
         Admission::Refuse { .. } => None,
     }
@@ -199,7 +200,7 @@
     let prompt = prompt(1, 100, 100);
     for _ in 0..6 {
         let call = ask(&route, &service, &shape, &team, &prompt);
-        let Admission::Send(ticket) = core.admit(ms(5), &call, true) else {
+        let Admission::Send(ticket) = core.admit(ms(5), &call, ShareStanding::Within) else {
             panic!("refused");
         };
         core.ended(ms(6), ticket, AttemptEnd::Full);
@@ -219,7 +220,7 @@
             let prompt = prompt(step, 100, 100);
             let call = ask(&route, &service, &shape, &team, &prompt);
             let now = ms(from + step * 10);
-            let Admission::Send(ticket) = core.admit(now, &call, true) else {
+            let Admission::Send(ticket) = core.admit(now, &call, ShareStanding::Within) else {
                 panic!("refused");
             };
             let failed = ticket.entry.key == bad && from < 10_000;
@@ -262,8 +263,8 @@
             shares.share_out(now, 30_000.0, &BTreeMap::new());
         }
         for (team, tokens) in [1_000.0, 80.0, 80.0].into_iter().enumerate() {
-            if shares.ask(now, &teams[team], tokens) {
-                shares.serve(&teams[team], tokens);
+            if shares.ask(now, &teams[team], tokens) == ShareStanding::Within {
+                shares.serve(now, &teams[team], tokens);
                 passed[team] += 1;
             }
         }
@@ -274,6 +275,26 @@
     assert_eq!(passed[1..], [2_000, 2_000]);
 }
 
+/// Two teams are far beyond their shares, one asking five times as often as the other. What
+/// endpoints can do besides must not all go to the one that asks most.
+#[test]
+fn a_team_that_has_much_beyond_its_share_needs_an_emptier_endpoint() {
+    let mut shares = ShareTable::new(TimeSpan::from_millis(4_000));
+    let elsewhere = BTreeMap::from([(1, 90_000.0)]);
+    let mut standings = Vec::new();
+    for step in 0..1_000_u64 {
+        let now = ms(step * 10);
+        shares.share_out(now, 20_000.0, &elsewhere);
+        standings.push(shares.ask(now, &nadi(), 1_000.0));
+        shares.serve(now, &nadi(), 1_000.0);
+    }
+    // Served 100,000 of its share of 10,000.
+    let Some(ShareStanding::Beyond(served)) = standings.pop() else {
+        panic!("within its share");
+    };
+    assert!((8.0..11.0).contains(&served), "{served}");
+}
+
 /// Every second request of a team that is held to its share finds the endpoints full. Charged for
 /// these as well, the team would get half of its share, for as long as the others press.
 #[test]
@@ -284,8 +305,9 @@
     for step in 0..2_000_u64 {
         let now = ms(step * 10);
         shares.share_out(now, 60_000.0, &elsewhere);
-        if shares.ask(now, &nadi(), 1_000.0) && step % 2 == 0 {
-            shares.serve(&nadi(), 1_000.0);
+        let standing = shares.ask(now, &nadi(), 1_000.0);
+        if standing == ShareStanding::Within && step % 2 == 0 {
+            shares.serve(now, &nadi(), 1_000.0);
             served += 1_000.0;
         }
     }
@@ -303,8 +325,8 @@
     for step in 0..1_000_u64 {
         let now = ms(step * 10);
         shares.share_out(now, 50_000.0, &elsewhere);
-        if shares.ask(now, &team, 100.0) {
-            shares.serve(&team, 100.0);
+        if shares.ask(now, &team, 100.0) == ShareStanding::Within {
+            shares.serve(now, &team, 100.0);
             passed += 1;
         }
     }
