--- a/src/daemon/logs.rs
+++ b/src/daemon/logs.rs
@@ -38,7 +38,7 @@
 const FLUSH_PAUSE: Duration = Duration::from_millis(200);
 
 /// Sends all levels to standard output from a thread of its own. A reader that does not read
-/// costs lines, never the time of a call: lines beyond [`WAITING_LINES`] are dropped.
+/// costs lines, never the time of a call: lines beyond a few thousand are dropped.
 ///
 /// # Errors
 /// If the library can't be set up.
--- a/src/gateway/decide/sizes.rs
+++ b/src/gateway/decide/sizes.rs
@@ -4,7 +4,7 @@
 //! reading takes most of the objective, so any queue at all refuses it, each time that it comes.
 //! Letting all of them wait as long as the others costs more than it gives (a tenth of the
 //! requests holds half of the reading work), so they get turns: as many as bring their served
-//! part to [`LEAST_PART`] of the whole route's.
+//! part to `LEAST_PART` of the whole route's.
 
 use std::collections::BTreeMap;
 
