--- a/src/daemon/control.rs
+++ b/src/daemon/control.rs
@@ -41,6 +41,7 @@
 pub const TICK: Duration = Duration::from_millis(5);
 
 /// The clock that the core and the traffic threads share; monotonic, 0 at the daemon's start.
+/// It stands still while the host is suspended, like the deadlines that are measured by it.
 #[derive(Debug, Clone, Copy)]
 pub struct DriverClock {
     start: Instant,
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -8,4 +8,5 @@
 pub mod outside;
 pub mod process;
 pub mod router;
+pub mod signals;
 pub mod sources;
--- a/src/daemon/process.rs
+++ b/src/daemon/process.rs
@@ -5,14 +5,9 @@
 use std::path::Path;
 use std::process::ExitCode;
 use std::time::Duration;
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
 use error_stack::Report;
 use error_stack::ResultExt;
-use tokio::signal::unix::Signal;
-use tokio::signal::unix::SignalKind;
-use tokio::signal::unix::signal;
 use tokio::time;
 
 use crate::settings::ProcessSettings;
@@ -24,6 +19,8 @@
 use super::logs;
 use super::router::Router;
 use super::router::RouterParts;
+use super::signals::ProcessSignals;
+use super::signals::unix_seconds;
 
 /// Exit code after a shutdown that cut requests.
 pub const EXIT_CUT: u8 = 3;
@@ -40,33 +37,6 @@
 
 impl std::error::Error for ProcessError {}
 
-struct StopSignals {
-    terminate: Signal,
-    interrupt: Signal,
-    reload: Signal,
-}
-
-impl StopSignals {
-    fn listen() -> Result<Self, std::io::Error> {
-        Ok(Self {
-            terminate: signal(SignalKind::terminate())?,
-            interrupt: signal(SignalKind::interrupt())?,
-            reload: signal(SignalKind::hangup())?,
-        })
-    }
-
-    /// Returns when the process is asked to stop. SIGHUP reads the settings again.
-    async fn next(&mut self, file: &Path) {
-        loop {
-            tokio::select! {
-                _ = self.terminate.recv() => return,
-                _ = self.interrupt.recv() => return,
-                _ = self.reload.recv() => reload(file),
-            }
-        }
-    }
-}
-
 /// Reads the settings again. The level of logs takes effect; addresses and limits need a restart,
 /// and a file with faults changes nothing.
 fn reload(file: &Path) {
@@ -108,12 +78,6 @@
     })
 }
 
-fn unix_seconds() -> u64 {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .map_or(0, |passed| passed.as_secs())
-}
-
 /// Runs a router until a signal has ended it. `file` is where the settings came from.
 ///
 /// # Errors
@@ -122,7 +86,7 @@
     settings: &ProcessSettings,
     file: &Path,
 ) -> Result<ExitCode, Report<ProcessError>> {
-    let mut signals = StopSignals::listen().change_context(ProcessError)?;
+    let mut signals = ProcessSignals::listen().change_context(ProcessError)?;
     let parts = router_parts(settings)?;
     let credential = admin_credential(&settings.admin).change_context(ProcessError)?;
     let incarnation = parts.incarnation;
@@ -134,7 +98,7 @@
     let (host, callers) = (&settings.host, router.callers);
     spdlog::info!("daemon: operators are answered on {admin}.");
     spdlog::info!("daemon: {host} incarnation {incarnation} takes calls on {callers}.");
-    signals.next(file).await;
+    signals.until_stop(|| reload(file)).await;
     spdlog::info!("daemon: drain begins; a second signal ends it at once.");
     let deadline = Duration::from_secs(settings.shutdown.deadline_s);
     let linger = Duration::from_millis(settings.shutdown.linger_ms).min(deadline / 2);
@@ -144,7 +108,7 @@
     };
     tokio::select! {
         () = ending => {}
-        () = signals.next(file) => return Ok(cut(&router, "second signal").await),
+        () = signals.until_stop(|| reload(file)) => return Ok(cut(&router, "second signal").await),
         () = time::sleep(deadline) => return Ok(cut(&router, "deadline").await),
     }
     spdlog::info!("daemon: nothing is left in flight.");
--- /dev/null
+++ b/src/daemon/signals.rs
@@ -0,0 +1,51 @@
+//! Signals that stop a process or tell it that its settings changed.
+
+use std::io;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use tokio::signal::unix::Signal;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+/// The signals that a router listens for.
+#[derive(Debug)]
+pub struct ProcessSignals {
+    terminate: Signal,
+    interrupt: Signal,
+    reload: Signal,
+}
+
+impl ProcessSignals {
+    /// Listens from now on; the signals' default, which ends the process, no longer holds.
+    ///
+    /// # Errors
+    /// If a handler can't be set.
+    pub fn listen() -> io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            reload: signal(SignalKind::hangup())?,
+        })
+    }
+
+    /// Returns when the process is asked to stop (SIGTERM, SIGINT). Calls `reload` at each SIGHUP.
+    pub async fn until_stop(&mut self, reload: impl Fn()) {
+        loop {
+            tokio::select! {
+                _ = self.terminate.recv() => return,
+                _ = self.interrupt.recv() => return,
+                _ = self.reload.recv() => reload(),
+            }
+        }
+    }
+}
+
+/// Seconds of the host's clock since 1970, by which a later life gets a higher number; 0 if the
+/// clock stands before that.
+#[must_use]
+pub fn unix_seconds() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |passed| passed.as_secs())
+}
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -5,8 +5,6 @@
 //! doubled or late one makes a placement worse and nothing else. Whole published states are
 //! fetched over TCP ([`super::handover`]) by a router that has lost the store.
 
-use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -17,13 +15,15 @@
 use smol_str::SmolStr;
 use tokio::net::UdpSocket;
 use tokio::time::interval;
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::units::Moment;
 use crate::units::TimeSpan;
 
-use super::decide::endpoints::PeerLoad;
 use super::handover;
+use super::peer_table::DemandEntry;
+use super::peer_table::LoadEntry;
+use super::peer_table::PeerTable;
+use super::peer_table::RouterDigest;
 use super::shared::SharedState;
 
 /// Messages sent in one round. With more routers than this each hears of the others less often,
@@ -40,230 +40,9 @@
 /// Addresses of other routers in one message.
 const ADDRESSES_TOLD: usize = 8;
 
-/// Time for which a router that fell silent still counts for the shared retry budget: the budget
-/// must hold while routers can't see each other.
-const BUDGET_MEMORY: TimeSpan = TimeSpan::from_millis(30_000);
-
-/// Routers that read the store themselves; the others are told by them. The store's calls are
-/// limited for all routers together, and each of its changes wakes each reader. Eight are enough
-/// that some are left when a third of all routers is cut off, and few enough that the calls don't
-/// grow with the fleet.
-const READERS: usize = 8;
-
 /// Time without any router in touch with the store after which twice as many try to read it.
 const VOLUNTEER_PAUSE: TimeSpan = TimeSpan::from_millis(1_000);
 
-/// Load of one router at one endpoint.
-#[derive(Clone, PartialEq, Message)]
-pub struct LoadEntry {
-    /// Hash of the endpoint's key.
-    #[prost(fixed64, tag = "1")]
-    pub endpoint: u64,
-    /// Requests.
-    #[prost(uint32, tag = "2")]
-    pub active: u32,
-    /// Prompt tokens that wait to be read.
-    #[prost(uint32, tag = "3")]
-    pub pending_tokens: u32,
-}
-
-/// What a team asks of one router.
-#[derive(Clone, PartialEq, Message)]
-pub struct DemandEntry {
-    /// Hash of the team's name.
-    #[prost(fixed64, tag = "1")]
-    pub team: u64,
-    /// Tokens a second.
-    #[prost(uint32, tag = "2")]
-    pub tokens_per_s: u32,
-}
-
-/// One datagram.
-#[derive(Clone, PartialEq, Message)]
-pub struct RouterDigest {
-    /// One life of the sender; later lives have higher numbers.
-    #[prost(fixed64, tag = "1")]
-    pub incarnation: u64,
-    /// Grows within a life.
-    #[prost(uint64, tag = "2")]
-    pub sequence: u64,
-    /// Whether the sender is shutting down.
-    #[prost(bool, tag = "3")]
-    pub leaving: bool,
-    /// Version of the routes that it knows; 0 for none.
-    #[prost(uint64, tag = "4")]
-    pub routes_version: u64,
-    /// Store revision of the endpoints that it knows.
-    #[prost(uint64, tag = "5")]
-    pub endpoints_revision: u64,
-    /// Its load.
-    #[prost(message, repeated, tag = "6")]
-    pub loads: Vec<LoadEntry>,
-    /// What teams ask of it.
-    #[prost(message, repeated, tag = "7")]
-    pub demands: Vec<DemandEntry>,
-    /// IP numbers of other routers.
-    #[prost(string, repeated, tag = "8")]
-    pub routers: Vec<String>,
-    /// Whether the sender hears of all changes from the store itself.
-    #[prost(bool, tag = "9")]
-    pub in_touch: bool,
-}
-
-#[derive(Debug)]
-struct PeerRow {
-    digest: RouterDigest,
-    heard: Moment,
-}
-
-/// The other routers as this one knows them.
-#[derive(Debug, Default)]
-pub struct PeerTable {
-    heard: BTreeMap<IpAddr, PeerRow>,
-    /// Addresses that were only told of; they are asked now and then.
-    told: BTreeSet<IpAddr>,
-    /// Sums of the loads in `heard`, by endpoint. Kept up with each digest: adding up all loads of
-    /// a hundred routers each round takes a tenth of a small host's processor.
-    loads: BTreeMap<u64, PeerLoad>,
-}
-
-impl PeerTable {
-    /// Takes a digest; whether it is news.
-    ///
-    /// Guards against datagrams that were overtaken: within a life the sequence decides, between
-    /// lives the incarnation.
-    pub fn take(&mut self, now: Moment, from: IpAddr, digest: RouterDigest) -> bool {
-        if let Some(row) = self.heard.get(&from) {
-            let known = (row.digest.incarnation, row.digest.sequence);
-            if known >= (digest.incarnation, digest.sequence) {
-                return false;
-            }
-        }
-        for router in &digest.routers {
-            if let Ok(address) = router.parse() {
-                self.told.insert(address);
-            }
-        }
-        self.told.remove(&from);
-        self.add_loads(&digest);
-        if let Some(before) = self.heard.insert(from, PeerRow { digest, heard: now }) {
-            self.remove_loads(&before.digest);
-        }
-        true
-    }
-
-    fn add_loads(&mut self, digest: &RouterDigest) {
-        for load in &digest.loads {
-            let sum = self.loads.entry(load.endpoint).or_default();
-            sum.active += load.active;
-            sum.pending_tokens += f64::from(load.pending_tokens);
-        }
-    }
-
-    fn remove_loads(&mut self, digest: &RouterDigest) {
-        for load in &digest.loads {
-            let Some(sum) = self.loads.get_mut(&load.endpoint) else {
-                continue;
-            };
-            sum.active = sum.active.saturating_sub(load.active);
-            sum.pending_tokens -= f64::from(load.pending_tokens);
-            if sum.active == 0 {
-                self.loads.remove(&load.endpoint);
-            }
-        }
-    }
-
-    /// Drops the loads of routers that fell silent: what they had at endpoints has ended, or
-    /// nobody can say.
-    pub fn end_silent(&mut self, now: Moment, timeout: TimeSpan) {
-        let silent: Vec<IpAddr> = self
-            .heard
-            .iter()
-            .filter(|(_, row)| now.since(row.heard) >= timeout && !row.digest.loads.is_empty())
-            .map(|(address, _)| *address)
-            .collect();
-        for address in silent {
-            let Some(row) = self.heard.get_mut(&address) else {
-                continue;
-            };
-            let loads = std::mem::take(&mut row.digest.loads);
-            self.remove_loads(&RouterDigest {
-                loads,
-                ..RouterDigest::default()
-            });
-        }
-    }
-
-    fn live(&self, now: Moment, timeout: TimeSpan) -> impl Iterator<Item = (&IpAddr, &PeerRow)> {
-        self.heard
-            .iter()
-            .filter(move |(_, row)| !row.digest.leaving && now.since(row.heard) < timeout)
-    }
-
-    /// Sums of the live routers' loads by endpoint.
-    #[must_use]
-    pub fn loads(&self) -> &BTreeMap<u64, PeerLoad> {
-        &self.loads
-    }
-
-    /// Sums of what teams ask of the live routers, in tokens a second.
-    #[must_use]
-    pub fn demands(&self, now: Moment, timeout: TimeSpan) -> BTreeMap<u64, f64> {
-        let mut sums: BTreeMap<u64, f64> = BTreeMap::new();
-        for (_, row) in self.live(now, timeout) {
-            for demand in &row.digest.demands {
-                *sums.entry(demand.team).or_default() += f64::from(demand.tokens_per_s);
-            }
-        }
-        sums
-    }
-
-    /// Routers that share the retry budget, this one included.
-    #[must_use]
-    pub fn budget_routers(&self, now: Moment) -> usize {
-        let known = self.heard.values();
-        1 + known
-            .filter(|row| now.since(row.heard) < BUDGET_MEMORY)
-            .count()
-    }
-
-    /// A live router that knows newer routes or endpoints; any of them, so that not all ask the
-    /// same one.
-    fn ahead(&self, now: Moment, timeout: TimeSpan, known: (u64, u64)) -> Option<IpAddr> {
-        let newer = self.live(now, timeout).filter(|(_, row)| {
-            row.digest.routes_version > known.0 || row.digest.endpoints_revision > known.1
-        });
-        let newer: Vec<&IpAddr> = newer.map(|(address, _)| address).collect();
-        if newer.is_empty() {
-            return None;
-        }
-        Some(*newer[rand::rng().random_range(0..newer.len())])
-    }
-
-    /// Whether this router is one of the readers of the store: the first ones in an order that all
-    /// routers compute alike, and more of them the longer none is in touch.
-    #[must_use]
-    pub fn is_reader(&self, now: Moment, timeout: TimeSpan, own: IpAddr, doublings: u32) -> bool {
-        let rank = |address: &IpAddr| xxh3_64(address.to_string().as_bytes());
-        let own = rank(&own);
-        let before = self
-            .live(now, timeout)
-            .filter(|(address, _)| rank(address) < own);
-        before.count() < READERS << doublings.min(16)
-    }
-
-    /// Whether a live router hears of all changes from the store itself.
-    #[must_use]
-    pub fn has_touch(&self, now: Moment, timeout: TimeSpan) -> bool {
-        self.live(now, timeout).any(|(_, row)| row.digest.in_touch)
-    }
-
-    fn forget(&mut self, now: Moment) {
-        self.heard
-            .retain(|_, row| now.since(row.heard) < BUDGET_MEMORY);
-    }
-}
-
 /// Where other routers are and how this one is reached.
 #[derive(Debug, Clone)]
 pub struct GossipPlan {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 pub mod http;
 pub mod load;
 pub mod metrics;
+pub mod peer_table;
 pub mod pool;
 pub mod process;
 pub mod protocol;
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -9,8 +9,6 @@
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
 use error_stack::Report;
 use error_stack::ResultExt;
@@ -18,15 +16,14 @@
 use tokio::net::UdpSocket;
 use tokio::runtime::Builder;
 use tokio::runtime::Runtime;
-use tokio::signal::unix::Signal;
-use tokio::signal::unix::SignalKind;
-use tokio::signal::unix::signal;
 use tokio::task::LocalSet;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::sleep_until;
 
 use crate::daemon::logs;
+use crate::daemon::signals::ProcessSignals;
+use crate::daemon::signals::unix_seconds;
 use crate::units::RouterIncarnation;
 
 use super::config::GatewaySettings;
@@ -236,18 +233,12 @@
     };
     let socket = UdpSocket::from_std(listeners.gossip)?;
     tokio::spawn(run_gossip(Arc::clone(&shared), plan, socket));
-    signals.until_stop(file).await;
+    signals.until_stop(|| reload(file)).await;
     drain(&shared).await;
     spdlog::info!("daemon: host={} ended", settings.host);
     Ok(ExitCode::SUCCESS)
 }
 
-fn unix_seconds() -> u64 {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .map_or(0, |passed| passed.as_secs())
-}
-
 /// Ends in stages: not ready at once, calls served for a while, then everything in flight.
 async fn drain(shared: &SharedState) {
     let begun = Instant::now();
@@ -267,33 +258,6 @@
     shared.life.ended.cancel();
 }
 
-struct ProcessSignals {
-    terminate: Signal,
-    interrupt: Signal,
-    reload: Signal,
-}
-
-impl ProcessSignals {
-    fn listen() -> io::Result<Self> {
-        Ok(Self {
-            terminate: signal(SignalKind::terminate())?,
-            interrupt: signal(SignalKind::interrupt())?,
-            reload: signal(SignalKind::hangup())?,
-        })
-    }
-
-    /// Returns when the process is asked to stop. SIGHUP reads the settings again.
-    async fn until_stop(&mut self, file: &Path) {
-        loop {
-            tokio::select! {
-                _ = self.terminate.recv() => return,
-                _ = self.interrupt.recv() => return,
-                _ = self.reload.recv() => reload(file),
-            }
-        }
-    }
-}
-
 /// Reads the settings again. A level of logs takes effect; addresses and limits need a restart,
 /// and a file with faults changes nothing.
 fn reload(file: &Path) {
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -110,10 +110,6 @@
     /// Decodes the head of an answer to the call with this id.
     fn answer_facts(&self, head: &ResponseHead, call_id: &str) -> AnswerFacts;
 
-    /// Whether an answer's header proves its maker, so that it must not stand on an answer that
-    /// the router made.
-    fn is_proof(&self, name: &[u8]) -> bool;
-
     /// Appends the headers that tie the router's own answer to a call.
     fn write_reply(&self, call_id: &str, out: &mut Vec<u8>);
 }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -9,12 +9,12 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
-use std::time::Instant;
 
 use smol_str::SmolStr;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
+use crate::daemon::control::DriverClock;
 use crate::units::Moment;
 
 use super::config::GatewayConfig;
@@ -26,30 +26,6 @@
 use super::routes::EndpointKey;
 use super::routes::RouteTable;
 
-/// The router's monotonic clock; it stands still while the host is suspended, like the deadlines
-/// that are measured by it.
-#[derive(Debug, Clone, Copy)]
-pub struct RouterClock {
-    start: Instant,
-}
-
-impl RouterClock {
-    /// A clock that starts now.
-    #[must_use]
-    pub fn start() -> Self {
-        Self {
-            start: Instant::now(),
-        }
-    }
-
-    /// The time now.
-    #[must_use]
-    pub fn now(&self) -> Moment {
-        let passed = self.start.elapsed().as_micros();
-        Moment(u64::try_from(passed).unwrap_or(u64::MAX))
-    }
-}
-
 /// The stages of a router's end; each begins when its token is cancelled.
 #[derive(Debug, Clone)]
 pub struct LifeStages {
@@ -101,7 +77,7 @@
     reader: watch::Sender<bool>,
     peers_touched: Mutex<Option<Moment>>,
     /// The router's clock.
-    pub clock: RouterClock,
+    pub clock: DriverClock,
     /// Settings of decisions.
     pub config: GatewayConfig,
     /// Stages of the end.
@@ -125,7 +101,7 @@
             sections_in_touch: Mutex::default(),
             reader: watch::Sender::new(true),
             peers_touched: Mutex::new(None),
-            clock: RouterClock::start(),
+            clock: DriverClock::start(),
             config,
             life: LifeStages::new(),
             metrics,
