--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -160,11 +160,6 @@
     call: &mut CallState,
     ticket: &mut AttemptTicket,
 ) -> AttemptOutcome {
-    // A router that lags reads requests whose callers have left in the meantime; an endpoint would
-    // work on them for nobody.
-    if caller.has_left() {
-        return AttemptOutcome::CallerLeft;
-    }
     let mut endpoint = match connected(traffic, ticket).await {
         Ok(stream) => stream,
         Err(fault) => {
@@ -173,6 +168,11 @@
             return AttemptOutcome::NotRun(NotRunCause::NotReached);
         }
     };
+    // A router that lags reads requests whose callers have left in the meantime; an endpoint would
+    // work on them for nobody. The look comes last, since a connection takes time as well.
+    if caller.has_left() {
+        return AttemptOutcome::CallerLeft;
+    }
     let bytes = endpoint_request(
         &traffic.protocol,
         &call.head,
