Three readers of the store, chosen by what routers say of it

Ruled out: longer watches (a silent connection shows only by their timeout). Readers are now sticky, failing ones say so and are replaced, newcomers hear from their peers first, failed calls back off, changes of endpoints are read in batches. Also: a router whose peer reached a returning store just before it took lapsed endpoints for gone (test failed before).

--- a/src/gateway/config.rs
+++ b/src/gateway/config.rs
@@ -125,6 +125,9 @@
     /// Pause before a failed call to the store is made again, in ms; up to as much again is added
     /// at random.
     pub store_retry_ms: u64,
+    /// Pause after changes of endpoints before the next watch, in ms: changes that come together
+    /// are then read in one call.
+    pub endpoint_batch_ms: u64,
     /// Time after the store's return for which endpoints that its list lacks are still used, in
     /// ms.
     pub lapse_grace_ms: u64,
@@ -164,6 +167,7 @@
             watch_ms: 2_500,
             store_timeout_ms: 1_000,
             store_retry_ms: 150,
+            endpoint_batch_ms: 150,
             lapse_grace_ms: 2_200,
             gossip_ms: 100,
             peer_timeout_ms: 1_500,
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -128,9 +128,9 @@
     ) -> impl Future<Output = Result<StateChanges, StoreFault>> + Send;
 }
 
-/// Age at which another router's word that it hears from the store is too old to say that the
-/// store was there during an outage of this router's: a few rounds of messages.
-const ALONE_WINDOW: TimeSpan = TimeSpan::from_millis(500);
+/// Longest pause before a failed call is made again, as a multiple of the first one. A call to a
+/// store that is away costs as much as any other.
+const MOST_PAUSES: u32 = 5;
 
 /// One section as this router follows it.
 struct SectionFollower<S> {
@@ -140,6 +140,8 @@
     endpoints: EndpointView,
     /// The first of the failures in a row that go on now.
     failing_since: Option<Moment>,
+    /// Failures in a row.
+    failures: u32,
 }
 
 /// Follows one section until the process ends, while this router is one of those that read the
@@ -155,9 +157,13 @@
         section,
         endpoints: EndpointView::default(),
         failing_since: None,
+        failures: 0,
     };
     loop {
-        follower.shared.reader_wanted().await;
+        if !follower.shared.is_reader() {
+            follower.stopped_reading();
+            follower.shared.reader_wanted().await;
+        }
         if let Some(as_of) = follower.read().await {
             follower.watch_from(as_of).await;
         }
@@ -166,6 +172,14 @@
 }
 
 impl<S: StateStore> SectionFollower<S> {
+    /// Forgets failures when others read the store in this router's place: an outage that it did
+    /// not watch to its end says nothing of what lapsed in it.
+    fn stopped_reading(&mut self) {
+        self.failing_since = None;
+        self.failures = 0;
+        self.shared.set_store_failing(false);
+    }
+
     async fn read(&mut self) -> Option<StoreRevision> {
         let limit = Duration::from_millis(self.shared.config.store_timeout_ms);
         let read = timeout(limit, self.store.read(self.section)).await;
@@ -187,7 +201,6 @@
         }
         if self.section == StateSection::Endpoints {
             let now = self.shared.clock.now();
-
             self.endpoints.rebase(self.shared.endpoints().entries);
             self.endpoints.replace(now, registered);
             self.publish_endpoints(as_of);
@@ -219,7 +232,11 @@
             };
             self.reached();
             after = after.max(changes.as_of);
+            let has_changes = !changes.changes.is_empty();
             self.apply(changes, after);
+            if has_changes && self.section == StateSection::Endpoints {
+                sleep(Duration::from_millis(self.shared.config.endpoint_batch_ms)).await;
+            }
         }
     }
 
@@ -263,10 +280,12 @@
     fn reached(&mut self) {
         let now = self.shared.clock.now();
         self.shared.set_in_touch(self.section, true);
+        self.shared.set_store_failing(false);
+        self.failures = 0;
         if let Some(since) = self.failing_since.take() {
             let outage = now.since(since);
             let (section, ms) = (self.section, outage.as_millis());
-            let alone = self.failed_alone(now, since);
+            let alone = self.failed_alone(since);
             spdlog::info!("store: section={section} reached again after_ms={ms} alone={alone}");
             if !alone {
                 let grace = TimeSpan::from_millis(self.shared.config.lapse_grace_ms);
@@ -275,24 +294,27 @@
         }
     }
 
-    /// Whether the store was away for this router only: others heard from it in the meantime, so
-    /// that no registration lapsed for want of the store.
-    fn failed_alone(&self, now: Moment, since: Moment) -> bool {
-        let touched = self.shared.peers_touched_at();
-        touched.is_some_and(|at| at > since && now.since(at) < ALONE_WINDOW)
+    /// Whether the store was away for this router only: others heard from it all the while, so
+    /// that no registration lapsed for want of the store. One that heard from it again just before
+    /// this router does proves nothing.
+    fn failed_alone(&self, since: Moment) -> bool {
+        self.shared.peers_kept_touch(since)
     }
 
     async fn failed(&mut self, step: &str, fault: &StoreFault) -> Option<StoreRevision> {
         let section = self.section;
         self.shared.set_in_touch(section, false);
+        self.shared.set_store_failing(true);
         if self.failing_since.is_none() {
             self.failing_since = Some(self.shared.clock.now());
             spdlog::warn!("store: section={section} step={step} lost fault=\"{fault}\"");
         }
         self.shared.metrics.store_failure();
         let pause = Duration::from_millis(self.shared.config.store_retry_ms);
+        let pauses = MOST_PAUSES.min(1 << self.failures.min(8));
+        self.failures += 1;
         let factor = rand::rng().random_range(1.0..2.0);
-        sleep(pause.mul_f64(factor)).await;
+        sleep(pause.mul_f64(factor) * pauses).await;
         None
     }
 }
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -5,6 +5,7 @@
 //! doubled or late one makes a placement worse and nothing else. Whole published states are
 //! fetched over TCP ([`super::handover`]) by a router that has lost the store.
 
+use std::collections::BTreeSet;
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -24,6 +25,7 @@
 use super::peer_table::LoadEntry;
 use super::peer_table::PeerTable;
 use super::peer_table::RouterDigest;
+use super::readers::ReaderElection;
 use super::shared::SharedState;
 
 /// Messages sent in one round. With more routers than this each hears of the others less often,
@@ -40,8 +42,14 @@
 /// Addresses of other routers in one message.
 const ADDRESSES_TOLD: usize = 8;
 
-/// Time without any router in touch with the store after which twice as many try to read it.
-const VOLUNTEER_PAUSE: TimeSpan = TimeSpan::from_millis(1_000);
+/// Longest random wait, in ms, by which routers of a fleet that starts at once differ in their
+/// first reads of the store: four rounds of messages, in which the first of them tell the others.
+const START_JITTER_MS: u64 = 400;
+
+/// Time by which a router that hears from the store may lag behind another one before it takes
+/// that one's word. A watch's connection may go silent, and only its timeout shows that; readers
+/// that work differ by less.
+const READER_LAG: TimeSpan = TimeSpan::from_millis(600);
 
 /// Where other routers are and how this one is reached.
 #[derive(Debug, Clone)]
@@ -61,14 +69,19 @@
     peers: PeerTable,
     round: u64,
     next: usize,
-    /// When a router in touch with the store was last known.
-    touched: Moment,
+    /// Routers in a new life, which are answered in the next round.
+    newcomers: BTreeSet<IpAddr>,
+    election: ReaderElection,
+    /// Since when another router has known more than this one.
+    behind_since: Option<Moment>,
     /// What was last told of the versions known.
     told_versions: (u64, u64),
 }
 
 /// Exchanges digests until the process ends.
 pub async fn run_gossip(shared: Arc<SharedState>, plan: GossipPlan, socket: UdpSocket) {
+    let jitter = TimeSpan::from_millis(rand::rng().random_range(0..START_JITTER_MS));
+    let election = ReaderElection::new(shared.clock.now(), jitter);
     let mut gossip = Gossip {
         shared,
         plan,
@@ -76,7 +89,9 @@
         peers: PeerTable::default(),
         round: 0,
         next: 0,
-        touched: Moment(0),
+        newcomers: BTreeSet::new(),
+        election,
+        behind_since: None,
         told_versions: (0, 0),
     };
     let pause = Duration::from_millis(gossip.shared.config.gossip_ms.max(1));
@@ -110,9 +125,10 @@
         match RouterDigest::decode(bytes) {
             Ok(digest) => {
                 let now = self.shared.clock.now();
-                let is_new = !self.peers.heard.contains_key(&from.ip());
+                let is_new = !self.peers.knows_life(&from.ip(), digest.incarnation);
                 if self.peers.take(now, from.ip(), digest) && is_new {
                     spdlog::info!("peers: router={} found", from.ip());
+                    self.newcomers.insert(from.ip());
                 }
             }
             Err(fault) => spdlog::warn!("peers: router={from} step=decode fault=\"{fault}\""),
@@ -181,6 +197,7 @@
                 .collect(),
             routers: self.told_addresses(now),
             in_touch: self.shared.is_in_touch(),
+            store_failing: self.shared.own_touch().is_failing,
         }
     }
 
@@ -206,6 +223,8 @@
         let turned = live.iter().cycle().skip(self.next % live.len().max(1));
         let mut receivers: Vec<IpAddr> = turned.take(count).copied().collect();
         self.next = self.next.wrapping_add(count);
+        // A router that has just started serves only once it has heard from somebody.
+        receivers.extend(std::mem::take(&mut self.newcomers));
         if self.round % SILENT_ROUNDS == 1 {
             receivers.extend(self.silent(&live));
         }
@@ -227,20 +246,20 @@
     }
 
     fn choose_reader(&mut self, now: Moment) {
-        let timeout = self.timeout();
-        if self.peers.has_touch(now, timeout) {
-            self.shared.peers_in_touch(now);
-            self.touched = now;
-        }
-        if self.shared.is_in_touch() {
-            self.touched = now;
-        }
-        let silence = now.since(self.touched).0 / VOLUNTEER_PAUSE.0;
-        let doublings = u32::try_from(silence).unwrap_or(u32::MAX);
+        let touch = self.shared.own_touch();
         let own = self.plan.listen.ip();
-        let reads = self.peers.is_reader(now, timeout, own, doublings);
+        let standing = self.peers.standing(now, self.timeout(), own, touch);
+        self.shared.note_peers_touch(now, standing.touching > 0);
+        let reads = self.election.reads(now, standing);
         if reads != self.shared.is_reader() {
-            spdlog::info!("peers: reads_store={reads} silence_s={silence}");
+            let shortage = self.election.shortage(now).as_millis();
+            let touching = standing.touching;
+            spdlog::info!(
+                "peers: reads_store={reads} in_touch={} failing={} others_in_touch={touching} \
+                 shortage_ms={shortage}",
+                touch.in_touch,
+                touch.is_failing,
+            );
             self.shared.set_reader(reads);
         }
     }
@@ -258,15 +277,23 @@
         silent
     }
 
-    /// Fetches what a peer knows newer, unless the store itself tells this router.
-    fn fetch_if_behind(&self, now: Moment) {
-        if self.shared.is_in_touch() || self.shared.is_fetching() {
+    /// Fetches what a peer knows newer. A router that hears from the store itself waits for it
+    /// first.
+    fn fetch_if_behind(&mut self, now: Moment) {
+        if self.shared.is_fetching() {
             return;
         }
-        if let Some(address) = self.peers.ahead(now, self.timeout(), self.versions()) {
-            let target = SocketAddr::new(address, self.plan.listen.port());
-            tokio::spawn(handover::fetch_state(Arc::clone(&self.shared), target));
+        let ahead = self.peers.ahead(now, self.timeout(), self.versions());
+        let Some(address) = ahead else {
+            self.behind_since = None;
+            return;
+        };
+        let since = *self.behind_since.get_or_insert(now);
+        if self.shared.is_in_touch() && now.since(since) < READER_LAG {
+            return;
         }
+        let target = SocketAddr::new(address, self.plan.listen.port());
+        tokio::spawn(handover::fetch_state(Arc::clone(&self.shared), target));
     }
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -24,6 +24,7 @@
 pub mod pool;
 pub mod process;
 pub mod protocol;
+pub mod readers;
 pub mod readiness;
 pub mod relay;
 pub mod reply;
--- a/src/gateway/peer_table.rs
+++ b/src/gateway/peer_table.rs
@@ -12,17 +12,13 @@
 use crate::units::TimeSpan;
 
 use super::decide::endpoints::PeerLoad;
+use super::readers::ReaderStanding;
+use super::shared::OwnTouch;
 
 /// Time for which a router that fell silent still counts for the shared retry budget: the budget
 /// must hold while routers can't see each other.
 const BUDGET_MEMORY: TimeSpan = TimeSpan::from_millis(30_000);
 
-/// Routers that read the store themselves; the others are told by them. The store's calls are
-/// limited for all routers together, and each of its changes wakes each reader. Eight are enough
-/// that some are left when a third of all routers is cut off, and few enough that the calls don't
-/// grow with the fleet.
-const READERS: usize = 8;
-
 /// Load of one router at one endpoint.
 #[derive(Clone, PartialEq, Message)]
 pub struct LoadEntry {
@@ -78,6 +74,9 @@
     /// Whether the sender hears of all changes from the store itself.
     #[prost(bool, tag = "9")]
     pub in_touch: bool,
+    /// Whether the sender tried to read the store and got no answer.
+    #[prost(bool, tag = "10")]
+    pub store_failing: bool,
 }
 
 /// Another router.
@@ -220,22 +219,40 @@
         Some(*newer[rand::rng().random_range(0..newer.len())])
     }
 
-    /// Whether this router is one of the readers of the store: the first ones in an order that all
-    /// routers compute alike, and more of them the longer none is in touch.
+    /// How this router stands among the live ones for reading the store.
     #[must_use]
-    pub fn is_reader(&self, now: Moment, timeout: TimeSpan, own: IpAddr, doublings: u32) -> bool {
+    pub fn standing(
+        &self,
+        now: Moment,
+        timeout: TimeSpan,
+        own: IpAddr,
+        touch: OwnTouch,
+    ) -> ReaderStanding {
         let rank = |address: &IpAddr| xxh3_64(address.to_string().as_bytes());
         let own = rank(&own);
-        let before = self
-            .live(now, timeout)
-            .filter(|(address, _)| rank(address) < own);
-        before.count() < READERS << doublings.min(16)
+        let mut standing = ReaderStanding {
+            in_touch: touch.in_touch,
+            is_failing: touch.is_failing,
+            ..ReaderStanding::default()
+        };
+        for (address, row) in self.live(now, timeout) {
+            let is_before = rank(address) < own;
+            standing.touching += usize::from(row.digest.in_touch);
+            standing.touching_before += usize::from(row.digest.in_touch && is_before);
+            let is_failing = row.digest.store_failing && !row.digest.in_touch;
+            standing.failing += usize::from(is_failing);
+            standing.failing_before += usize::from(is_failing && is_before);
+            let is_idle = !row.digest.in_touch && !is_failing;
+            standing.idle_before += usize::from(is_idle && is_before);
+        }
+        standing
     }
 
-    /// Whether a live router hears of all changes from the store itself.
+    /// Whether this life of a router was heard of before.
     #[must_use]
-    pub fn has_touch(&self, now: Moment, timeout: TimeSpan) -> bool {
-        self.live(now, timeout).any(|(_, row)| row.digest.in_touch)
+    pub fn knows_life(&self, address: &IpAddr, incarnation: u64) -> bool {
+        let row = self.heard.get(address);
+        row.is_some_and(|row| row.digest.incarnation == incarnation)
     }
 
     /// Drops routers that were silent for longer than the retry budget remembers them.
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -67,6 +67,22 @@
     pub as_of: StoreRevision,
 }
 
+/// How this router stands with the store.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct OwnTouch {
+    /// It hears of all changes.
+    pub in_touch: bool,
+    /// Its last call gave nothing.
+    pub is_failing: bool,
+}
+
+/// When other routers were last known to hear from the store, and when none did.
+#[derive(Debug, Default)]
+struct PeersTouch {
+    touched_at: Option<Moment>,
+    untouched_at: Option<Moment>,
+}
+
 /// State that both threads see. Locks are held for one decision at a time.
 #[derive(Debug)]
 pub struct SharedState {
@@ -74,8 +90,9 @@
     routes: Mutex<Option<Arc<RouteTable>>>,
     endpoints: Mutex<EndpointList>,
     sections_in_touch: Mutex<BTreeSet<StateSection>>,
+    store_failing: AtomicBool,
     reader: watch::Sender<bool>,
-    peers_touched: Mutex<Option<Moment>>,
+    peers_touch: Mutex<PeersTouch>,
     /// The router's clock.
     pub clock: DriverClock,
     /// Settings of decisions.
@@ -99,8 +116,9 @@
             routes: Mutex::new(None),
             endpoints: Mutex::new(EndpointList::default()),
             sections_in_touch: Mutex::default(),
-            reader: watch::Sender::new(true),
-            peers_touched: Mutex::new(None),
+            store_failing: AtomicBool::new(false),
+            reader: watch::Sender::new(false),
+            peers_touch: Mutex::default(),
             clock: DriverClock::start(),
             config,
             life: LifeStages::new(),
@@ -194,19 +212,39 @@
         sections.len() == StateSection::ALL.len()
     }
 
-    /// Notes that another router hears of all changes from the store.
-    pub fn peers_in_touch(&self, now: Moment) {
-        let touched = self.peers_touched.lock();
-        *touched.unwrap_or_else(PoisonError::into_inner) = Some(now);
+    /// Notes whether the last call to the store gave nothing.
+    pub fn set_store_failing(&self, is_failing: bool) {
+        self.store_failing.store(is_failing, Ordering::Relaxed);
     }
 
-    /// When another router last heard of all changes from the store; nothing if none ever did.
+    /// How this router stands with the store.
     #[must_use]
-    pub fn peers_touched_at(&self) -> Option<Moment> {
-        *self
-            .peers_touched
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+    pub fn own_touch(&self) -> OwnTouch {
+        OwnTouch {
+            in_touch: self.is_in_touch(),
+            is_failing: self.store_failing.load(Ordering::Relaxed),
+        }
+    }
+
+    /// Notes whether any other router hears of all changes from the store.
+    pub fn note_peers_touch(&self, now: Moment, touched: bool) {
+        let touch = self.peers_touch.lock();
+        let mut touch = touch.unwrap_or_else(PoisonError::into_inner);
+        if touched {
+            touch.touched_at = Some(now);
+        } else {
+            touch.untouched_at = Some(now);
+        }
+    }
+
+    /// Whether at each moment since then another router heard from the store.
+    #[must_use]
+    pub fn peers_kept_touch(&self, since: Moment) -> bool {
+        let touch = self.peers_touch.lock();
+        let touch = touch.unwrap_or_else(PoisonError::into_inner);
+        let touched = touch.touched_at.is_some_and(|at| at > since);
+        let untouched = touch.untouched_at.is_some_and(|at| at > since);
+        touched && !untouched
     }
 
     /// Decides whether this router reads the store itself.
--- a/tests/gateway_follow.rs
+++ b/tests/gateway_follow.rs
@@ -81,7 +81,9 @@
         ..GatewayConfig::default()
     };
     let metrics = GatewayMetrics::new().unwrap();
-    Arc::new(SharedState::new(config, SmolStr::new("suva-a"), metrics))
+    let shared = SharedState::new(config, SmolStr::new("suva-a"), metrics);
+    shared.set_reader(true);
+    Arc::new(shared)
 }
 
 /// A router that follows a store with these endpoints.
@@ -115,7 +117,7 @@
     rest.pop_first();
     shared.offer_endpoints(StoreRevision(20), rest.clone());
     rest.pop_first();
-    shared.peers_in_touch(shared.clock.now());
+    shared.note_peers_touch(shared.clock.now(), true);
     store.hold(&rest, 30);
     for _ in 0..20 {
         sleep(Duration::from_millis(10)).await;
@@ -142,6 +144,25 @@
     assert_eq!(shared.endpoints().entries, rest);
 }
 
+/// The store is away for everybody, and registrations lapse. It returns; another router reaches it
+/// just before this one and says so. Taken for an outage of this router alone, all that lapsed
+/// would count as gone, and calls would be refused for two seconds though the endpoints live.
+#[tokio::test]
+async fn a_peer_that_reached_the_store_just_before_does_not_prove_that_it_was_there() {
+    let all = endpoints("engine", 4);
+    let (shared, store) = following(&all).await;
+    store.refuse();
+    sleep(Duration::from_millis(100)).await;
+    shared.note_peers_touch(shared.clock.now(), false);
+    let mut rest = all.clone();
+    rest.pop_first();
+    rest.pop_first();
+    shared.note_peers_touch(shared.clock.now(), true);
+    store.hold(&rest, 30);
+    sleep(Duration::from_millis(150)).await;
+    assert_eq!(shared.endpoints().entries.len(), 4);
+}
+
 /// A router that is no reader asks the store nothing, and starts when it becomes one.
 #[tokio::test]
 async fn only_readers_ask_the_store() {
--- /dev/null
+++ b/tests/gateway_readers.rs
@@ -0,0 +1,181 @@
+//! Which routers read the store, over fleets and faults, without a network.
+
+use std::collections::BTreeSet;
+
+use verbenaturn::gateway::readers::ReaderElection;
+use verbenaturn::gateway::readers::ReaderStanding;
+use verbenaturn::units::Moment;
+use verbenaturn::units::TimeSpan;
+
+/// Pause between two decisions of a router, in ms.
+const ROUND_MS: u64 = 100;
+/// Rounds from a router's decision to read until it hears from the store.
+const CONNECT_ROUNDS: u64 = 1;
+
+fn ms(millis: u64) -> Moment {
+    Moment(millis * 1_000)
+}
+
+/// One router: its election, whether it reads, and since when.
+struct Seat {
+    election: ReaderElection,
+    reads_since: Option<u64>,
+    in_touch: bool,
+    is_failing: bool,
+    alive: bool,
+}
+
+/// A fleet in which each router sees the others as they were a round ago.
+struct Fleet {
+    seats: Vec<Seat>,
+    refused: BTreeSet<usize>,
+    store_is_up: bool,
+    round: u64,
+    /// Whole readings of the store.
+    readings: usize,
+}
+
+impl Fleet {
+    fn of(count: usize) -> Self {
+        let seats = (0..count)
+            .map(|index| Seat {
+                election: ReaderElection::new(
+                    ms(0),
+                    TimeSpan::from_millis(index as u64 * 37 % 400),
+                ),
+                reads_since: None,
+                in_touch: false,
+                is_failing: false,
+                alive: true,
+            })
+            .collect();
+        Self {
+            seats,
+            refused: BTreeSet::new(),
+            store_is_up: true,
+            round: 0,
+            readings: 0,
+        }
+    }
+
+    fn touching(&self) -> usize {
+        self.seats
+            .iter()
+            .filter(|seat| seat.alive && seat.in_touch)
+            .count()
+    }
+
+    fn reading(&self) -> usize {
+        let reads = |seat: &&Seat| seat.alive && seat.reads_since.is_some();
+        self.seats.iter().filter(reads).count()
+    }
+
+    fn standing(&self, own: usize, touch: &[bool]) -> ReaderStanding {
+        let mut standing = ReaderStanding {
+            in_touch: self.seats[own].in_touch,
+            is_failing: self.seats[own].is_failing,
+            ..ReaderStanding::default()
+        };
+        for (index, seat) in self.seats.iter().enumerate() {
+            if index == own || !seat.alive {
+                continue;
+            }
+            standing.touching += usize::from(touch[index]);
+            standing.touching_before += usize::from(touch[index] && index < own);
+            let is_failing = seat.is_failing && !touch[index];
+            standing.failing += usize::from(is_failing);
+            standing.failing_before += usize::from(is_failing && index < own);
+            let is_idle = !touch[index] && !is_failing;
+            standing.idle_before += usize::from(is_idle && index < own);
+        }
+        standing
+    }
+
+    fn run(&mut self, rounds: u64) {
+        for _ in 0..rounds {
+            self.round += 1;
+            let now = ms(self.round * ROUND_MS);
+            let touch: Vec<bool> = self.seats.iter().map(|seat| seat.in_touch).collect();
+            for index in 0..self.seats.len() {
+                if !self.seats[index].alive {
+                    continue;
+                }
+                let standing = self.standing(index, &touch);
+                let reads = self.seats[index].election.reads(now, standing);
+                let reachable = self.store_is_up && !self.refused.contains(&index);
+                let seat = &mut self.seats[index];
+                seat.reads_since = reads.then(|| seat.reads_since.unwrap_or(self.round));
+                let connected = seat
+                    .reads_since
+                    .is_some_and(|since| self.round >= since + CONNECT_ROUNDS);
+                let touches = connected && reachable;
+                self.readings += usize::from(touches && !seat.in_touch);
+                seat.in_touch = touches;
+                if connected {
+                    seat.is_failing = !reachable;
+                }
+            }
+        }
+    }
+}
+
+/// All routers of a fleet start at once and know nothing of each other's reading. If each of them
+/// read the store, its rate limit would refuse the last ones, and each call is paid for.
+#[test]
+fn a_fleet_that_starts_at_once_settles_on_three_readers() {
+    let mut fleet = Fleet::of(100);
+    fleet.run(50);
+    assert_eq!((fleet.touching(), fleet.reading()), (3, 3));
+    assert!(fleet.readings <= 12, "{} readings", fleet.readings);
+}
+
+/// The store refuses a third of all routers for seconds, all readers of the moment among them, and
+/// serves the others. Within two seconds others hear from it, or changes would come late.
+#[test]
+fn readers_that_are_refused_are_replaced() {
+    let mut fleet = Fleet::of(30);
+    fleet.run(50);
+    fleet.refused = (0..10).collect();
+    fleet.run(20);
+    assert!(fleet.touching() >= 2, "{} in touch", fleet.touching());
+}
+
+/// The store is away for everybody. The calls that find that out are paid for, so that a large
+/// fleet must not try more than a small one.
+#[test]
+fn an_outage_is_watched_by_a_dozen_at_most() {
+    let mut fleet = Fleet::of(300);
+    fleet.run(50);
+    fleet.store_is_up = false;
+    fleet.run(60);
+    assert!(fleet.reading() <= 12, "{} try", fleet.reading());
+    fleet.store_is_up = true;
+    fleet.run(10);
+    assert_eq!(fleet.touching(), 3);
+    assert_eq!(fleet.reading(), 3);
+}
+
+/// A reader is killed. One other takes its place; the two that are left keep theirs, since each
+/// change of readers reads the whole store again.
+#[test]
+fn one_reader_less_costs_one_reading() {
+    let mut fleet = Fleet::of(30);
+    fleet.run(50);
+    let before = fleet.readings;
+    let lost = fleet.seats.iter().position(|seat| seat.in_touch).unwrap();
+    fleet.seats[lost].alive = false;
+    fleet.seats[lost].in_touch = false;
+    fleet.run(30);
+    assert_eq!(fleet.touching(), 3);
+    assert_eq!(fleet.readings, before + 1);
+}
+
+/// A router alone, or one whose peers are all gone, must not wait for others.
+#[test]
+fn a_router_alone_reads_the_store_after_its_welcome() {
+    let mut fleet = Fleet::of(1);
+    fleet.run(2);
+    assert_eq!(fleet.reading(), 0);
+    fleet.run(3);
+    assert_eq!(fleet.touching(), 1);
+}
