--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -134,10 +134,8 @@
 pub enum AfterCall {
     /// Takes the next one.
     Keep,
-    /// Ends in an orderly way.
-    Close,
-    /// Breaks off, so that a part of an answer can't be taken for the whole.
-    Abort,
+    /// Is closed. A part of an answer can't be taken for the whole: its framing is not complete.
+    End,
 }
 
 /// Serves one call on a caller's connection.
@@ -222,8 +220,7 @@
     record(traffic, &call, end, table.version);
     match end {
         CallEnd::Answered(_) | CallEnd::Own(..) if call.keep => AfterCall::Keep,
-        CallEnd::Answered(_) | CallEnd::Own(..) => AfterCall::Close,
-        CallEnd::Cut(_) | CallEnd::CallerLeft => AfterCall::Abort,
+        _ => AfterCall::End,
     }
 }
 
@@ -469,8 +466,7 @@
     let bytes = reply.bytes(&traffic.protocol, call_id, keep);
     match caller.send_watching(&bytes).await {
         Ok(()) if keep => AfterCall::Keep,
-        Ok(()) => AfterCall::Close,
-        Err(_) => AfterCall::Abort,
+        _ => AfterCall::End,
     }
 }
 
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -126,8 +126,7 @@
         } = request;
         match serve_call(&traffic, &mut caller, head, body, keep).await {
             AfterCall::Keep => {}
-            AfterCall::Close => return,
-            AfterCall::Abort => return,
+            AfterCall::End => return,
         }
     }
 }
