Routers share what they see of endpoints' health; silence of endpoints counts

Cause: endpoints that go dark or fail with good probes cost each of 90 routers its own calls to find out: a call in some seconds each, lost until the caller's deadline where it may not run elsewhere, and a call that timed out said nothing of its endpoint at all. Routers now notice an endpoint from which nothing came within twice the expected time and 0.3 s, and tell each other attempts, failures, silence and signs of life. Kept: nobody hears from it, and failures beyond a tolerance of 0.15.

--- a/src/gateway/decide/core.rs
+++ b/src/gateway/decide/core.rs
@@ -20,6 +20,7 @@
 use super::budget::RetryBudget;
 use super::endpoints::EndpointTable;
 use super::endpoints::PeerLoad;
+use super::health::HeardClock;
 use super::placement;
 use super::placement::EngineModel;
 use super::placement::Placement;
@@ -28,14 +29,10 @@
 use super::shares::ShareTable;
 use super::sizes::SizeTable;
 
-/// Weight of a new measurement in an engine's learned speed: about twenty answers change it, a
-/// second or two of usual traffic.
+/// Weight of a new measurement in a service's mean stay: about twenty answers change it, a second
+/// or two of usual traffic.
 const LEARNING_WEIGHT: f64 = 0.08;
 
-/// Bounds of what a single measurement may say of an engine's slowness, so that one stalled
-/// request does not shut an engine out.
-const SLOWNESS_RANGE: (f64, f64) = (0.5, 8.0);
-
 /// Prompt tokens below which the time to a first token says nothing about reading speed.
 const LEARNING_TOKENS: f64 = 2_000.0;
 
@@ -110,6 +107,14 @@
     queued: f64,
     placed_at: Moment,
     is_reading: bool,
+    heard: HeardClock,
+}
+
+impl AttemptTicket {
+    /// Something came from the endpoint.
+    pub fn hear(&self, now: Moment) {
+        self.heard.hear(now);
+    }
 }
 
 /// How an attempt ended.
@@ -184,6 +189,7 @@
     pub fn set_peer_loads(&mut self, loads: &BTreeMap<u64, PeerLoad>) {
         for row in self.endpoints.rows_mut() {
             row.peers = loads.get(&row.hash).copied().unwrap_or_default();
+            row.health.told = row.peers.health;
         }
     }
 
@@ -296,6 +302,7 @@
     }
 
     fn ticket(&mut self, now: Moment, ask: &CallAsk<'_>, placement: &Placement) -> Admission {
+        let hold_ms = self.hold_ms(ask.service);
         let Some(row) = self.endpoints.get_mut(&placement.endpoint) else {
             return Admission::Refuse {
                 cause: RefusalCause::NoEndpoint,
@@ -304,6 +311,9 @@
         };
         row.active += 1;
         row.pending_tokens += placement.uncached;
+        // A plain service answers when it is done; an engine when it has read the prompt.
+        let stay_ms = if ask.prompt.is_some() { 0.0 } else { hold_ms };
+        row.health.begins(now, placement.first_ms + stay_ms);
         if let Some(prompt) = ask.prompt {
             let tokens = f64::from(prompt.prompt_tokens);
             self.sizes.served(&ask.route.name, tokens);
@@ -321,6 +331,7 @@
             queued: row.total_pending(),
             placed_at: now,
             is_reading: true,
+            heard: row.health.heard.clone(),
         })
     }
 
@@ -332,13 +343,13 @@
             return;
         };
         row.reached();
+        row.health.outputs(now);
         if ticket.queued < LEARNING_TOKENS {
             return;
         }
         let measured = now.since(ticket.placed_at).0 as f64 / 1e3;
         let ratio = measured / ticket.first_ms.max(1.0);
-        let sample = (row.slowness * ratio).clamp(SLOWNESS_RANGE.0, SLOWNESS_RANGE.1);
-        row.slowness += LEARNING_WEIGHT * (sample - row.slowness);
+        row.health.learn_slowness(ratio);
     }
 
     fn stop_reading(&mut self, ticket: &mut AttemptTicket) {
@@ -354,22 +365,29 @@
     /// An attempt ended.
     #[allow(clippy::cast_precision_loss)]
     pub fn ended(&mut self, now: Moment, mut ticket: AttemptTicket, end: AttemptEnd) {
+        let had_output = !ticket.is_reading;
         self.stop_reading(&mut ticket);
         let Some(row) = self.endpoints.get_mut(&ticket.entry.key) else {
             return;
         };
+        let was_silent = row.health.is_silent_here(now);
         row.active = row.active.saturating_sub(1);
+        row.health.ends(had_output);
         match end {
             AttemptEnd::Answered => {
                 row.reached();
-                row.failures.count(now, false);
+                row.health.heard.hear(now);
+                row.health.count(now, false);
                 let stay = now.since(ticket.placed_at).0 as f64 / 1e3;
                 let mean = self.holds.entry(ticket.entry.service).or_insert(stay);
                 *mean += LEARNING_WEIGHT * (stay - *mean);
             }
-            AttemptEnd::Failed => row.failures.count(now, true),
+            AttemptEnd::Failed => row.health.count(now, true),
             AttemptEnd::NotReached => row.not_reached(now),
             AttemptEnd::Full => row.was_full(now),
+            // Callers that give up on an endpoint that hangs are the only sign of it where the
+            // request may not run elsewhere.
+            AttemptEnd::Abandoned if was_silent => row.health.count(now, true),
             AttemptEnd::Abandoned => {}
         }
     }
--- a/src/gateway/decide/endpoints.rs
+++ b/src/gateway/decide/endpoints.rs
@@ -9,7 +9,8 @@
 use super::super::routes::EndpointKey;
 use super::super::routes::EndpointState;
 use super::super::routes::ServiceKey;
-use super::outliers::FailureRate;
+use super::health::EndpointHealth;
+use super::health::ToldHealth;
 
 /// First pause after a connection that was not made, and the longest, in ms. A restart of an
 /// endpoint takes seconds; trying every 2 s finds it soon and costs few connections.
@@ -25,8 +26,11 @@
 pub struct PeerLoad {
     /// Requests.
     pub active: u32,
-    /// Prompt tokens that wait to be read.
+    /// Prompt tokens that wait to be read. A sum of whole numbers, so that taking them away again
+    /// leaves nothing.
     pub pending_tokens: f64,
+    /// What they tell of its health.
+    pub health: ToldHealth,
 }
 
 /// One endpoint.
@@ -42,10 +46,8 @@
     pub pending_tokens: f64,
     /// The other routers' work there.
     pub peers: PeerLoad,
-    /// Measured time to the first output against the predicted one; 1 is as predicted.
-    pub slowness: f64,
-    /// Failures of attempts.
-    pub failures: FailureRate,
+    /// How well it works.
+    pub health: EndpointHealth,
     /// No new work before.
     pub paused_until: Moment,
     /// Connections in a row that were not made.
@@ -62,8 +64,7 @@
             active: 0,
             pending_tokens: 0.0,
             peers: PeerLoad::default(),
-            slowness: 1.0,
-            failures: FailureRate::default(),
+            health: EndpointHealth::default(),
             paused_until: Moment(0),
             refused: 0,
             parts: BTreeMap::new(),
@@ -106,57 +107,81 @@
     }
 }
 
-/// All endpoints.
+/// All endpoints, in the order of their keys.
 #[derive(Debug, Default)]
 pub struct EndpointTable {
-    rows: BTreeMap<EndpointKey, EndpointRow>,
-    services: BTreeMap<ServiceKey, Vec<EndpointKey>>,
+    rows: Vec<EndpointRow>,
+    /// Places of a service's rows. A decision looks at each of them: a look-up by key for each
+    /// would take half of its time at 140 endpoints.
+    services: BTreeMap<ServiceKey, Vec<usize>>,
 }
 
 impl EndpointTable {
     /// Takes over what is registered now. Rows of known endpoints keep what was learned.
     pub fn replace(&mut self, entries: &BTreeMap<EndpointKey, EndpointEntry>) {
-        self.rows.retain(|key, _| entries.contains_key(key));
+        let before = std::mem::take(&mut self.rows).into_iter();
+        let mut known: BTreeMap<EndpointKey, EndpointRow> =
+            before.map(|row| (row.entry.key.clone(), row)).collect();
         self.services.clear();
         for (key, entry) in entries {
-            match self.rows.get_mut(key) {
-                Some(row) => row.entry = entry.clone(),
-                None => {
-                    self.rows
-                        .insert(key.clone(), EndpointRow::new(entry.clone()));
-                }
-            }
-            let service = self.services.entry(entry.service.clone()).or_default();
-            service.push(key.clone());
+            let row = match known.remove(key) {
+                Some(row) => EndpointRow {
+                    entry: entry.clone(),
+                    ..row
+                },
+                None => EndpointRow::new(entry.clone()),
+            };
+            let places = self.services.entry(entry.service.clone()).or_default();
+            places.push(self.rows.len());
+            self.rows.push(row);
         }
     }
 
+    fn place(&self, key: &EndpointKey) -> Option<usize> {
+        let found = self.rows.binary_search_by(|row| row.entry.key.cmp(key));
+        found.ok()
+    }
+
     /// One endpoint.
     #[must_use]
     pub fn get(&self, key: &EndpointKey) -> Option<&EndpointRow> {
-        self.rows.get(key)
+        self.place(key).map(|place| &self.rows[place])
     }
 
     /// One endpoint, to change.
     pub fn get_mut(&mut self, key: &EndpointKey) -> Option<&mut EndpointRow> {
-        self.rows.get_mut(key)
+        self.place(key).map(|place| &mut self.rows[place])
     }
 
     /// The endpoints of a service.
     pub fn of_service(&self, service: &ServiceKey) -> impl Iterator<Item = &EndpointRow> {
-        let keys = self.services.get(service).map(Vec::as_slice);
-        keys.unwrap_or_default()
+        let places = self.services.get(service).map(Vec::as_slice);
+        places
+            .unwrap_or_default()
             .iter()
-            .filter_map(|key| self.rows.get(key))
+            .map(|place| &self.rows[*place])
     }
 
     /// All endpoints.
     pub fn rows(&self) -> impl Iterator<Item = &EndpointRow> {
-        self.rows.values()
+        self.rows.iter()
     }
 
     /// All endpoints, to change.
     pub fn rows_mut(&mut self) -> impl Iterator<Item = &mut EndpointRow> {
-        self.rows.values_mut()
+        self.rows.iter_mut()
+    }
+
+    /// Whether this router's word on endpoints' health is worth telling: not while most of those
+    /// that it uses are silent to it, since then its own links are at fault.
+    #[must_use]
+    pub fn is_trustworthy(&self, now: Moment) -> bool {
+        let used = self.rows.iter().filter(|row| row.active > 0);
+        let (mut count, mut silent) = (0, 0);
+        for row in used {
+            count += 1;
+            silent += usize::from(row.health.is_silent_here(now));
+        }
+        silent * 2 <= count
     }
 }
--- a/src/gateway/decide/mod.rs
+++ b/src/gateway/decide/mod.rs
@@ -6,7 +6,7 @@
 pub mod budget;
 pub mod core;
 pub mod endpoints;
-pub mod outliers;
+pub mod health;
 pub mod placement;
 pub mod shares;
 pub mod sizes;
--- a/src/gateway/decide/placement.rs
+++ b/src/gateway/decide/placement.rs
@@ -41,6 +41,11 @@
 /// the caller about as much as a late answer.
 const FAILURE_PENALTY_MS: f64 = 1_500.0;
 
+/// Failures beyond those of the best endpoint that say nothing. Requests that fail by themselves
+/// come up to one in seven, and all routers know the same sums: a smaller difference would send
+/// the whole fleet's work to whichever endpoint had the fewest of late.
+const FAILURE_TOLERANCE: f64 = 0.15;
+
 /// What the model of an engine needs to know.
 #[derive(Debug, Clone, Copy)]
 pub struct EngineModel {
@@ -173,7 +178,7 @@
         return waiting;
     };
     let reading = (row.total_pending() + uncached) / model.tokens_per_ms;
-    IDLE_FIRST_TOKEN_MS + (waiting + reading) * row.slowness
+    IDLE_FIRST_TOKEN_MS + (waiting + reading) * row.health.slowness()
 }
 
 /// The endpoint with the least predicted time to a first output, and what it costs there.
@@ -195,7 +200,7 @@
         .collect();
     let lowest = usable
         .iter()
-        .map(|row| row.failures.rate(now))
+        .map(|row| row.health.failure_rate(now))
         .fold(1.0, f64::min);
     let mut best: Option<(f64, Placement)> = None;
     for row in usable {
@@ -219,8 +224,9 @@
     best.map(|(_, placement)| placement)
 }
 
-/// Endpoints that may get the request. If all of them are paused, the pauses don't count: a short
-/// refusal by the only endpoints left must not refuse what comes just after it.
+/// Endpoints that may get the request. If all of them are paused or silent, that doesn't count: a
+/// short refusal by the only endpoints left must not refuse what comes just after it, and a fleet
+/// of endpoints that seems silent as a whole is still used.
 fn usable_rows<'a>(
     rows: &[&'a EndpointRow],
     tried: &[EndpointKey],
@@ -231,7 +237,7 @@
     let unpaused: Vec<_> = ready
         .iter()
         .copied()
-        .filter(|row| now >= row.paused_until)
+        .filter(|row| now >= row.paused_until && !row.health.is_silent(now))
         .collect();
     if unpaused.is_empty() { ready } else { unpaused }
 }
@@ -243,7 +249,8 @@
     } else {
         DOMAIN_PENALTY_MS
     };
-    let failing = (row.failures.rate(now) - lowest) * FAILURE_PENALTY_MS;
+    let excess = row.health.failure_rate(now) - lowest - FAILURE_TOLERANCE;
+    let failing = excess.max(0.0) * FAILURE_PENALTY_MS;
     let busy = f64::from(row.total_active()) / f64::from(row.entry.slots.max(1));
     away + failing + busy * FULL_BATCH_MS
 }
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -20,6 +20,7 @@
 use crate::units::Moment;
 use crate::units::TimeSpan;
 
+use super::decide::endpoints::EndpointRow;
 use super::handover;
 use super::peer_table::DemandEntry;
 use super::peer_table::LoadEntry;
@@ -173,20 +174,16 @@
         let routes_version = self.shared.routes().map_or(0, |table| table.version);
         let mut core = self.shared.core();
         let asked = core.shares.asked(now);
-        let busy = core.endpoints.rows().filter(|row| row.active > 0);
+        let trusts_itself = core.endpoints.is_trustworthy(now);
+        let loads = core.endpoints.rows();
+        let loads = loads.filter_map(|row| load_entry(row, now, trusts_itself));
         RouterDigest {
             incarnation: self.plan.incarnation,
             sequence: self.round,
             leaving: self.shared.life.draining.is_cancelled(),
             routes_version,
             endpoints_revision,
-            loads: busy
-                .map(|row| LoadEntry {
-                    endpoint: row.hash,
-                    active: row.active,
-                    pending_tokens: row.pending_tokens as u32,
-                })
-                .collect(),
+            loads: loads.collect(),
             demands: asked
                 .iter()
                 .filter(|(_, tokens)| **tokens >= 1.0)
@@ -297,6 +294,32 @@
     }
 }
 
+/// What this router tells of one endpoint; nothing if there is nothing to tell. A router that does
+/// not trust its own links tells of its load only.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn load_entry(row: &EndpointRow, now: Moment, trusts_itself: bool) -> Option<LoadEntry> {
+    let load = LoadEntry {
+        endpoint: row.hash,
+        active: row.active,
+        pending_tokens: row.pending_tokens as u32,
+        ..LoadEntry::default()
+    };
+    if !trusts_itself {
+        return (row.active > 0).then_some(load);
+    }
+    let (attempts, failures) = row.health.telling(now);
+    let silent = row.health.is_silent_here(now);
+    let heard = row.health.is_heard(now);
+    let has_news = row.active > 0 || failures > 0 || silent;
+    has_news.then_some(LoadEntry {
+        attempts,
+        failures,
+        silent,
+        heard,
+        ..load
+    })
+}
+
 /// The IP number of a seed, with or without a port.
 fn seed_ip(seed: &str) -> Option<IpAddr> {
     let address = seed.parse::<SocketAddr>().map(|address| address.ip());
--- a/src/gateway/peer_table.rs
+++ b/src/gateway/peer_table.rs
@@ -31,6 +31,18 @@
     /// Prompt tokens that wait to be read.
     #[prost(uint32, tag = "3")]
     pub pending_tokens: u32,
+    /// The sender's recent attempts there, in hundredths.
+    #[prost(uint32, tag = "4")]
+    pub attempts: u32,
+    /// Failures among them, in hundredths.
+    #[prost(uint32, tag = "5")]
+    pub failures: u32,
+    /// Whether the endpoint is silent to it.
+    #[prost(bool, tag = "6")]
+    pub silent: bool,
+    /// Whether the sender heard from it of late.
+    #[prost(bool, tag = "7")]
+    pub heard: bool,
 }
 
 /// What a team asks of one router.
@@ -128,8 +140,13 @@
     fn add_loads(&mut self, digest: &RouterDigest) {
         for load in &digest.loads {
             let sum = self.loads.entry(load.endpoint).or_default();
-            sum.active += load.active;
+            sum.active = sum.active.saturating_add(load.active);
             sum.pending_tokens += f64::from(load.pending_tokens);
+            let health = &mut sum.health;
+            health.attempts = health.attempts.saturating_add(load.attempts);
+            health.failures = health.failures.saturating_add(load.failures);
+            health.hearing += u32::from(load.heard);
+            health.silent += u32::from(load.silent);
         }
     }
 
@@ -140,7 +157,12 @@
             };
             sum.active = sum.active.saturating_sub(load.active);
             sum.pending_tokens -= f64::from(load.pending_tokens);
-            if sum.active == 0 {
+            let health = &mut sum.health;
+            health.attempts = health.attempts.saturating_sub(load.attempts);
+            health.failures = health.failures.saturating_sub(load.failures);
+            health.hearing = health.hearing.saturating_sub(u32::from(load.heard));
+            health.silent = health.silent.saturating_sub(u32::from(load.silent));
+            if *sum == PeerLoad::default() {
                 self.loads.remove(&load.endpoint);
             }
         }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -155,7 +155,7 @@
         match read_watching(endpoint, caller, call.deadline, stall).await {
             Ok(Ok(0)) if start.decoder.end_of_stream() => {}
             Ok(Ok(0)) => return AttemptOutcome::Broken("stream was cut"),
-            Ok(Ok(_)) => {}
+            Ok(Ok(_)) => ticket.hear(traffic.shared.clock.now()),
             Ok(Err(_)) => return AttemptOutcome::Broken("stream was reset"),
             Err(Interruption::CallerLeft) => return AttemptOutcome::CallerLeft,
             Err(interruption) => return interruption.outcome(),
--- a/tests/engines/mod.rs
+++ b/tests/engines/mod.rs
@@ -319,6 +319,7 @@
                 let load = PeerLoad {
                     active: row.active,
                     pending_tokens: row.pending_tokens,
+                    ..PeerLoad::default()
                 };
                 (row.hash, load)
             })
--- /dev/null
+++ b/tests/gateway_health.rs
@@ -0,0 +1,184 @@
+//! What routers believe of endpoints that fail or hang while their probes say that they are well,
+//! from their own calls and from each other's words, without a network.
+
+use smol_str::SmolStr;
+
+use verbenaturn::gateway::config::GatewayConfig;
+use verbenaturn::gateway::decide::Admission;
+use verbenaturn::gateway::decide::AttemptEnd;
+use verbenaturn::gateway::decide::AttemptTicket;
+use verbenaturn::gateway::decide::GatewayCore;
+use verbenaturn::gateway::decide::endpoints::PeerLoad;
+use verbenaturn::gateway::decide::health::ToldHealth;
+use verbenaturn::gateway::protocol::PromptPart;
+use verbenaturn::gateway::protocol::PromptShape;
+use verbenaturn::gateway::routes::EndpointKey;
+use verbenaturn::gateway::routes::TeamKey;
+use verbenaturn::units::Moment;
+
+mod engines;
+
+use self::engines::ask;
+use self::engines::endpoints;
+use self::engines::engine_service;
+use self::engines::route;
+
+fn ms(millis: u64) -> Moment {
+    Moment(millis * 1_000)
+}
+
+fn core(endpoint_count: usize) -> GatewayCore {
+    let mut core = GatewayCore::new(GatewayConfig::default(), SmolStr::new("suva-a"));
+    core.set_endpoints(&endpoints("engine", endpoint_count));
+    core
+}
+
+/// Places a short prompt of its own, at `now`.
+fn placed(core: &mut GatewayCore, now: Moment, number: u64) -> AttemptTicket {
+    let prompt = PromptShape {
+        prompt_tokens: 500,
+        output_limit: 100,
+        output_hint: None,
+        parts: vec![PromptPart {
+            id: 1_000 + number,
+            tokens: 500,
+        }],
+    };
+    let (route, shape) = (route("queries", 800), engine_service());
+    let (service, team) = ("engine".parse().unwrap(), TeamKey(SmolStr::new("nadi")));
+    let call = ask(&route, &service, &shape, &team, &prompt);
+    let standing = core.arrived(now, &call);
+    match core.admit(now, &call, standing) {
+        Admission::Send(ticket) => ticket,
+        refusal @ Admission::Refuse { .. } => panic!("{refusal:?}"),
+    }
+}
+
+fn key_of(core: &GatewayCore, index: usize) -> EndpointKey {
+    core.endpoints.rows().nth(index).unwrap().entry.key.clone()
+}
+
+fn told(core: &GatewayCore, index: usize, health: ToldHealth) -> (u64, PeerLoad) {
+    let load = PeerLoad {
+        health,
+        ..PeerLoad::default()
+    };
+    (core.endpoints.rows().nth(index).unwrap().hash, load)
+}
+
+/// An engine goes dark: it accepts requests and says nothing, and its probe is good. Requests that
+/// may not run elsewhere wait there until their callers give up, seconds later. Work that comes in
+/// the meantime must go elsewhere, not only what comes after the first caller gave up.
+#[test]
+fn a_dark_engine_gets_no_more_work_after_half_a_second() {
+    let mut core = core(2);
+    let dark = placed(&mut core, ms(1_000), 0).entry.key;
+    let mut here = 0;
+    for number in 1..40 {
+        let now = ms(1_600 + number * 50);
+        let mut ticket = placed(&mut core, now, number);
+        here += usize::from(ticket.entry.key == dark);
+        if ticket.entry.key != dark {
+            core.first_output(now, &mut ticket);
+            core.ended(now, ticket, AttemptEnd::Answered);
+        }
+    }
+    assert_eq!(here, 0);
+}
+
+/// An engine takes longer than predicted, since other routers sent it work that this one does not
+/// know of yet. They hear from it. Taken for dark, its work would go to the others, which then are
+/// late in their turn, until all seem dark.
+#[test]
+fn a_busy_engine_that_others_hear_from_is_used() {
+    let mut core = core(2);
+    let _waiting = placed(&mut core, ms(1_000), 0);
+    let heard = ToldHealth {
+        hearing: 1,
+        ..ToldHealth::default()
+    };
+    let loads = [told(&core, 0, heard), told(&core, 1, heard)];
+    core.set_peer_loads(&loads.into_iter().collect());
+    let mut used = std::collections::BTreeSet::new();
+    for number in 1..20 {
+        used.insert(placed(&mut core, ms(1_900 + number), number).entry.key);
+    }
+    assert_eq!(used.len(), 2);
+}
+
+/// Two routers find an engine dark. A third one that has sent it nothing for a while must not find
+/// out for itself at the cost of a caller; in a fleet of a hundred each would.
+#[test]
+fn a_router_takes_the_word_of_two_others_for_silence() {
+    let mut core = core(2);
+    let silent = ToldHealth {
+        silent: 2,
+        ..ToldHealth::default()
+    };
+    let loads = [told(&core, 0, silent)];
+    core.set_peer_loads(&loads.into_iter().collect());
+    for number in 0..20 {
+        let ticket = placed(&mut core, ms(5_000 + number), number);
+        assert_eq!(ticket.entry.key, key_of(&core, 1));
+    }
+}
+
+/// An engine resets half of its requests; each router sees one of them in some seconds. Together
+/// they know it at once.
+#[test]
+fn failures_that_others_saw_count() {
+    let mut core = core(3);
+    let failing = ToldHealth {
+        attempts: 2_000,
+        failures: 1_000,
+        hearing: 5,
+        ..ToldHealth::default()
+    };
+    let loads = [told(&core, 2, failing)];
+    core.set_peer_loads(&loads.into_iter().collect());
+    for number in 0..30 {
+        let ticket = placed(&mut core, ms(5_000 + number), number);
+        assert_ne!(ticket.entry.key, key_of(&core, 2));
+    }
+}
+
+/// One request in seven fails by itself wherever it runs. All routers know the same sums, in which
+/// one endpoint is a little better by chance: if that decided, all would send everything there.
+#[test]
+fn small_differences_of_failures_move_nothing() {
+    let mut core = core(3);
+    let rates = [1_400, 1_200, 800];
+    let loads: Vec<_> = rates
+        .iter()
+        .enumerate()
+        .map(|(index, failures)| {
+            let health = ToldHealth {
+                attempts: 10_000,
+                failures: *failures,
+                hearing: 5,
+                ..ToldHealth::default()
+            };
+            told(&core, index, health)
+        })
+        .collect();
+    core.set_peer_loads(&loads.into_iter().collect());
+    let mut counts = std::collections::BTreeMap::new();
+    for number in 0..60 {
+        let ticket = placed(&mut core, ms(5_000 + number), number);
+        *counts.entry(ticket.entry.key).or_insert(0) += 1;
+    }
+    assert_eq!(counts.len(), 3);
+    assert!(counts.values().all(|count| *count >= 10), "{counts:?}");
+}
+
+/// A router's own links to the engines are cut. Its word that all of them are silent must not
+/// reach the others.
+#[test]
+fn a_router_with_cut_links_is_not_trustworthy() {
+    let mut core = core(4);
+    for number in 0..8 {
+        let _waiting = placed(&mut core, ms(1_000 + number), number);
+    }
+    assert!(core.endpoints.is_trustworthy(ms(1_100)));
+    assert!(!core.endpoints.is_trustworthy(ms(4_000)));
+}
