A router that lags refuses; service against shares counts over all routers; fewer messages

Cause: one host of 0.12 cores gets 1,600 calls a second from one team. Teams that come through many routers seemed to be served little at each. Timers over 60 ms late: teams beyond their shares are refused without a placement; over 150 ms: all calls, to other routers. Six of ninety routers have four fifths of all calls: messages a round now follow a router's part of them (3 to 20, before 10).

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -17,10 +17,12 @@
 use super::decide::AttemptTicket;
 use super::decide::CallAsk;
 use super::decide::RefusalCause;
+use super::decide::shares::ShareStanding;
 use super::front::Traffic;
 use super::http::EventSplitter;
 use super::http::RequestHead;
 use super::http::WireStream;
+use super::load::LagLevel;
 use super::load::is_full;
 use super::protocol::CallFacts;
 use super::protocol::CallProtocol;
@@ -168,7 +170,7 @@
         let reply = OwnReply::later(OwnStatus::Unavailable, wait);
         return refuse(traffic, caller, &id, reply, "no routes yet", keep).await;
     };
-    if is_full(traffic) {
+    if is_full(traffic) || traffic.callers.lag() == LagLevel::TooLate {
         let wait = Duration::from_millis(traffic.shared.config.elsewhere_retry_ms);
         let reply = OwnReply::later(OwnStatus::Unavailable, wait);
         return refuse(traffic, caller, &id, reply, "router is full", false).await;
@@ -258,6 +260,10 @@
             .core()
             .arrived(traffic.shared.clock.now(), &ask)
     };
+    if standing != ShareStanding::Within && traffic.callers.lag() >= LagLevel::Late {
+        let wait = TimeSpan::from_millis(traffic.shared.config.retry_after_ms);
+        return refused(traffic, caller, call, RefusalCause::OverShare, wait).await;
+    }
     loop {
         let admission = {
             let ask = ask_of(call, table);
--- a/src/gateway/decide/core.rs
+++ b/src/gateway/decide/core.rs
@@ -284,13 +284,12 @@
         limit.min(left)
     }
 
-    /// The part of the objective for a team that is served so many times its share.
+    /// The part of the objective for a team that is served so many times its share, by all routers.
     ///
     /// What endpoints can do beyond the published rate would go to whoever asks most often. The
     /// more a team has of it already, the emptier an endpoint must be to give it more, so that
     /// teams beyond their shares get about the same. The square makes twice the service need a
-    /// quarter of the queue; a linear limit with a floor left a team that comes through all routers
-    /// with five times its share, and one that comes through one router with twice.
+    /// quarter of the queue.
     fn beyond_part(&self, served: f64) -> f64 {
         self.config.over_share_part / (served * served)
     }
--- a/src/gateway/decide/shares.rs
+++ b/src/gateway/decide/shares.rs
@@ -29,6 +29,15 @@
     Beyond(f64),
 }
 
+/// What a team asks of routers and is served by them, in tokens a second.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct TeamFlow {
+    /// Asked.
+    pub asked: f64,
+    /// Served.
+    pub served: f64,
+}
+
 #[derive(Debug)]
 struct TeamCounts {
     asked: WindowCount,
@@ -38,6 +47,8 @@
     credited_at: Moment,
     /// This router's part of the team's share, in tokens a second; nothing if it is not limited.
     allowed: Option<f64>,
+    /// What all routers together serve the team, against its share.
+    served_part: f64,
 }
 
 /// What teams ask and what they are owed.
@@ -70,6 +81,7 @@
                 credit: 0.0,
                 credited_at: Moment(0),
                 allowed: None,
+                served_part: 0.0,
             })
     }
 
@@ -79,7 +91,6 @@
     /// it is [`Self::serve`]d.
     pub fn ask(&mut self, now: Moment, team: &TeamKey, tokens: f64) -> ShareStanding {
         self.begun.get_or_insert(now);
-        let seconds = self.counted_s(now);
         let counts = self.counts(team);
         counts.asked.add(now, tokens);
         let Some(allowed) = counts.allowed else {
@@ -93,8 +104,7 @@
         if counts.credit > 0.0 {
             return ShareStanding::Within;
         }
-        let served = counts.served.sum(now) / seconds;
-        ShareStanding::Beyond((served / allowed.max(1.0)).max(1.0))
+        ShareStanding::Beyond(counts.served_part.max(1.0))
     }
 
     /// Counts a request that is sent. One that was refused, for whatever reason, costs its team
@@ -118,28 +128,41 @@
         age.clamp(LEAST_COUNTED, self.window.max(LEAST_COUNTED)).0 as f64 / 1e6
     }
 
-    /// What each team asked of this router, in tokens a second.
-    pub fn asked(&mut self, now: Moment) -> BTreeMap<TeamKey, f64> {
+    /// What each team asked of this router and was served by it.
+    pub fn flows(&mut self, now: Moment) -> BTreeMap<TeamKey, TeamFlow> {
         let seconds = self.counted_s(now);
         self.teams
             .iter_mut()
-            .map(|(team, counts)| (team.clone(), counts.asked.sum(now) / seconds))
+            .map(|(team, counts)| {
+                let flow = TeamFlow {
+                    asked: counts.asked.sum(now) / seconds,
+                    served: counts.served.sum(now) / seconds,
+                };
+                (team.clone(), flow)
+            })
             .collect()
     }
 
     /// Sets this router's part of each team's share from what all routers were asked. `rate` is
     /// what all endpoints together handle, in tokens a second.
-    pub fn share_out(&mut self, now: Moment, rate: f64, elsewhere: &BTreeMap<u64, f64>) {
-        let own = self.asked(now);
-        let mut demands = elsewhere.clone();
-        for (team, asked) in &own {
-            *demands.entry(team.hash()).or_default() += asked;
+    ///
+    /// What a team is served against its share is counted over all routers as well. Counted by
+    /// each for itself, a team that comes through many of them seems to be served little
+    /// everywhere, since one request is more than a router's part of its share for seconds; it got
+    /// twice what a team got that came through one router.
+    pub fn share_out(&mut self, now: Moment, rate: f64, elsewhere: &BTreeMap<u64, TeamFlow>) {
+        let own = self.flows(now);
+        let mut flows = elsewhere.clone();
+        for (team, flow) in &own {
+            let sum = flows.entry(team.hash()).or_default();
+            sum.asked += flow.asked;
+            sum.served += flow.served;
         }
-        let level = max_min_level(rate, demands.values().copied());
+        let level = max_min_level(rate, flows.values().map(|flow| flow.asked));
         for (team, counts) in &mut self.teams {
             let own = own.get(team).copied().unwrap_or_default();
-            let all = demands.get(&team.hash()).copied().unwrap_or_default();
-            if all <= level || all <= 0.0 || rate <= 0.0 {
+            let all = flows.get(&team.hash()).copied().unwrap_or_default();
+            if all.asked <= level || all.asked <= 0.0 || rate <= 0.0 {
                 counts.allowed = None;
                 continue;
             }
@@ -147,7 +170,8 @@
                 counts.credit = 0.0;
                 counts.credited_at = now;
             }
-            counts.allowed = Some(level * own / all);
+            counts.allowed = Some(level * own.asked / all.asked);
+            counts.served_part = all.served / level.max(1.0);
         }
     }
 }
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -29,10 +29,18 @@
 use super::readers::ReaderElection;
 use super::shared::SharedState;
 
-/// Messages sent in one round. With more routers than this each hears of the others less often,
-/// and a router's cost stays the same.
+/// Routers up to which all are sent to in each round. With more of them each hears of the others
+/// less often, and a router's cost stays the same.
 const MESSAGES_PER_ROUND: usize = 10;
 
+/// Messages a round in a larger fleet: of a router that has little at endpoints, of an average one,
+/// and of one that has most. Callers spread unevenly: six of ninety routers had four fifths of all
+/// calls, and what the others tell changes little. Reading a message costs the smallest hosts 0.15
+/// ms; a hundred a second took a seventh of their processor time.
+const FEWEST_MESSAGES: usize = 3;
+const USUAL_MESSAGES: usize = 5;
+const MOST_MESSAGES: usize = 20;
+
 /// Rounds after a start in which a router sends to all that it knows. A fleet that starts at once
 /// knows nothing of its load; until its routers have heard from each other they flood endpoints
 /// that seem idle to each of them. Forty messages a round cost a host of 0.12 cores a tenth of its
@@ -163,7 +171,7 @@
     /// Gives the core what the others told.
     fn take_over(&self, now: Moment) {
         let timeout = self.timeout();
-        let demands = self.peers.demands(now, timeout);
+        let flows = self.peers.flows(now, timeout);
         let rate = self
             .shared
             .routes()
@@ -171,7 +179,7 @@
         let mut core = self.shared.core();
         core.set_peer_loads(self.peers.loads());
         core.set_routers(self.peers.budget_routers(now));
-        core.shares.share_out(now, rate, &demands);
+        core.shares.share_out(now, rate, &flows);
         core.forget_parts(now);
     }
 
@@ -180,7 +188,7 @@
         let endpoints_revision = self.shared.endpoints_revision().0;
         let routes_version = self.shared.routes().map_or(0, |table| table.version);
         let mut core = self.shared.core();
-        let asked = core.shares.asked(now);
+        let flows = core.shares.flows(now);
         let trusts_itself = core.endpoints.is_trustworthy(now);
         let loads = core.endpoints.rows();
         let loads = loads.filter_map(|row| load_entry(row, now, trusts_itself));
@@ -191,12 +199,13 @@
             routes_version,
             endpoints_revision,
             loads: loads.collect(),
-            demands: asked
+            demands: flows
                 .iter()
-                .filter(|(_, tokens)| **tokens >= 1.0)
-                .map(|(team, tokens)| DemandEntry {
+                .filter(|(_, flow)| flow.asked >= 1.0)
+                .map(|(team, flow)| DemandEntry {
                     team: team.hash(),
-                    tokens_per_s: *tokens as u32,
+                    tokens_per_s: flow.asked as u32,
+                    served_per_s: flow.served as u32,
                 })
                 .collect(),
             routers: self.told_addresses(now),
@@ -224,7 +233,7 @@
         } else if self.round < YOUNG_ROUNDS {
             live.len().min(YOUNG_MESSAGES)
         } else {
-            live.len().min(MESSAGES_PER_ROUND)
+            messages_per_round(live.len(), self.own_active(), self.peers.all_active())
         };
         let turned = live.iter().cycle().skip(self.next % live.len().max(1));
         let mut receivers: Vec<IpAddr> = turned.take(count).copied().collect();
@@ -240,6 +249,12 @@
         receivers
     }
 
+    /// This router's calls at endpoints.
+    fn own_active(&self) -> u64 {
+        let core = self.shared.core();
+        core.endpoints.rows().map(|row| u64::from(row.active)).sum()
+    }
+
     /// Whether the store itself told this router something that the others don't know yet. All of
     /// them are told in the same round: a change has to be in force everywhere within seconds.
     fn has_news(&mut self) -> bool {
@@ -306,6 +321,21 @@
     }
 }
 
+/// Messages that a router sends in a round to `live` others: more of them the larger its part of
+/// all calls at endpoints is.
+#[must_use]
+pub fn messages_per_round(live: usize, own_active: u64, others_active: u64) -> usize {
+    if live <= MESSAGES_PER_ROUND {
+        return live;
+    }
+    let routers = live as u64 + 1;
+    let all = (own_active + others_active).max(1);
+    let usual = USUAL_MESSAGES as u64 * routers * own_active / all;
+    usize::try_from(usual)
+        .unwrap_or(MOST_MESSAGES)
+        .clamp(FEWEST_MESSAGES, MOST_MESSAGES)
+}
+
 /// What this router tells of one endpoint; nothing if there is nothing to tell. A router that does
 /// not trust its own links tells of its load only.
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
--- a/src/gateway/load.rs
+++ b/src/gateway/load.rs
@@ -38,6 +38,15 @@
 /// are at work send again sooner.
 const SCARCE_IDLE: Duration = Duration::from_millis(500);
 
+/// Lateness of timers beyond which calls of teams beyond their shares are refused without a look at
+/// the endpoints, in ms. They are most of what makes a router lag, and each costs a placement.
+const BEYOND_LAG_MS: f64 = 60.0;
+
+/// Lateness of timers beyond which all calls are refused, in ms. A caller that gives up on a router
+/// that lags is seen to leave as late, and endpoints work on for nobody; a refusal sends it to
+/// another router at once. A part of the half second in which such work has to end.
+const ALL_LAG_MS: f64 = 150.0;
+
 /// Weight of a new lateness of timers in the mean: a second of steady lateness shows.
 const LAG_WEIGHT: f64 = 0.2;
 
@@ -84,6 +93,8 @@
 #[derive(Debug, Default)]
 pub struct CallerTable {
     count: Cell<usize>,
+    /// How late timers were at the last look.
+    lag: Cell<LagLevel>,
     scarce: Notify,
 }
 
@@ -94,6 +105,12 @@
         CallerGuard { table: self }
     }
 
+    /// How late this router is.
+    #[must_use]
+    pub fn lag(&self) -> LagLevel {
+        self.lag.get()
+    }
+
     /// Open connections.
     #[must_use]
     pub fn count(&self) -> usize {
@@ -133,6 +150,7 @@
         sleep(LOOK_PAUSE).await;
         let late = Instant::now().saturating_duration_since(due).as_secs_f64() * 1e3;
         lag_ms += LAG_WEIGHT * (late - lag_ms);
+        traffic.callers.lag.set(LagLevel::of(late));
         let was = shared.is_overloaded();
         let used = descriptor_use(&traffic);
         let percent = used.percent(shared.config.descriptors);
@@ -151,6 +169,32 @@
     }
 }
 
+/// How late a router is, and so what it refuses unlooked at.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum LagLevel {
+    /// In time: it refuses nothing for it.
+    #[default]
+    InTime,
+    /// It refuses teams beyond their shares.
+    Late,
+    /// It refuses everything.
+    TooLate,
+}
+
+impl LagLevel {
+    /// The level at this lateness of timers.
+    #[must_use]
+    pub fn of(late_ms: f64) -> Self {
+        if late_ms > ALL_LAG_MS {
+            Self::TooLate
+        } else if late_ms > BEYOND_LAG_MS {
+            Self::Late
+        } else {
+            Self::InTime
+        }
+    }
+}
+
 /// Whether the router should have fewer callers. `most_lag_ms` is the lateness of timers at which
 /// it should.
 #[must_use]
--- a/src/gateway/peer_table.rs
+++ b/src/gateway/peer_table.rs
@@ -12,6 +12,7 @@
 use crate::units::TimeSpan;
 
 use super::decide::endpoints::PeerLoad;
+use super::decide::shares::TeamFlow;
 use super::readers::ReaderStanding;
 use super::shared::OwnTouch;
 
@@ -45,7 +46,7 @@
     pub heard: bool,
 }
 
-/// What a team asks of one router.
+/// What a team asks of one router and is served by it.
 #[derive(Clone, PartialEq, Message)]
 pub struct DemandEntry {
     /// Hash of the team's name.
@@ -54,6 +55,9 @@
     /// Tokens a second.
     #[prost(uint32, tag = "2")]
     pub tokens_per_s: u32,
+    /// Tokens a second that it is served there.
+    #[prost(uint32, tag = "3")]
+    pub served_per_s: u32,
 }
 
 /// One datagram.
@@ -212,13 +216,21 @@
         &self.loads
     }
 
-    /// Sums of what teams ask of the live routers, in tokens a second.
+    /// Other routers' calls at endpoints.
+    #[must_use]
+    pub fn all_active(&self) -> u64 {
+        self.loads.values().map(|load| u64::from(load.active)).sum()
+    }
+
+    /// Sums of what teams ask of the live routers and are served by them.
     #[must_use]
-    pub fn demands(&self, now: Moment, timeout: TimeSpan) -> BTreeMap<u64, f64> {
-        let mut sums: BTreeMap<u64, f64> = BTreeMap::new();
+    pub fn flows(&self, now: Moment, timeout: TimeSpan) -> BTreeMap<u64, TeamFlow> {
+        let mut sums: BTreeMap<u64, TeamFlow> = BTreeMap::new();
         for (_, row) in self.live(now, timeout) {
             for demand in &row.digest.demands {
-                *sums.entry(demand.team).or_default() += f64::from(demand.tokens_per_s);
+                let sum = sums.entry(demand.team).or_default();
+                sum.asked += f64::from(demand.tokens_per_s);
+                sum.served += f64::from(demand.served_per_s);
             }
         }
         sums
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -14,6 +14,7 @@
 use verbenaturn::gateway::decide::budget::RetryBounds;
 use verbenaturn::gateway::decide::shares::ShareStanding;
 use verbenaturn::gateway::decide::shares::ShareTable;
+use verbenaturn::gateway::decide::shares::TeamFlow;
 use verbenaturn::gateway::decide::shares::max_min_level;
 use verbenaturn::gateway::follow::EndpointView;
 use verbenaturn::gateway::protocol::PromptPart;
@@ -86,6 +87,13 @@
     }
 }
 
+fn asked(tokens_per_s: f64) -> TeamFlow {
+    TeamFlow {
+        asked: tokens_per_s,
+        served: 0.0,
+    }
+}
+
 fn service() -> ServiceKey {
     ServiceKey(SmolStr::new("engine"))
 }
@@ -280,7 +288,7 @@
 #[test]
 fn a_team_that_has_much_beyond_its_share_needs_an_emptier_endpoint() {
     let mut shares = ShareTable::new(TimeSpan::from_millis(4_000));
-    let elsewhere = BTreeMap::from([(1, 90_000.0)]);
+    let elsewhere = BTreeMap::from([(1, asked(90_000.0))]);
     let mut standings = Vec::new();
     for step in 0..1_000_u64 {
         let now = ms(step * 10);
@@ -318,7 +326,7 @@
 #[test]
 fn refused_requests_cost_no_share() {
     let mut shares = ShareTable::new(TimeSpan::from_millis(4_000));
-    let elsewhere = BTreeMap::from([(1, 90_000.0)]);
+    let elsewhere = BTreeMap::from([(1, asked(90_000.0))]);
     let mut served = 0.0;
     for step in 0..2_000_u64 {
         let now = ms(step * 10);
@@ -333,6 +341,28 @@
     assert!(served > 0.9 * 30_000.0 * 19.0, "{served}");
 }
 
+/// A team comes through ninety routers. At each of them it is served one request in some seconds,
+/// which is less than that router's part of its share; all together serve it twice its share. If
+/// each router counted for itself, it would get room that belongs to a team with one router.
+#[test]
+fn what_other_routers_serve_counts_as_served() {
+    let mut shares = ShareTable::new(TimeSpan::from_millis(4_000));
+    let flow = TeamFlow {
+        asked: 90_000.0,
+        served: 20_000.0,
+    };
+    let elsewhere = BTreeMap::from([(nadi().hash(), flow), (1, asked(90_000.0))]);
+    for step in 0..100 {
+        shares.ask(ms(step * 40), &nadi(), 25.0);
+    }
+    shares.share_out(ms(4_000), 20_000.0, &elsewhere);
+    let standing = shares.ask(ms(4_000), &nadi(), 25.0);
+    let ShareStanding::Beyond(served) = standing else {
+        panic!("within its share");
+    };
+    assert!((1.9..2.1).contains(&served), "{served}");
+}
+
 /// All routers lost power and start again. One team floods from the first moment. Measured over a
 /// window of four seconds its demand seems to fit for the first two, and it takes the engines'
 /// queues from all others.
@@ -356,7 +386,7 @@
 fn what_other_routers_are_asked_counts() {
     let mut shares = ShareTable::new(TimeSpan::from_millis(4_000));
     let team = nadi();
-    let elsewhere = BTreeMap::from([(team.hash(), 90_000.0), (1, 5_000.0)]);
+    let elsewhere = BTreeMap::from([(team.hash(), asked(90_000.0)), (1, asked(5_000.0))]);
     let mut passed = 0;
     for step in 0..1_000_u64 {
         let now = ms(step * 10);
