Routers keep and greet a bounded number of addresses that they are told of

A stranger's message could name thousands of hosts, each of which got a message in the next round. Test: 8,000 names, 40 greeted a round, 4,096 kept.

--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -241,7 +241,7 @@
         // A router that has just started serves only once it has heard from somebody.
         receivers.extend(std::mem::take(&mut self.newcomers));
         let own = self.plan.listen.ip();
-        let ungreeted = std::mem::take(&mut self.peers.ungreeted).into_iter();
+        let ungreeted = self.peers.take_ungreeted(YOUNG_MESSAGES).into_iter();
         receivers.extend(ungreeted.filter(|address| *address != own));
         if self.round % SILENT_ROUNDS == 1 {
             receivers.extend(self.silent(&live));
--- a/src/gateway/peer_table.rs
+++ b/src/gateway/peer_table.rs
@@ -20,6 +20,10 @@
 /// must hold while routers can't see each other.
 const BUDGET_MEMORY: TimeSpan = TimeSpan::from_millis(30_000);
 
+/// Addresses that were only told of and are kept: three fleets of the size to design for. A
+/// stranger's message could name any number of them.
+const MOST_TOLD: usize = 4_096;
+
 /// Load of one router at one endpoint.
 #[derive(Clone, PartialEq, Message)]
 pub struct LoadEntry {
@@ -112,7 +116,7 @@
     /// Addresses that were only told of; they are asked now and then.
     pub told: BTreeSet<IpAddr>,
     /// Those of them that nothing was sent to yet.
-    pub ungreeted: BTreeSet<IpAddr>,
+    ungreeted: BTreeSet<IpAddr>,
     /// Sums of the loads in `heard`, by endpoint. Kept up with each digest: adding up all loads of
     /// a hundred routers each round takes a tenth of a small host's processor.
     loads: BTreeMap<u64, PeerLoad>,
@@ -134,7 +138,8 @@
             let Ok(address) = router.parse() else {
                 continue;
             };
-            if !self.heard.contains_key(&address) && self.told.insert(address) {
+            let is_known = self.heard.contains_key(&address);
+            if !is_known && self.told.len() < MOST_TOLD && self.told.insert(address) {
                 self.ungreeted.insert(address);
             }
         }
@@ -259,6 +264,18 @@
         Some(*newer[rand::rng().random_range(0..newer.len())])
     }
 
+    /// Up to `most` addresses that were told of and that nothing was sent to yet.
+    pub fn take_ungreeted(&mut self, most: usize) -> Vec<IpAddr> {
+        let mut taken = Vec::new();
+        while taken.len() < most {
+            let Some(address) = self.ungreeted.pop_first() else {
+                break;
+            };
+            taken.push(address);
+        }
+        taken
+    }
+
     /// How this router stands among the live ones for reading the store.
     #[must_use]
     pub fn standing(
--- a/tests/gateway_load.rs
+++ b/tests/gateway_load.rs
@@ -5,6 +5,9 @@
 use verbenaturn::gateway::load::DescriptorUse;
 use verbenaturn::gateway::load::LagLevel;
 use verbenaturn::gateway::load::is_overloaded;
+use verbenaturn::gateway::peer_table::PeerTable;
+use verbenaturn::gateway::peer_table::RouterDigest;
+use verbenaturn::units::Moment;
 
 /// A balancer sends most callers to one small host, whose timers come late. Its callers wait until
 /// they give up and endpoints work for nobody, unless it refuses: first what costs most and is owed
@@ -52,3 +55,25 @@
     assert!(hot <= 20);
     assert!(idle >= 3);
 }
+
+/// A stranger in the routers' network sends one message that names thousands of hosts. The router
+/// must not send to all of them at once, nor keep any number of them.
+#[test]
+fn a_message_that_names_thousands_of_hosts_is_bounded() {
+    let mut peers = PeerTable::default();
+    for block in 0..8_u64 {
+        let routers = (0..1_000)
+            .map(|index| format!("10.{block}.{}.{}", index / 250, index % 250))
+            .collect();
+        let digest = RouterDigest {
+            incarnation: 1,
+            sequence: block + 1,
+            routers,
+            ..RouterDigest::default()
+        };
+        let from = "10.200.0.1".parse().unwrap();
+        assert!(peers.take(Moment(block), from, digest));
+    }
+    assert_eq!(peers.take_ungreeted(40).len(), 40);
+    assert!(peers.told.len() <= 4_096, "{}", peers.told.len());
+}
