verbenactl explain and losses read gateways' logs

An operator could not say from logs why a call was refused: lines named neither how the team stood to its share nor what was predicted. explain tells a call's story over the logs of several routers, losses counts calls by cause, team, route, endpoint, router or second.

--- a/src/ctl/command.rs
+++ b/src/ctl/command.rs
@@ -8,6 +8,8 @@
 use clap_complete::Shell;
 use clap_complete::generate;
 
+use crate::report::calls::LossGroup;
+
 use super::exit::CtlError;
 use super::exit::ExitKind;
 use super::output::OutputWriter;
@@ -33,6 +35,8 @@
             diff(),
             schema(),
             key(),
+            explain(),
+            losses(),
             completions_command(),
         ])
         .subcommands(remote_command::subcommands())
@@ -135,6 +139,40 @@
     Command::new("key").about("Makes a new key and the hash to publish for it")
 }
 
+fn log_files() -> Arg {
+    Arg::new("files")
+        .value_name("FILE")
+        .value_parser(value_parser!(std::path::PathBuf))
+        .num_args(1..)
+        .required(true)
+        .help("Logs of gateways, a file a router; - reads standard input")
+}
+
+fn explain() -> Command {
+    Command::new("explain")
+        .about("Tells a call's story from gateways' logs")
+        .arg(
+            Arg::new("id")
+                .value_name("ID")
+                .required(true)
+                .help("The call's id"),
+        )
+        .arg(log_files())
+}
+
+fn losses() -> Command {
+    Command::new("losses")
+        .about("Counts calls in gateways' logs by how they ended, the worst group first")
+        .arg(log_files())
+        .arg(
+            Arg::new("by")
+                .long("by")
+                .value_parser(LossGroup::NAMES)
+                .default_value("cause")
+                .help("What the calls of a row have in common"),
+        )
+}
+
 fn completions_command() -> Command {
     Command::new("completions")
         .about("Prints completions for a shell")
--- a/src/ctl/local.rs
+++ b/src/ctl/local.rs
@@ -230,7 +230,10 @@
 }
 
 /// Reads a file, or standard input for `-`.
-fn read(path: &Path) -> Result<Vec<u8>, CtlError> {
+///
+/// # Errors
+/// If it can't be read.
+pub fn read(path: &Path) -> Result<Vec<u8>, CtlError> {
     let text = if path == Path::new("-") {
         let mut text = Vec::new();
         std::io::stdin().read_to_end(&mut text).map(|_| text)
--- /dev/null
+++ b/src/ctl/logs.rs
@@ -0,0 +1,120 @@
+//! Subcommands that read gateways' logs: explain, losses.
+
+use std::fmt::Write;
+use std::path::Path;
+use std::path::PathBuf;
+
+use clap::ArgMatches;
+use smol_str::SmolStr;
+
+use crate::report::calls::CallStory;
+use crate::report::calls::LogLine;
+use crate::report::calls::LossGroup;
+use crate::report::calls::LossRow;
+use crate::report::calls::call_story;
+use crate::report::calls::losses as count_losses;
+
+use super::exit::CtlError;
+use super::exit::ExitKind;
+use super::local::read;
+use super::output::OutputFormat;
+use super::output::OutputWriter;
+use super::output::TextTable;
+
+/// Prints what all routers' logs say of one call.
+///
+/// # Errors
+/// If a log can't be read.
+pub fn explain(matches: &ArgMatches, writer: &mut OutputWriter) -> Result<ExitKind, CtlError> {
+    let id = matches.get_one::<String>("id").cloned().unwrap_or_default();
+    let story = call_story(&lines(matches)?, &id);
+    if story.lines.is_empty() {
+        let message = format!("no line names {id}; it came to another router, or was left out");
+        return Err(CtlError::new(ExitKind::Finding, message));
+    }
+    writer.value(&story, |story, _| story_text(story))?;
+    Ok(ExitKind::Good)
+}
+
+fn story_text(story: &CallStory) -> String {
+    let mut text = String::new();
+    push_lines(&mut text, "the call:", &story.lines);
+    if !story.nearby.is_empty() {
+        push_lines(&mut text, "its router and endpoint then:", &story.nearby);
+    }
+    if let Some(meaning) = story.meaning {
+        let _ = writeln!(text, "{meaning}");
+    }
+    text
+}
+
+fn push_lines(text: &mut String, title: &str, lines: &[LogLine]) {
+    let _ = writeln!(text, "{title}");
+    for line in lines {
+        let LogLine {
+            source,
+            time,
+            part,
+            text: said,
+        } = line;
+        let _ = writeln!(text, "  {time} {source} {part}: {said}");
+    }
+}
+
+/// Prints a table of calls by what they have in common.
+///
+/// # Errors
+/// If a log can't be read.
+pub fn losses(matches: &ArgMatches, writer: &mut OutputWriter) -> Result<ExitKind, CtlError> {
+    let name = matches.get_one::<String>("by").map(String::as_str);
+    let group = name.and_then(LossGroup::named).unwrap_or(LossGroup::Cause);
+    let rows = count_losses(&lines(matches)?, group);
+    writer.value(&rows, |rows, format| losses_text(rows, format))?;
+    Ok(ExitKind::Good)
+}
+
+fn losses_text(rows: &[LossRow], format: OutputFormat) -> String {
+    let mut table = TextTable::new(&[
+        "group",
+        "calls",
+        "in time",
+        "late",
+        "refused",
+        "beyond share",
+        "failed",
+        "prompt tokens",
+        "read again",
+    ]);
+    for row in rows {
+        table.row(vec![
+            row.group.as_str().into(),
+            row.calls.into(),
+            row.in_time.into(),
+            row.late.into(),
+            row.refused.into(),
+            row.refused_beyond.into(),
+            row.failed.into(),
+            row.prompt_tokens.into(),
+            row.reread_tokens.into(),
+        ]);
+    }
+    table.text(format)
+}
+
+fn lines(matches: &ArgMatches) -> Result<Vec<LogLine>, CtlError> {
+    let files = matches.get_many::<PathBuf>("files").unwrap_or_default();
+    let mut lines = Vec::new();
+    for file in files {
+        let text = read(file)?;
+        let source = source_of(file);
+        let text = String::from_utf8_lossy(&text);
+        lines.extend(text.lines().filter_map(|line| LogLine::read(&source, line)));
+    }
+    Ok(lines)
+}
+
+/// A log is named by its file, without folder and ending.
+fn source_of(file: &Path) -> SmolStr {
+    let name = file.file_stem().unwrap_or(file.as_os_str());
+    SmolStr::new(name.to_string_lossy())
+}
--- a/src/ctl/mod.rs
+++ b/src/ctl/mod.rs
@@ -7,6 +7,7 @@
 pub mod command;
 pub mod exit;
 pub mod local;
+pub mod logs;
 pub mod output;
 pub mod reference;
 pub mod remote;
@@ -58,6 +59,8 @@
         Some(("diff", part)) if part.contains_id("after") => local::diff(part, writer),
         Some(("schema", part)) => schemas::schema(part, writer),
         Some(("key", _)) => local::key(writer),
+        Some(("explain", part)) => logs::explain(part, writer),
+        Some(("losses", part)) => logs::losses(part, writer),
         Some(("completions", part)) => command::completions(part, writer),
         _ => run_remote(matches, writer),
     }
--- /dev/null
+++ b/src/report/calls.rs
@@ -0,0 +1,266 @@
+//! What gateways' logs say of calls: one call's story, and where calls are lost.
+//!
+//! Only the lines themselves are read, so that it works on logs of routers that are gone.
+
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+use smol_str::SmolStr;
+
+/// Length of the time that begins a line, `2026-08-06T07:06:08.101+00:00`.
+const TIME_LENGTH: usize = 29;
+
+/// Lines of a router's own state within so many ms of a call's belong to its story.
+const NEAR_MS: i64 = 2_000;
+
+/// One line of a log.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct LogLine {
+    /// The file that it stands in.
+    pub source: SmolStr,
+    /// Its time, as written.
+    pub time: SmolStr,
+    /// The part of the router that wrote it.
+    pub part: SmolStr,
+    /// What it says.
+    pub text: String,
+}
+
+impl LogLine {
+    /// Reads a line; nothing if no router wrote it. What stands before its time is passed over:
+    /// collectors of logs put their own words there.
+    #[must_use]
+    pub fn read(source: &SmolStr, line: &str) -> Option<Self> {
+        let time = line.split_whitespace().find(|word| is_time(word))?;
+        let begin = line.find(time)?;
+        let after_time = line[begin + time.len()..].trim_start();
+        let (_level, said) = after_time.split_once(' ')?;
+        let (part, text) = said.split_once(": ")?;
+        Some(Self {
+            source: source.clone(),
+            time: SmolStr::new(time),
+            part: SmolStr::new(part),
+            text: text.trim_end().to_owned(),
+        })
+    }
+
+    /// The value of a field.
+    #[must_use]
+    pub fn field(&self, name: &str) -> Option<&str> {
+        let mut rest = self.text.as_str();
+        loop {
+            let (key, after) = rest.split_once('=')?;
+            let key = key.rsplit(' ').next().unwrap_or_default();
+            let (value, next) = match after.strip_prefix('"') {
+                Some(quoted) => quoted.split_once('"').unwrap_or((quoted, "")),
+                None => after.split_once(' ').unwrap_or((after, "")),
+            };
+            if key == name {
+                return Some(value);
+            }
+            rest = next;
+        }
+    }
+
+    fn number(&self, name: &str) -> Option<f64> {
+        self.field(name)?.parse().ok()
+    }
+
+    /// Milliseconds of the day, to put lines side by side.
+    fn day_ms(&self) -> i64 {
+        let digits = |from: usize, to: usize| -> i64 {
+            let text = self.time.get(from..to).unwrap_or_default();
+            text.parse().unwrap_or_default()
+        };
+        let minutes = digits(11, 13) * 60 + digits(14, 16);
+        (minutes * 60 + digits(17, 19)) * 1_000 + digits(20, 23)
+    }
+}
+
+fn is_time(word: &str) -> bool {
+    let bytes = word.as_bytes();
+    bytes.len() == TIME_LENGTH && bytes[10] == b'T' && bytes[4] == b'-' && bytes[19] == b'.'
+}
+
+/// A call's lines in order of time, and what they mean.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
+pub struct CallStory {
+    /// The lines that name the call.
+    pub lines: Vec<LogLine>,
+    /// Lines of the same routers and of its endpoint from about the same time.
+    pub nearby: Vec<LogLine>,
+    /// What its end means, in a sentence.
+    pub meaning: Option<&'static str>,
+}
+
+/// Finds what is said of a call in the lines of all routers.
+#[must_use]
+pub fn call_story(lines: &[LogLine], id: &str) -> CallStory {
+    let named = lines
+        .iter()
+        .filter(|line| line.field("id") == Some(id) || line.field("call") == Some(id));
+    let mut named: Vec<LogLine> = named.cloned().collect();
+    named.sort_by_key(LogLine::day_ms);
+    let Some(last) = named.last() else {
+        return CallStory::default();
+    };
+    let mut nearby: Vec<LogLine> = lines
+        .iter()
+        .filter(|line| is_near(line, last))
+        .cloned()
+        .collect();
+    nearby.sort_by_key(LogLine::day_ms);
+    CallStory {
+        meaning: last.field("cause").and_then(meaning),
+        nearby,
+        lines: named,
+    }
+}
+
+/// Whether a line tells what the call's router or endpoint went through when the call ended.
+fn is_near(line: &LogLine, call: &LogLine) -> bool {
+    if (line.day_ms() - call.day_ms()).abs() > NEAR_MS || line.part == "calls" {
+        return false;
+    }
+    let endpoint = call.field("endpoint");
+    let is_endpoints = endpoint.is_some() && line.field("key") == endpoint;
+    let is_routers = line.source == call.source && line.part != "endpoint";
+    is_endpoints || is_routers
+}
+
+/// What a cause says to somebody who has to act on it.
+fn meaning(cause: &str) -> Option<&'static str> {
+    Some(match cause {
+        "answered" => "The caller has an endpoint's answer.",
+        "over_share" => {
+            "Its team was beyond its share and no endpoint was idle enough for more. Compare \
+             predicted_ms with objective_ms, and the team's rows in `losses --by team`."
+        }
+        "overload" => {
+            "No endpoint would have answered in time. If other routers had room, look at this \
+             one's link and lateness; if none had, the endpoints are full."
+        }
+        "link" => {
+            "The router's network link was full, so that even a refusal was better at once; the \
+             caller's next try goes to another router."
+        }
+        "no_endpoint" => "No endpoint of the service was registered as ready.",
+        "quarantined" => "The same request was running in several crashes of endpoints.",
+        "router is full" => "The router had no descriptors left, or its timers were late.",
+        "no routes yet" => "The process was new and had not heard from the store or a peer.",
+        "shutting down" => "The router was on its way out.",
+        "time up" => "The endpoint was silent until the caller's deadline or the route's timeout.",
+        "caller left" => "The caller closed its connection before the answer was complete.",
+        "endpoint refused" => "The endpoint said that it did not run it, and no retry was left.",
+        "endpoints not reached" => "No connection to any of the endpoints tried was made in time.",
+        "endpoint started again" => "The endpoint's process ended while it worked on the request.",
+        "unknown key" => "The caller's key is in no configuration that this router knew.",
+        "no route" => "No route of the configuration in force has this host and path.",
+        _ => return None,
+    })
+}
+
+/// What calls have in common in a row of a table.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LossGroup {
+    /// How they ended.
+    Cause,
+    /// Their team.
+    Team,
+    /// Their route.
+    Route,
+    /// The last endpoint tried.
+    Endpoint,
+    /// The router.
+    Router,
+    /// The second in which they ended.
+    Second,
+}
+
+impl LossGroup {
+    /// The names by which one is chosen.
+    pub const NAMES: [&str; 6] = ["cause", "team", "route", "endpoint", "router", "second"];
+
+    /// The group of that name.
+    #[must_use]
+    pub fn named(name: &str) -> Option<Self> {
+        Some(match name {
+            "cause" => Self::Cause,
+            "team" => Self::Team,
+            "route" => Self::Route,
+            "endpoint" => Self::Endpoint,
+            "router" => Self::Router,
+            "second" => Self::Second,
+            _ => return None,
+        })
+    }
+
+    fn of(self, line: &LogLine) -> SmolStr {
+        let value = match self {
+            Self::Cause => line.field("cause"),
+            Self::Team => line.field("team"),
+            Self::Route => line.field("route"),
+            Self::Endpoint => line.field("endpoint"),
+            Self::Router => Some(line.source.as_str()),
+            Self::Second => line.time.get(11..19),
+        };
+        SmolStr::new(value.unwrap_or("-"))
+    }
+}
+
+/// Calls of one group.
+#[derive(Debug, Clone, Default, PartialEq, Serialize)]
+pub struct LossRow {
+    /// What they have in common.
+    pub group: SmolStr,
+    /// All of them.
+    pub calls: u64,
+    /// Answered with the first output within the objective.
+    pub in_time: u64,
+    /// Answered later.
+    pub late: u64,
+    /// Refused as not run, within the team's share.
+    pub refused: u64,
+    /// Refused as not run, beyond it.
+    pub refused_beyond: u64,
+    /// Ended in any other way.
+    pub failed: u64,
+    /// Prompt tokens that were asked for.
+    pub prompt_tokens: u64,
+    /// Prompt tokens of shared parts that endpoints were expected to read again.
+    pub reread_tokens: u64,
+}
+
+/// Counts calls by what they have in common, the group that lost most first.
+#[must_use]
+pub fn losses(lines: &[LogLine], group: LossGroup) -> Vec<LossRow> {
+    let mut rows: BTreeMap<SmolStr, LossRow> = BTreeMap::new();
+    for line in lines.iter().filter(|line| line.part == "calls") {
+        let Some(status) = line.number("status") else {
+            continue;
+        };
+        let name = group.of(line);
+        let row = rows.entry(name.clone()).or_default();
+        row.group = name;
+        count(row, line, status);
+    }
+    let mut rows: Vec<LossRow> = rows.into_values().collect();
+    rows.sort_by_key(|row| std::cmp::Reverse(row.calls - row.in_time));
+    rows
+}
+
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn count(row: &mut LossRow, line: &LogLine, status: f64) {
+    let number = |name| line.number(name).unwrap_or_default();
+    let is_beyond = line.field("standing") == Some("beyond");
+    row.calls += 1;
+    row.prompt_tokens += number("prompt") as u64;
+    row.reread_tokens += number("reread") as u64;
+    match status as u16 {
+        200..=299 if number("first_ms") <= number("objective_ms") => row.in_time += 1,
+        200..=299 => row.late += 1,
+        408 | 421 | 429 | 503 if is_beyond => row.refused_beyond += 1,
+        408 | 421 | 429 | 503 => row.refused += 1,
+        _ => row.failed += 1,
+    }
+}
--- a/src/report/mod.rs
+++ b/src/report/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod answers;
 pub mod burn;
+pub mod calls;
 pub mod fairness;
 pub mod html;
 pub mod samples;
