Endpoints that start again under their key; entries that no endpoint wrote

A life of an endpoint is its key and its start (born). A later start gets a row of its own: queue, cache, failures, pauses and connections of the former one go, what peers tell of it does not count, attempts at it end at once and go on elsewhere where they may. A late entry of a former start changes nothing, from the store or from a peer. Entries with missing or mistyped fields, unknown states, addresses that nothing can be sent to, or unreadable bytes cost one log line; they name no endpoint, not even as lapsed ones.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -13,6 +13,7 @@
 use crate::units::Moment;
 use crate::units::TimeSpan;
 
+use super::routes::EndpointBirth;
 use super::routes::EndpointEntry;
 use super::routes::EndpointKey;
 use super::routes::RouteTable;
@@ -58,6 +59,8 @@
     Routes(Box<RouteTable>),
     /// One endpoint.
     Endpoint(EndpointEntry),
+    /// An entry that names no endpoint to use: something else wrote it, or it can't be read.
+    Unusable(EndpointKey),
 }
 
 /// One change of the published state.
@@ -189,6 +192,9 @@
             Err(_) => return self.failed("read", &no_answer()).await,
         };
         self.reached();
+        if self.section == StateSection::Endpoints {
+            self.endpoints.rebase(self.shared.endpoints().entries);
+        }
         let as_of = snapshot.as_of;
         let mut registered = BTreeMap::new();
         for item in snapshot.items {
@@ -197,11 +203,11 @@
                 StateItem::Endpoint(entry) => {
                     registered.insert(entry.key.clone(), entry);
                 }
+                StateItem::Unusable(key) => self.endpoints.discard(&key),
             }
         }
         if self.section == StateSection::Endpoints {
             let now = self.shared.clock.now();
-            self.endpoints.rebase(self.shared.endpoints().entries);
             self.endpoints.replace(now, registered);
             self.publish_endpoints(as_of);
         }
@@ -247,7 +253,11 @@
             match change {
                 StateChange::Put(StateItem::Routes(table)) => self.offer(*table),
                 StateChange::Put(StateItem::Endpoint(entry)) => {
-                    self.endpoints.put(entry);
+                    self.endpoints.put(now, entry);
+                    is_new = true;
+                }
+                StateChange::Put(StateItem::Unusable(key)) => {
+                    self.endpoints.discard(&key);
                     is_new = true;
                 }
                 StateChange::Removed(key) => {
@@ -263,8 +273,11 @@
 
     fn offer(&self, table: RouteTable) {
         let version = table.version;
+        let rate = table.limits.tokens_per_s;
         if self.shared.offer_routes(Arc::new(table)) {
-            spdlog::info!("store: routes version={version} in force source=store");
+            spdlog::info!(
+                "store: routes version={version} in force source=store tokens_per_s={rate}"
+            );
         }
     }
 
@@ -333,8 +346,14 @@
     registered: BTreeMap<EndpointKey, EndpointEntry>,
     lapsed: BTreeMap<EndpointKey, EndpointEntry>,
     lapses_end: Moment,
+    /// The latest start of each endpoint that is gone, and when it went.
+    gone: BTreeMap<EndpointKey, (EndpointBirth, Moment)>,
 }
 
+/// Time for which the start of an endpoint that is gone is remembered. What its former process
+/// wrote can come late by as much as a store holds calls back, a few seconds.
+const BIRTH_MEMORY: TimeSpan = TimeSpan::from_millis(30_000);
+
 impl EndpointView {
     /// The store answers again.
     pub fn outage_ended(&mut self, now: Moment, grace: TimeSpan) {
@@ -342,21 +361,47 @@
     }
 
     /// An endpoint registered, or changed.
-    pub fn put(&mut self, entry: EndpointEntry) {
+    ///
+    /// Guards against the last words of a process that has ended: written late, they would bring
+    /// it back in the place of the one that started after it, or mark that one as leaving.
+    pub fn put(&mut self, now: Moment, entry: EndpointEntry) {
+        if self.latest_birth(now, &entry.key) > entry.born {
+            let (key, born) = (&entry.key, entry.born);
+            spdlog::info!("store: key={key} born={born} ignored, it has started again since");
+            return;
+        }
         self.lapsed.remove(&entry.key);
+        self.gone.remove(&entry.key);
         self.registered.insert(entry.key.clone(), entry);
     }
 
+    fn latest_birth(&self, now: Moment, key: &EndpointKey) -> EndpointBirth {
+        let known = self.registered.get(key).or_else(|| self.lapsed.get(key));
+        let gone = self.gone.get(key);
+        let gone = gone.filter(|(_, at)| now.since(*at) < BIRTH_MEMORY);
+        let known = known.map(|entry| entry.born);
+        known.max(gone.map(|(born, _)| *born)).unwrap_or_default()
+    }
+
     /// An endpoint is no longer registered.
     pub fn remove(&mut self, now: Moment, key: &EndpointKey) {
-        let removed = self.registered.remove(key);
-        if let Some(entry) = removed
-            && now < self.lapses_end
-        {
+        let Some(entry) = self.registered.remove(key) else {
+            return;
+        };
+        self.gone.retain(|_, (_, at)| now.since(*at) < BIRTH_MEMORY);
+        self.gone.insert(key.clone(), (entry.born, now));
+        if now < self.lapses_end {
             self.lapsed.insert(key.clone(), entry);
         }
     }
 
+    /// An endpoint's entry names nothing to use any more. It has not lapsed with a store that was
+    /// away, so it isn't used until it is back either.
+    pub fn discard(&mut self, key: &EndpointKey) {
+        self.registered.remove(key);
+        self.lapsed.remove(key);
+    }
+
     /// Starts from the endpoints in force. A router that could not read the store was told by
     /// others; what it read itself before that is old, and entries that are missing against it
     /// have not lapsed but left.
@@ -376,7 +421,7 @@
             self.remove(now, &key);
         }
         for entry in registered.into_values() {
-            self.put(entry);
+            self.put(now, entry);
         }
         self.end_lapses(now);
     }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -12,6 +12,7 @@
 use super::attempt::AnswerStart;
 use super::attempt::AttemptOutcome;
 use super::attempt::Interruption;
+use super::attempt::WaitBounds;
 use super::attempt::read_watching;
 use super::call::CallState;
 use super::decide::AttemptTicket;
@@ -55,7 +56,7 @@
         }
         stream(traffic, caller, call, ticket, &mut endpoint, &mut start).await
     } else {
-        whole(traffic, caller, call, &mut endpoint, &mut start).await
+        whole(traffic, caller, call, ticket, &mut endpoint, &mut start).await
     };
     let done = matches!(
         outcome,
@@ -67,7 +68,7 @@
         && start.decoder.is_complete()
         && endpoint.buffer.is_empty()
     {
-        traffic.pool.put(&ticket.entry.key, endpoint, limit);
+        traffic.pool.put(&ticket.entry.life(), endpoint, limit);
     }
     outcome
 }
@@ -76,11 +77,15 @@
     traffic: &Traffic<P>,
     caller: &mut WireStream,
     call: &CallState,
+    ticket: &AttemptTicket,
     endpoint: &mut WireStream,
     start: &mut AnswerStart,
 ) -> AttemptOutcome {
     let mut body = BytesMut::new();
-    let stall = call.deadline;
+    let bounds = WaitBounds {
+        deadline: call.deadline,
+        stall: call.deadline,
+    };
     loop {
         if start
             .decoder
@@ -99,7 +104,7 @@
                 is_proven: start.is_proven,
             });
         }
-        match read_watching(endpoint, caller, call.deadline, stall).await {
+        match read_watching(endpoint, caller, ticket, bounds).await {
             Ok(Ok(0)) if start.decoder.end_of_stream() => {}
             Ok(Ok(0)) => return AttemptOutcome::Broken("answer was cut"),
             Ok(Ok(_)) => {}
@@ -151,8 +156,11 @@
         } else {
             call.patience(ticket)
         };
-        let stall = call.stall_at(Instant::now() + patience);
-        match read_watching(endpoint, caller, call.deadline, stall).await {
+        let bounds = WaitBounds {
+            deadline: call.deadline,
+            stall: call.stall_at(Instant::now() + patience),
+        };
+        match read_watching(endpoint, caller, ticket, bounds).await {
             Ok(Ok(0)) if start.decoder.end_of_stream() => {}
             Ok(Ok(0)) => return AttemptOutcome::Broken("stream was cut"),
             Ok(Ok(_)) => ticket.hear(traffic.shared.clock.now()),
--- a/src/gateway/routes.rs
+++ b/src/gateway/routes.rs
@@ -4,11 +4,15 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::str::FromStr;
+use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
 use smol_str::SmolStr;
 use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::link::LinkSpeed;
 
 macro_rules! text_key {
     ($(#[$doc:meta])* $name:ident) => {
@@ -42,7 +46,7 @@
 }
 
 text_key!(
-    /// One life of an endpoint; a restart is another.
+    /// An endpoint's published name. It may start again under it, see [`EndpointBirth`].
     EndpointKey
 );
 text_key!(
@@ -110,6 +114,24 @@
     pub slots: u32,
     /// Tokens that fit in memory.
     pub memory_tokens: u64,
+    /// Bytes of memory that a token takes; 0 if not published.
+    #[serde(default)]
+    pub token_bytes: u64,
+    /// The link over which engines fetch each other's memory, if they do.
+    #[serde(default)]
+    pub memory_link: Option<LinkSpeed>,
+}
+
+impl EngineShape {
+    /// Time that the memory of a token takes from one engine to another, in ms; nothing if engines
+    /// fetch nothing.
+    #[must_use]
+    #[allow(clippy::cast_precision_loss)]
+    pub fn fetch_ms_per_token(&self) -> Option<f64> {
+        let per_ms = self.memory_link?.bytes_in(Duration::from_millis(1));
+        let bytes = self.token_bytes as f64;
+        (per_ms > 0.0 && bytes > 0.0).then_some(bytes / per_ms)
+    }
 }
 
 /// Limits towards callers.
@@ -224,11 +246,55 @@
     Leaving,
 }
 
+/// When a process of an endpoint started, in ms since the Unix epoch; 0 where it does not say.
+///
+/// An endpoint may start again under its key. It then holds nothing of before, so whatever was
+/// learned of the earlier process must not be believed of the later one.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct EndpointBirth(pub u64);
+
+impl fmt::Display for EndpointBirth {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(formatter)
+    }
+}
+
+impl FromStr for EndpointBirth {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.parse().map(Self)
+    }
+}
+
+/// One process of an endpoint, from its start to its end.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct EndpointLife {
+    /// The endpoint.
+    pub key: EndpointKey,
+    /// When the process started.
+    pub born: EndpointBirth,
+}
+
+impl EndpointLife {
+    /// A number by which routers speak of it to each other.
+    #[must_use]
+    pub fn hash(&self) -> u64 {
+        xxh3_64_with_seed(self.key.0.as_bytes(), self.born.0)
+    }
+}
+
 /// One endpoint as it registered itself.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndpointEntry {
-    /// Its life.
+    /// Its name.
     pub key: EndpointKey,
+    /// When it started.
+    #[serde(default)]
+    pub born: EndpointBirth,
     /// Its service.
     pub service: ServiceKey,
     /// Where it answers.
@@ -240,3 +306,14 @@
     /// Whether it takes new work.
     pub state: EndpointState,
 }
+
+impl EndpointEntry {
+    /// The process that registered.
+    #[must_use]
+    pub fn life(&self) -> EndpointLife {
+        EndpointLife {
+            key: self.key.clone(),
+            born: self.born,
+        }
+    }
+}
--- a/tests/engines/mod.rs
+++ b/tests/engines/mod.rs
@@ -19,6 +19,7 @@
 use verbenaturn::gateway::decide::endpoints::PeerLoad;
 use verbenaturn::gateway::protocol::PromptPart;
 use verbenaturn::gateway::protocol::PromptShape;
+use verbenaturn::gateway::routes::EndpointBirth;
 use verbenaturn::gateway::routes::EndpointEntry;
 use verbenaturn::gateway::routes::EndpointKey;
 use verbenaturn::gateway::routes::EndpointState;
@@ -30,6 +31,7 @@
 use verbenaturn::gateway::routes::ServiceKey;
 use verbenaturn::gateway::routes::TeamKey;
 use verbenaturn::units::Moment;
+use verbenaturn::units::RequestFingerprint;
 use verbenaturn::units::TimeSpan;
 
 /// Prompt tokens that an engine reads in a ms.
@@ -116,6 +118,7 @@
             let key = EndpointKey(SmolStr::new(format!("{service}-{index}")));
             let entry = EndpointEntry {
                 key: key.clone(),
+                born: EndpointBirth(1),
                 service: ServiceKey(SmolStr::new(service)),
                 address: "127.0.0.1:1".parse().unwrap(),
                 domain: SmolStr::new("suva-a"),
@@ -134,6 +137,8 @@
         engine: Some(EngineShape {
             slots: SLOTS,
             memory_tokens: 500_000,
+            token_bytes: 0,
+            memory_link: None,
         }),
     }
 }
@@ -153,6 +158,7 @@
         team: Some(team),
         prompt: Some(prompt),
         tried: &[],
+        fingerprint: RequestFingerprint(0),
         waited: TimeSpan(0),
         left: TimeSpan::from_millis(route.timeout_ms),
     }
@@ -189,7 +195,7 @@
         .map(|_| GatewayCore::new(GatewayConfig::default(), SmolStr::new("suva-a")))
         .collect();
     for core in &mut cores {
-        core.set_endpoints(&all);
+        core.set_endpoints(Moment(0), &all);
     }
     let mut engines: BTreeMap<EndpointKey, ModelEngine> = BTreeMap::new();
     let mut running: Vec<Running> = Vec::new();
@@ -311,7 +317,7 @@
 
 /// What every router tells of its load reaches all others.
 fn exchange(cores: &mut [GatewayCore]) {
-    let told: Vec<BTreeMap<u64, PeerLoad>> = cores
+    let told: Vec<BTreeMap<u32, PeerLoad>> = cores
         .iter()
         .map(|core| {
             let rows = core.endpoints.rows();
@@ -321,13 +327,13 @@
                     pending_tokens: row.pending_tokens,
                     ..PeerLoad::default()
                 };
-                (row.hash, load)
+                (row.life, load)
             })
             .collect()
         })
         .collect();
     for (index, core) in cores.iter_mut().enumerate() {
-        let mut sums: BTreeMap<u64, PeerLoad> = BTreeMap::new();
+        let mut sums: BTreeMap<u32, PeerLoad> = BTreeMap::new();
         for loads in told.iter().enumerate().filter(|(other, _)| *other != index) {
             for (endpoint, load) in loads.1 {
                 let sum = sums.entry(*endpoint).or_default();
