Gateways recognise requests that crash endpoints; digests as columns

The crash table of the other mode's quarantine serves the gateway too: an attempt that broke off and a sign that its endpoint ended (nothing listens, or a later start registered) make a suspect, told to the others; three crashes refuse it.

--- a/src/gateway/peer_table.rs
+++ b/src/gateway/peer_table.rs
@@ -1,10 +1,9 @@
-//! The other routers as this one knows them, and the messages that tell of them.
+//! The other routers as this one knows them.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::IpAddr;
 
-use prost::Message;
 use rand::RngExt;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -13,6 +12,8 @@
 
 use super::decide::endpoints::PeerLoad;
 use super::decide::shares::TeamFlow;
+use super::digest::LoadColumns;
+use super::digest::RouterDigest;
 use super::readers::ReaderStanding;
 use super::shared::OwnTouch;
 
@@ -24,81 +25,6 @@
 /// stranger's message could name any number of them.
 const MOST_TOLD: usize = 4_096;
 
-/// Load of one router at one endpoint.
-#[derive(Clone, PartialEq, Message)]
-pub struct LoadEntry {
-    /// Hash of the endpoint's key.
-    #[prost(fixed64, tag = "1")]
-    pub endpoint: u64,
-    /// Requests.
-    #[prost(uint32, tag = "2")]
-    pub active: u32,
-    /// Prompt tokens that wait to be read.
-    #[prost(uint32, tag = "3")]
-    pub pending_tokens: u32,
-    /// The sender's recent attempts there, in hundredths.
-    #[prost(uint32, tag = "4")]
-    pub attempts: u32,
-    /// Failures among them, in hundredths.
-    #[prost(uint32, tag = "5")]
-    pub failures: u32,
-    /// Whether the endpoint is silent to it.
-    #[prost(bool, tag = "6")]
-    pub silent: bool,
-    /// Whether the sender heard from it of late.
-    #[prost(bool, tag = "7")]
-    pub heard: bool,
-}
-
-/// What a team asks of one router and is served by it.
-#[derive(Clone, PartialEq, Message)]
-pub struct DemandEntry {
-    /// Hash of the team's name.
-    #[prost(fixed64, tag = "1")]
-    pub team: u64,
-    /// Tokens a second.
-    #[prost(uint32, tag = "2")]
-    pub tokens_per_s: u32,
-    /// Tokens a second that it is served there.
-    #[prost(uint32, tag = "3")]
-    pub served_per_s: u32,
-}
-
-/// One datagram.
-#[derive(Clone, PartialEq, Message)]
-pub struct RouterDigest {
-    /// One life of the sender; later lives have higher numbers.
-    #[prost(fixed64, tag = "1")]
-    pub incarnation: u64,
-    /// Grows within a life.
-    #[prost(uint64, tag = "2")]
-    pub sequence: u64,
-    /// Whether the sender is shutting down.
-    #[prost(bool, tag = "3")]
-    pub leaving: bool,
-    /// Version of the routes that it knows; 0 for none.
-    #[prost(uint64, tag = "4")]
-    pub routes_version: u64,
-    /// Store revision of the endpoints that it knows.
-    #[prost(uint64, tag = "5")]
-    pub endpoints_revision: u64,
-    /// Its load.
-    #[prost(message, repeated, tag = "6")]
-    pub loads: Vec<LoadEntry>,
-    /// What teams ask of it.
-    #[prost(message, repeated, tag = "7")]
-    pub demands: Vec<DemandEntry>,
-    /// IP numbers of other routers.
-    #[prost(string, repeated, tag = "8")]
-    pub routers: Vec<String>,
-    /// Whether the sender hears of all changes from the store itself.
-    #[prost(bool, tag = "9")]
-    pub in_touch: bool,
-    /// Whether the sender tried to read the store and got no answer.
-    #[prost(bool, tag = "10")]
-    pub store_failing: bool,
-}
-
 /// Another router.
 #[derive(Debug)]
 pub struct PeerRow {
@@ -119,7 +45,7 @@
     ungreeted: BTreeSet<IpAddr>,
     /// Sums of the loads in `heard`, by endpoint. Kept up with each digest: adding up all loads of
     /// a hundred routers each round takes a tenth of a small host's processor.
-    loads: BTreeMap<u64, PeerLoad>,
+    loads: BTreeMap<u32, PeerLoad>,
 }
 
 impl PeerTable {
@@ -145,15 +71,15 @@
         }
         self.told.remove(&from);
         self.ungreeted.remove(&from);
-        self.add_loads(&digest);
+        self.add_loads(&digest.loads);
         if let Some(before) = self.heard.insert(from, PeerRow { digest, heard: now }) {
-            self.remove_loads(&before.digest);
+            self.remove_loads(&before.digest.loads);
         }
         true
     }
 
-    fn add_loads(&mut self, digest: &RouterDigest) {
-        for load in &digest.loads {
+    fn add_loads(&mut self, loads: &LoadColumns) {
+        for load in loads.entries() {
             let sum = self.loads.entry(load.endpoint).or_default();
             sum.active = sum.active.saturating_add(load.active);
             sum.pending_tokens += f64::from(load.pending_tokens);
@@ -165,8 +91,8 @@
         }
     }
 
-    fn remove_loads(&mut self, digest: &RouterDigest) {
-        for load in &digest.loads {
+    fn remove_loads(&mut self, loads: &LoadColumns) {
+        for load in loads.entries() {
             let Some(sum) = self.loads.get_mut(&load.endpoint) else {
                 continue;
             };
@@ -197,10 +123,7 @@
                 continue;
             };
             let loads = std::mem::take(&mut row.digest.loads);
-            self.remove_loads(&RouterDigest {
-                loads,
-                ..RouterDigest::default()
-            });
+            self.remove_loads(&loads);
         }
     }
 
@@ -217,7 +140,7 @@
 
     /// Sums of the live routers' loads by endpoint.
     #[must_use]
-    pub fn loads(&self) -> &BTreeMap<u64, PeerLoad> {
+    pub fn loads(&self) -> &BTreeMap<u32, PeerLoad> {
         &self.loads
     }
 
@@ -232,7 +155,7 @@
     pub fn flows(&self, now: Moment, timeout: TimeSpan) -> BTreeMap<u64, TeamFlow> {
         let mut sums: BTreeMap<u64, TeamFlow> = BTreeMap::new();
         for (_, row) in self.live(now, timeout) {
-            for demand in &row.digest.demands {
+            for demand in row.digest.demands.entries() {
                 let sum = sums.entry(demand.team).or_default();
                 sum.asked += f64::from(demand.tokens_per_s);
                 sum.served += f64::from(demand.served_per_s);
@@ -241,6 +164,14 @@
         sums
     }
 
+    /// Tokens a second that the live routers turn away from full endpoints although within shares.
+    #[must_use]
+    pub fn turned_away(&self, now: Moment, timeout: TimeSpan) -> f64 {
+        let live = self.live(now, timeout);
+        live.map(|(_, row)| f64::from(row.digest.turned_away_per_s))
+            .sum()
+    }
+
     /// Routers that share the retry budget, this one included.
     #[must_use]
     pub fn budget_routers(&self, now: Moment) -> usize {
--- /dev/null
+++ b/tests/gateway_quarantine.rs
@@ -0,0 +1,149 @@
+//! Requests that crash the engines that run them, seen by several routers without a network.
+
+use std::collections::BTreeMap;
+
+use smol_str::SmolStr;
+
+use verbenaturn::gateway::config::GatewayConfig;
+use verbenaturn::gateway::decide::Admission;
+use verbenaturn::gateway::decide::AttemptEnd;
+use verbenaturn::gateway::decide::AttemptTicket;
+use verbenaturn::gateway::decide::CallAsk;
+use verbenaturn::gateway::decide::GatewayCore;
+use verbenaturn::gateway::decide::RefusalCause;
+use verbenaturn::gateway::protocol::PromptShape;
+use verbenaturn::gateway::routes::EndpointBirth;
+use verbenaturn::gateway::routes::EndpointEntry;
+use verbenaturn::gateway::routes::EndpointKey;
+use verbenaturn::gateway::routes::TeamKey;
+use verbenaturn::units::Moment;
+use verbenaturn::units::RequestFingerprint;
+
+mod engines;
+
+use self::engines::ask;
+use self::engines::endpoints;
+use self::engines::engine_service;
+use self::engines::route;
+
+const GUILTY: RequestFingerprint = RequestFingerprint(7);
+
+fn ms(millis: u64) -> Moment {
+    Moment(millis * 1_000)
+}
+
+fn engines_of(born: u64) -> BTreeMap<EndpointKey, EndpointEntry> {
+    let born = EndpointBirth(born);
+    let entries = endpoints("engine", 2).into_iter();
+    entries
+        .map(|(key, entry)| (key, EndpointEntry { born, ..entry }))
+        .collect()
+}
+
+fn router() -> GatewayCore {
+    let mut core = GatewayCore::new(GatewayConfig::default(), SmolStr::new("suva-a"));
+    core.set_endpoints(ms(0), &engines_of(1));
+    core
+}
+
+fn admitted(core: &mut GatewayCore, now: Moment, fingerprint: RequestFingerprint) -> Admission {
+    let prompt = PromptShape {
+        prompt_tokens: 500,
+        output_limit: 50,
+        ..PromptShape::default()
+    };
+    let (route, shape) = (route("queries", 800), engine_service());
+    let (service, team) = ("engine".parse().unwrap(), TeamKey(SmolStr::new("nadi")));
+    let call = CallAsk {
+        fingerprint,
+        ..ask(&route, &service, &shape, &team, &prompt)
+    };
+    let standing = core.arrived(now, &call);
+    core.admit(now, &call, standing)
+}
+
+fn sent(core: &mut GatewayCore, now: Moment, fingerprint: RequestFingerprint) -> AttemptTicket {
+    match admitted(core, now, fingerprint) {
+        Admission::Send(ticket) => ticket,
+        refusal @ Admission::Refuse { .. } => panic!("{refusal:?}"),
+    }
+}
+
+/// The engine runs the request, breaks off, and registers with a later start.
+fn crash(core: &mut GatewayCore, at: u64, fingerprint: RequestFingerprint) {
+    let ticket = sent(core, ms(at), fingerprint);
+    core.ended(ms(at + 50), ticket, AttemptEnd::Lost(fingerprint));
+    core.set_endpoints(ms(at + 100), &engines_of(at + 100));
+}
+
+fn tell(from: &mut GatewayCore, to: &mut GatewayCore, now: Moment) {
+    let told = from.quarantine.telling(now);
+    to.quarantine.take_told(now, told.into_iter());
+}
+
+/// A caller sends a request that crashes engines again and again, each time through another
+/// router. No router sees more than one crash; without each other's word they would give it every
+/// engine of the fleet.
+#[test]
+fn a_request_in_three_crashes_is_refused_by_every_router() {
+    let mut routers = [router(), router(), router(), router()];
+    for (turn, at) in [1_000, 3_000, 5_000].into_iter().enumerate() {
+        crash(&mut routers[turn], at, GUILTY);
+        for other in (0..routers.len()).filter(|other| *other != turn) {
+            let [from, to] = routers.get_disjoint_mut([turn, other]).unwrap();
+            to.set_endpoints(ms(at + 100), &engines_of(at + 100));
+            tell(from, to, ms(at + 200));
+        }
+    }
+    for core in &mut routers {
+        let refusal = admitted(core, ms(6_000), GUILTY);
+        let cause = match refusal {
+            Admission::Refuse { cause, .. } => cause,
+            Admission::Send(_) => panic!("sent to a fourth engine"),
+        };
+        assert_eq!(cause, RefusalCause::Quarantined);
+        drop(sent(core, ms(6_000), RequestFingerprint(8)));
+    }
+}
+
+/// A link resets connections of an engine that lives on. Requests that are lost there have
+/// crashed nothing, however often it happens.
+#[test]
+fn attempts_lost_on_links_are_no_crashes() {
+    let mut core = router();
+    for turn in 0..10 {
+        let at = ms(1_000 + turn * 100);
+        let ticket = sent(&mut core, at, GUILTY);
+        core.ended(at, ticket, AttemptEnd::Lost(GUILTY));
+    }
+    drop(sent(&mut core, ms(9_000), GUILTY));
+    assert!(core.quarantine.telling(ms(9_000)).is_empty());
+}
+
+/// An innocent request ran beside a guilty one in two crashes and is then answered: a third crash,
+/// weeks of traffic later, must not count together with those.
+#[test]
+fn an_answer_clears_a_suspect() {
+    let mut core = router();
+    crash(&mut core, 1_000, GUILTY);
+    crash(&mut core, 3_000, GUILTY);
+    core.quarantine.answered(GUILTY);
+    crash(&mut core, 5_000, GUILTY);
+    drop(sent(&mut core, ms(6_000), GUILTY));
+}
+
+/// A stranger in the routers' network names thousands of requests.
+#[test]
+fn what_a_message_names_is_bounded() {
+    let mut core = router();
+    let strange =
+        (0..10_000).map(
+            |number| verbenaturn::gateway::decide::quarantine::CrashSuspect {
+                endpoint: verbenaturn::units::EndpointId(1),
+                life: 1,
+                fingerprint: RequestFingerprint(number),
+            },
+        );
+    core.quarantine.take_told(ms(0), strange);
+    assert!(core.quarantine.telling(ms(1)).len() <= 6);
+}
