--- a/examples/decisions.rs
+++ b/examples/decisions.rs
@@ -46,7 +46,7 @@
 fn main() {
     for count in [18, 60, 140, 400] {
         let mut core = GatewayCore::new(GatewayConfig::default(), SmolStr::new("suva-a"));
-        core.set_endpoints(&endpoints("engine", count));
+        core.set_endpoints(Moment(0), &endpoints("engine", count));
         let (route, shape) = (route("reviews", 800), engine_service());
         let service = "engine".parse().unwrap_or_default();
         let team = TeamKey(SmolStr::new("nadi"));
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -6,6 +6,8 @@
 use tokio::time::Instant;
 use tokio::time::sleep_until;
 
+use crate::units::RequestFingerprint;
+
 use super::call::CallState;
 use super::decide::AttemptEnd;
 use super::decide::AttemptTicket;
@@ -51,6 +53,8 @@
 pub enum NotRunCause {
     /// No connection was made.
     NotReached,
+    /// Nothing listens at the address.
+    Gone,
     /// The endpoint refused it.
     Refused,
     /// Another endpoint has the address.
@@ -58,15 +62,16 @@
 }
 
 impl AttemptOutcome {
-    /// What the outcome says of the endpoint.
+    /// What the outcome says of the endpoint, for a request that asks this.
     #[must_use]
-    pub fn end(&self) -> AttemptEnd {
+    pub fn end(&self, fingerprint: RequestFingerprint) -> AttemptEnd {
         match self {
             Self::Answer(answer) if answer.head.status >= 500 => AttemptEnd::Failed,
             Self::Delivered(_) | Self::Answer(_) => AttemptEnd::Answered,
             Self::NotRun(NotRunCause::Refused) => AttemptEnd::Full,
+            Self::NotRun(NotRunCause::Gone) => AttemptEnd::Gone,
             Self::NotRun(_) => AttemptEnd::NotReached,
-            Self::Broken(_) => AttemptEnd::Failed,
+            Self::Broken(_) => AttemptEnd::Lost(fingerprint),
             Self::CallerLeft | Self::TimeUp => AttemptEnd::Abandoned,
         }
     }
@@ -81,6 +86,8 @@
     TimeUp,
     /// The endpoint was silent for too long.
     Stalled,
+    /// Another process has taken the endpoint's place.
+    Replaced,
 }
 
 impl Interruption {
@@ -91,6 +98,7 @@
             Self::CallerLeft => AttemptOutcome::CallerLeft,
             Self::TimeUp => AttemptOutcome::TimeUp,
             Self::Stalled => AttemptOutcome::Broken("stalled"),
+            Self::Replaced => AttemptOutcome::Broken("endpoint started again"),
         }
     }
 }
@@ -106,16 +114,30 @@
     std::future::pending::<()>().await;
 }
 
-/// Reads from the endpoint while it watches the caller and the time.
+/// How long to wait for an endpoint's next bytes.
+#[derive(Debug, Clone, Copy)]
+pub struct WaitBounds {
+    /// When the caller's time is over.
+    pub deadline: Instant,
+    /// When silence counts as the endpoint's failure.
+    pub stall: Instant,
+}
+
+/// Reads from the endpoint while it watches the caller, the time and the endpoint's life.
+///
+/// Guards against a process that ended behind a cut: its connection stays silent without an end,
+/// and the caller would wait out its deadline for an answer that nobody makes. That the endpoint
+/// registered with a later start proves the end; bytes that are here already still go first.
 ///
 /// # Errors
 /// What ended the wait.
 pub async fn read_watching(
     endpoint: &mut WireStream,
     caller: &mut WireStream,
-    deadline: Instant,
-    stall: Instant,
+    ticket: &AttemptTicket,
+    bounds: WaitBounds,
 ) -> Result<io::Result<usize>, Interruption> {
+    let WaitBounds { deadline, stall } = bounds;
     tokio::select! {
         biased;
         read = endpoint.fill() => Ok(read),
@@ -125,6 +147,7 @@
         } else {
             Interruption::TimeUp
         }),
+        () = ticket.replaced() => Err(Interruption::Replaced),
     }
 }
 
@@ -145,12 +168,13 @@
     traffic: &Traffic<P>,
     ticket: &AttemptTicket,
 ) -> io::Result<WireStream> {
-    if let Some(stream) = traffic.pool.take(&ticket.entry.key) {
+    if let Some(stream) = traffic.pool.take(&ticket.entry.life()) {
         return Ok(stream);
     }
     traffic.shared.metrics.endpoint_connection();
     let limit = Duration::from_millis(traffic.shared.config.connect_timeout_ms);
-    WireStream::connect(ticket.entry.address, limit).await
+    let stream = WireStream::connect(ticket.entry.address, limit).await?;
+    Ok(stream.metered(&traffic.shared.link))
 }
 
 /// Sends the call to one endpoint and passes its answer on where that can't be undone later.
@@ -165,7 +189,10 @@
         Err(fault) => {
             let (key, address) = (&ticket.entry.key, ticket.entry.address);
             spdlog::info!("endpoint: key={key} address={address} step=connect fault=\"{fault}\"");
-            return AttemptOutcome::NotRun(NotRunCause::NotReached);
+            return AttemptOutcome::NotRun(match fault.kind() {
+                io::ErrorKind::ConnectionRefused => NotRunCause::Gone,
+                _ => NotRunCause::NotReached,
+            });
         }
     };
     // A router that lags reads requests whose callers have left in the meantime; an endpoint would
@@ -182,6 +209,7 @@
             team: call.team.as_ref().map(|team| team.0.as_str()),
             time_left: call.deadline.saturating_duration_since(Instant::now()),
             last_event: call.last_event(),
+            fetch_from: ticket.fetch_from,
         },
     );
     call.sends += 1;
@@ -223,12 +251,15 @@
     call: &CallState,
     ticket: &AttemptTicket,
 ) -> Result<AnswerStart, AttemptOutcome> {
-    let stall = Instant::now() + call.patience(ticket);
+    let bounds = WaitBounds {
+        deadline: call.deadline,
+        stall: Instant::now() + call.patience(ticket),
+    };
     loop {
         let head = match ResponseHead::take(&mut endpoint.buffer, MAX_ANSWER_HEAD_BYTES) {
             Ok(Some(head)) => head,
             Ok(None) => {
-                more(endpoint, caller, call.deadline, stall).await?;
+                more(endpoint, caller, ticket, bounds).await?;
                 continue;
             }
             Err(_) => return Err(AttemptOutcome::Broken("not an answer")),
@@ -250,7 +281,7 @@
                 "endpoint: key={} call={id} extra answer dropped",
                 ticket.entry.key
             );
-            skip(endpoint, caller, call.deadline, stall, &mut decoder).await?;
+            skip(endpoint, caller, ticket, bounds, &mut decoder).await?;
             continue;
         }
         if facts.not_run {
@@ -274,10 +305,10 @@
 async fn more(
     endpoint: &mut WireStream,
     caller: &mut WireStream,
-    deadline: Instant,
-    stall: Instant,
+    ticket: &AttemptTicket,
+    bounds: WaitBounds,
 ) -> Result<(), AttemptOutcome> {
-    let read = read_watching(endpoint, caller, deadline, stall).await;
+    let read = read_watching(endpoint, caller, ticket, bounds).await;
     match read.map_err(Interruption::outcome)? {
         Ok(0) => Err(AttemptOutcome::Broken("closed before its answer")),
         Ok(_) => Ok(()),
@@ -288,8 +319,8 @@
 async fn skip(
     endpoint: &mut WireStream,
     caller: &mut WireStream,
-    deadline: Instant,
-    stall: Instant,
+    ticket: &AttemptTicket,
+    bounds: WaitBounds,
     decoder: &mut BodyDecoder,
 ) -> Result<(), AttemptOutcome> {
     let mut dropped = bytes::BytesMut::new();
@@ -301,6 +332,6 @@
         if decoder.is_complete() {
             return Ok(());
         }
-        more(endpoint, caller, deadline, stall).await?;
+        more(endpoint, caller, ticket, bounds).await?;
     }
 }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -7,7 +7,9 @@
 use bytes::Bytes;
 use rand::RngExt;
 use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::units::RequestFingerprint;
 use crate::units::TimeSpan;
 
 use super::attempt::AttemptOutcome;
@@ -57,6 +59,8 @@
     pub service: ServiceKey,
     /// The team that its key belongs to.
     pub team: Option<TeamKey>,
+    /// What it asks, to recognise its resends.
+    pub fingerprint: RequestFingerprint,
     /// When it arrived.
     pub arrived: Instant,
     /// When it must have its answer.
@@ -71,12 +75,33 @@
     pub splitter: EventSplitter,
     /// Times that the request was written to an endpoint.
     pub sends: u32,
+    /// What its last placement was decided from.
+    decided: DecisionFacts,
     /// Whether an attempt may have run.
     may_have_run: bool,
     tried: Vec<EndpointKey>,
     unreached: usize,
 }
 
+/// What a call's last placement or refusal was decided from, for its log line.
+#[derive(Debug, Clone, Copy, Default)]
+struct DecisionFacts {
+    is_beyond: bool,
+    predicted_ms: f64,
+    queued: f64,
+    uncached: f64,
+    reread: f64,
+}
+
+impl DecisionFacts {
+    fn placed(&mut self, ticket: &AttemptTicket) {
+        self.predicted_ms = ticket.first_ms;
+        self.queued = ticket.queued - ticket.uncached;
+        self.uncached = ticket.uncached;
+        self.reread = ticket.reread;
+    }
+}
+
 /// How a call ended, for logs and metrics.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CallEnd {
@@ -204,6 +229,7 @@
         splitter: EventSplitter::after(facts.last_event),
         service: service.clone(),
         team: team.cloned(),
+        fingerprint: fingerprint(&head, &body, team),
         route: route.clone(),
         head,
         body,
@@ -214,6 +240,7 @@
         head_sent: false,
         first_output: None,
         sends: 0,
+        decided: DecisionFacts::default(),
         may_have_run: false,
         tried: Vec::new(),
         unreached: 0,
@@ -226,6 +253,13 @@
     }
 }
 
+/// A hash of what a call asks and who asks it. Its id differs from one resend to the next.
+fn fingerprint(head: &RequestHead, body: &[u8], team: Option<&TeamKey>) -> RequestFingerprint {
+    let seed = team.map_or(0, TeamKey::hash);
+    let target = xxh3_64_with_seed(&head.target, seed);
+    RequestFingerprint(xxh3_64_with_seed(body, target))
+}
+
 fn routed<'a>(
     table: &'a RouteTable,
     head: &RequestHead,
@@ -260,6 +294,7 @@
             .core()
             .arrived(traffic.shared.clock.now(), &ask)
     };
+    call.decided.is_beyond = standing != ShareStanding::Within;
     if standing != ShareStanding::Within && traffic.callers.lag() >= LagLevel::Late {
         let wait = TimeSpan::from_millis(traffic.shared.config.retry_after_ms);
         return refused(traffic, caller, call, RefusalCause::OverShare, wait).await;
@@ -272,14 +307,21 @@
         };
         let mut ticket = match admission {
             Admission::Send(ticket) => ticket,
-            Admission::Refuse { cause, retry_after } => {
+            Admission::Refuse {
+                cause,
+                retry_after,
+                expected_ms,
+            } => {
+                call.decided.predicted_ms = expected_ms;
                 return refused(traffic, caller, call, cause, retry_after).await;
             }
         };
+        call.decided.placed(&ticket);
         let outcome = run_attempt(traffic, caller, call, &mut ticket).await;
         let endpoint = ticket.entry.key.clone();
         let now = traffic.shared.clock.now();
-        traffic.shared.core().ended(now, ticket, outcome.end());
+        let end = outcome.end(call.fingerprint);
+        traffic.shared.core().ended(now, ticket, end);
         spdlog::debug!(
             "calls: id={} endpoint={endpoint} outcome={outcome:?}",
             call.facts.call_id
@@ -300,6 +342,7 @@
         team: call.team.as_ref(),
         prompt: call.facts.prompt.as_ref(),
         tried: &call.tried,
+        fingerprint: call.fingerprint,
         waited: micros(now.saturating_duration_since(call.arrived)),
         left: micros(call.deadline.saturating_duration_since(now)),
     }
@@ -315,7 +358,11 @@
 ) -> Option<CallEnd> {
     call.tried.push(endpoint);
     match outcome {
-        AttemptOutcome::Delivered(status) => Some(CallEnd::Answered(status)),
+        AttemptOutcome::Delivered(status) => {
+            let mut core = traffic.shared.core();
+            core.quarantine.answered(call.fingerprint);
+            Some(CallEnd::Answered(status))
+        }
         AttemptOutcome::CallerLeft => Some(CallEnd::CallerLeft),
         AttemptOutcome::TimeUp => {
             call.may_have_run = true;
@@ -328,7 +375,7 @@
             }
             Some(answered(traffic, caller, call, answer).await)
         }
-        AttemptOutcome::NotRun(NotRunCause::NotReached) => {
+        AttemptOutcome::NotRun(NotRunCause::NotReached | NotRunCause::Gone) => {
             call.unreached += 1;
             if call.unreached < MOST_UNREACHED {
                 return None;
@@ -429,7 +476,9 @@
     }
     let status = match cause {
         RefusalCause::OverShare => OwnStatus::TooManyRequests,
-        RefusalCause::NoEndpoint | RefusalCause::Overload => OwnStatus::Unavailable,
+        RefusalCause::NoEndpoint | RefusalCause::Overload | RefusalCause::Quarantined => {
+            OwnStatus::Unavailable
+        }
     };
     let reply = OwnReply::later(status, spread(retry_after.as_duration()));
     own(traffic, caller, call, reply, cause.label()).await
@@ -507,13 +556,30 @@
         .map_or(0, |at| (at - call.arrived).as_millis());
     let team = call.team.as_ref().map_or("-", |team| team.0.as_str());
     let endpoint = call.tried.last().map_or("-", |key| key.0.as_str());
+    let standing = if call.decided.is_beyond {
+        "beyond"
+    } else {
+        "within"
+    };
+    let prompt = call.facts.prompt.as_ref();
+    let DecisionFacts {
+        predicted_ms,
+        queued,
+        uncached,
+        reread,
+        ..
+    } = call.decided;
     spdlog::info!(
         "calls: id={} route={} team={team} version={version} endpoint={endpoint} sends={} \
-         tries={} status={status} cause=\"{cause}\" first_ms={first} total_ms={}",
+         tries={} status={status} cause=\"{cause}\" first_ms={first} total_ms={} \
+         objective_ms={} standing={standing} predicted_ms={predicted_ms:.0} queued={queued:.0} \
+         prompt={} uncached={uncached:.0} reread={reread:.0}",
         call.facts.call_id,
         call.route.name,
         call.sends,
         call.tried.len(),
         total.as_millis(),
+        call.route.objective_ms,
+        prompt.map_or(0, |prompt| prompt.prompt_tokens),
     );
 }
--- a/src/gateway/config.rs
+++ b/src/gateway/config.rs
@@ -14,6 +14,8 @@
 use crate::units::DomainName;
 use crate::units::HostName;
 
+use super::link::LinkSpeed;
+
 /// Settings of one gateway process.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
@@ -110,6 +112,8 @@
     /// Idle time after which a connection to an endpoint is not used again where the endpoint
     /// states none, in ms.
     pub idle_reuse_ms: u64,
+    /// Speed of the host's network link, in Mbit/s.
+    pub link_mbps: LinkSpeed,
     /// Descriptors that the process may use.
     pub descriptors: usize,
     /// How late the traffic thread's timers may be, in ms, until the router asks for fewer callers.
@@ -160,6 +164,7 @@
             part_memory_ms: 10_000,
             connect_timeout_ms: 300,
             idle_reuse_ms: 300,
+            link_mbps: LinkSpeed(1_000.0),
             descriptors: 4_096,
             overload_lag_ms: 60,
             body_memory_bytes: 25_165_824,
--- a/src/gateway/decide/core.rs
+++ b/src/gateway/decide/core.rs
@@ -1,10 +1,13 @@
 //! The decision core of a gateway router: tables, and what happens to them.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 use smol_str::SmolStr;
+use tokio_util::sync::CancellationToken;
 
 use crate::units::Moment;
+use crate::units::RequestFingerprint;
 use crate::units::TimeSpan;
 
 use super::super::config::GatewayConfig;
@@ -18,6 +21,8 @@
 use super::super::routes::TeamKey;
 use super::budget::RetryBounds;
 use super::budget::RetryBudget;
+use super::capacity::CapacityEstimate;
+use super::capacity::FleetFlow;
 use super::endpoints::EndpointTable;
 use super::endpoints::PeerLoad;
 use super::health::HeardClock;
@@ -25,8 +30,10 @@
 use super::placement::EngineModel;
 use super::placement::Placement;
 use super::placement::PlacementAsk;
+use super::quarantine::CrashQuarantine;
 use super::shares::ShareStanding;
 use super::shares::ShareTable;
+use super::shares::TeamFlow;
 use super::sizes::SizeTable;
 
 /// Weight of a new measurement in a service's mean stay: about twenty answers change it, a second
@@ -51,6 +58,8 @@
     pub prompt: Option<&'a PromptShape>,
     /// Endpoints that were tried already.
     pub tried: &'a [EndpointKey],
+    /// What the request asks, to recognise its resends.
+    pub fingerprint: RequestFingerprint,
     /// Time since the call arrived.
     pub waited: TimeSpan,
     /// Time that the call has left.
@@ -66,6 +75,8 @@
     Overload,
     /// Its team is beyond its share while endpoints are busy.
     OverShare,
+    /// It was running in several crashes of endpoints.
+    Quarantined,
 }
 
 impl RefusalCause {
@@ -76,6 +87,7 @@
             Self::NoEndpoint => "no_endpoint",
             Self::Overload => "overload",
             Self::OverShare => "over_share",
+            Self::Quarantined => "quarantined",
         }
     }
 }
@@ -91,6 +103,8 @@
         cause: RefusalCause,
         /// When an endpoint is expected to have room.
         retry_after: TimeSpan,
+        /// The least predicted time to a first output, in ms; 0 if none was predicted.
+        expected_ms: f64,
     },
 }
 
@@ -101,16 +115,26 @@
     pub entry: EndpointEntry,
     /// Predicted time to the first output, in ms.
     pub first_ms: f64,
+    /// The engine from which shared parts are fetched that this one lacks.
+    pub fetch_from: Option<SocketAddr>,
     /// Prompt tokens that the endpoint must read.
-    uncached: f64,
+    pub uncached: f64,
+    /// Those of them that other requests share.
+    pub reread: f64,
     /// Prompt tokens that were queued there, this request's included.
-    queued: f64,
+    pub queued: f64,
     placed_at: Moment,
     is_reading: bool,
     heard: HeardClock,
+    replaced: CancellationToken,
 }
 
 impl AttemptTicket {
+    /// Resolves when another process has taken the place of the one that this was placed at.
+    pub async fn replaced(&self) {
+        self.replaced.cancelled().await;
+    }
+
     /// Something came from the endpoint.
     pub fn hear(&self, now: Moment) {
         self.heard.hear(now);
@@ -124,8 +148,12 @@
     Answered,
     /// The endpoint failed.
     Failed,
+    /// The endpoint broke off; this is what the request asked.
+    Lost(RequestFingerprint),
     /// No connection was made.
     NotReached,
+    /// Nothing listens at its address.
+    Gone,
     /// The endpoint said that it is full.
     Full,
     /// The caller left or the time was over; says nothing about the endpoint.
@@ -146,11 +174,16 @@
     pub endpoints: EndpointTable,
     /// Shares of teams.
     pub shares: ShareTable,
+    capacity: CapacityEstimate,
+    /// Requests that crash endpoints.
+    pub quarantine: CrashQuarantine,
     budget: RetryBudget,
     sizes: SizeTable,
     holds: BTreeMap<ServiceKey, f64>,
     routers: usize,
     reading_speed: f64,
+    /// Whether this router's own link or lateness delays what it measures.
+    is_disturbed: bool,
 }
 
 impl GatewayCore {
@@ -165,6 +198,8 @@
         Self {
             endpoints: EndpointTable::default(),
             shares: ShareTable::new(seconds(config.share_window_s)),
+            capacity: CapacityEstimate::default(),
+            quarantine: CrashQuarantine::default(),
             budget: RetryBudget::new(bounds),
             sizes: SizeTable::default(),
             holds: BTreeMap::new(),
@@ -172,12 +207,30 @@
             reading_speed: config.reading_tokens_per_ms,
             domain,
             config,
+            is_disturbed: false,
         }
     }
 
     /// Takes over the endpoints that are registered now.
-    pub fn set_endpoints(&mut self, entries: &BTreeMap<EndpointKey, EndpointEntry>) {
-        self.endpoints.replace(entries);
+    pub fn set_endpoints(&mut self, now: Moment, entries: &BTreeMap<EndpointKey, EndpointEntry>) {
+        for former in self.endpoints.replace(entries) {
+            self.quarantine.ended(now, &former);
+        }
+    }
+
+    /// Takes over whether this router's own link or lateness delays what it measures.
+    ///
+    /// Guards against a host that shuts itself out of idle endpoints: its full link delays every
+    /// answer, so that all endpoints seem many times too slow and some not reachable, and it
+    /// refuses what any of them would serve. Its measurements say nothing of endpoints then.
+    pub fn set_disturbed(&mut self, is_disturbed: bool) {
+        self.is_disturbed = is_disturbed;
+    }
+
+    /// Whether this router's own link or lateness delays what it measures.
+    #[must_use]
+    pub fn is_disturbed(&self) -> bool {
+        self.is_disturbed
     }
 
     /// Takes over how many routers share the retry budget.
@@ -185,10 +238,10 @@
         self.routers = routers;
     }
 
-    /// Takes over the other routers' work at endpoints, by the endpoints' hashes.
-    pub fn set_peer_loads(&mut self, loads: &BTreeMap<u64, PeerLoad>) {
+    /// Takes over the other routers' work at endpoints, by the numbers of their processes.
+    pub fn set_peer_loads(&mut self, loads: &BTreeMap<u32, PeerLoad>) {
         for row in self.endpoints.rows_mut() {
-            row.peers = loads.get(&row.hash).copied().unwrap_or_default();
+            row.peers = loads.get(&row.life).copied().unwrap_or_default();
             row.health.told = row.peers.health;
         }
     }
@@ -211,13 +264,54 @@
         self.budget.take(now, service, self.routers)
     }
 
+    /// Sets teams' shares from what all routers were asked and what the endpoints can do.
+    pub fn share_out(
+        &mut self,
+        now: Moment,
+        published: f64,
+        elsewhere: &BTreeMap<u64, TeamFlow>,
+        turned_away_elsewhere: f64,
+    ) {
+        let own = self.shares.flows(now);
+        let mut flow = FleetFlow {
+            turned_away: self.shares.turned_away_per_s(now) + turned_away_elsewhere,
+            ..FleetFlow::default()
+        };
+        for team in own.values().chain(elsewhere.values()) {
+            flow.asked += team.asked;
+            flow.served += team.served;
+        }
+        let was_limited = self.capacity.limit().is_some();
+        let rate = self.capacity.rate(now, published, flow);
+        if self.capacity.limit().is_some() != was_limited {
+            let FleetFlow {
+                asked,
+                served,
+                turned_away,
+            } = flow;
+            spdlog::info!(
+                "gateway: shares of rate={rate:.0} published={published:.0} asked={asked:.0} \
+                 served={served:.0} turned_away={turned_away:.0}"
+            );
+        }
+        self.shares.share_out(now, rate, elsewhere);
+    }
+
     /// Decides where a call goes, or that it is refused.
     pub fn admit(&mut self, now: Moment, ask: &CallAsk<'_>, standing: ShareStanding) -> Admission {
+        if let Some(retry_after) = self.quarantine.refused_for(now, ask.fingerprint) {
+            return Admission::Refuse {
+                cause: RefusalCause::Quarantined,
+                retry_after,
+                expected_ms: 0.0,
+            };
+        }
         let engine = ask.shape.and_then(|shape| shape.engine);
         let Some(placement) = self.placed(now, ask, engine) else {
             return Admission::Refuse {
                 cause: RefusalCause::NoEndpoint,
                 retry_after: TimeSpan::from_millis(self.config.no_endpoint_retry_ms),
+                expected_ms: 0.0,
             };
         };
         let limit = self.limit_ms(ask, standing, placement.alone_ms);
@@ -225,12 +319,17 @@
         let expected = ask.waited.0 as f64 / 1e3 + placement.first_ms;
         if expected > limit {
             let cause = match standing {
-                ShareStanding::Within => RefusalCause::Overload,
+                ShareStanding::Within => {
+                    let tokens = ask.prompt.map_or(0.0, PromptShape::share_tokens);
+                    self.shares.turn_away(now, tokens);
+                    RefusalCause::Overload
+                }
                 ShareStanding::Beyond(_) => RefusalCause::OverShare,
             };
             return Admission::Refuse {
                 cause,
                 retry_after: self.retry_after(expected - limit),
+                expected_ms: expected,
             };
         }
         self.ticket(now, ask, &placement)
@@ -306,6 +405,7 @@
             return Admission::Refuse {
                 cause: RefusalCause::NoEndpoint,
                 retry_after: TimeSpan::from_millis(self.config.no_endpoint_retry_ms),
+                expected_ms: 0.0,
             };
         };
         row.active += 1;
@@ -326,11 +426,14 @@
         Admission::Send(AttemptTicket {
             entry: row.entry.clone(),
             first_ms: placement.first_ms,
+            fetch_from: placement.fetch_from,
             uncached: placement.uncached,
+            reread: placement.reread,
             queued: row.total_pending(),
             placed_at: now,
             is_reading: true,
             heard: row.health.heard.clone(),
+            replaced: row.replaced.clone(),
         })
     }
 
@@ -338,17 +441,17 @@
     #[allow(clippy::cast_precision_loss)]
     pub fn first_output(&mut self, now: Moment, ticket: &mut AttemptTicket) {
         self.stop_reading(ticket);
-        let Some(row) = self.endpoints.get_mut(&ticket.entry.key) else {
+        let Some(row) = self.endpoints.of_attempt(&ticket.entry) else {
             return;
         };
         row.reached();
         row.health.outputs(now);
-        if ticket.queued < LEARNING_TOKENS {
+        if ticket.queued < LEARNING_TOKENS || self.is_disturbed {
             return;
         }
         let measured = now.since(ticket.placed_at).0 as f64 / 1e3;
         let ratio = measured / ticket.first_ms.max(1.0);
-        row.health.learn_slowness(ratio);
+        row.health.learn_slowness(now, ratio);
     }
 
     fn stop_reading(&mut self, ticket: &mut AttemptTicket) {
@@ -356,7 +459,7 @@
             return;
         }
         ticket.is_reading = false;
-        if let Some(row) = self.endpoints.get_mut(&ticket.entry.key) {
+        if let Some(row) = self.endpoints.of_attempt(&ticket.entry) {
             row.pending_tokens = (row.pending_tokens - ticket.uncached).max(0.0);
         }
     }
@@ -366,7 +469,7 @@
     pub fn ended(&mut self, now: Moment, mut ticket: AttemptTicket, end: AttemptEnd) {
         let had_output = !ticket.is_reading;
         self.stop_reading(&mut ticket);
-        let Some(row) = self.endpoints.get_mut(&ticket.entry.key) else {
+        let Some(row) = self.endpoints.of_attempt(&ticket.entry) else {
             return;
         };
         let was_silent = row.health.is_silent_here(now);
@@ -378,11 +481,23 @@
                 row.health.heard.hear(now);
                 row.health.count(now, false);
                 let stay = now.since(ticket.placed_at).0 as f64 / 1e3;
-                let mean = self.holds.entry(ticket.entry.service).or_insert(stay);
+                let mean = self
+                    .holds
+                    .entry(ticket.entry.service.clone())
+                    .or_insert(stay);
                 *mean += LEARNING_WEIGHT * (stay - *mean);
             }
             AttemptEnd::Failed => row.health.count(now, true),
+            AttemptEnd::Lost(print) => {
+                row.health.count(now, true);
+                self.quarantine.lost(now, &ticket.entry, print);
+            }
+            AttemptEnd::NotReached if self.is_disturbed => row.not_reached_by_fault(now),
             AttemptEnd::NotReached => row.not_reached(now),
+            AttemptEnd::Gone => {
+                row.not_reached(now);
+                self.quarantine.ended(now, &ticket.entry);
+            }
             AttemptEnd::Full => row.was_full(now),
             // Callers that give up on an endpoint that hangs are the only sign of it where the
             // request may not run elsewhere.
--- a/src/gateway/decide/endpoints.rs
+++ b/src/gateway/decide/endpoints.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeMap;
 
+use tokio_util::sync::CancellationToken;
+
 use crate::units::Moment;
 use crate::units::TimeSpan;
 
@@ -38,8 +40,14 @@
 pub struct EndpointRow {
     /// What it registered.
     pub entry: EndpointEntry,
-    /// Its number between routers and in the order of rendezvous hashing.
+    /// Its number in the order of rendezvous hashing. A restart keeps it, so that the parts whose
+    /// home it is stay where all routers look for them.
     pub hash: u64,
+    /// Its process's number between routers: the low half of the hash of its life. Two processes
+    /// with one number would be believed to have each other's load, once in hundreds of fleets.
+    pub life: u32,
+    /// Cancelled when another process has taken its place.
+    pub replaced: CancellationToken,
     /// This router's requests there.
     pub active: u32,
     /// Prompt tokens of this router's requests that wait to be read there.
@@ -56,10 +64,17 @@
     pub parts: BTreeMap<u64, Moment>,
 }
 
+#[allow(clippy::cast_possible_truncation)]
+fn life_number(entry: &EndpointEntry) -> u32 {
+    entry.life().hash() as u32
+}
+
 impl EndpointRow {
     fn new(entry: EndpointEntry) -> Self {
         Self {
             hash: entry.key.hash(),
+            life: life_number(&entry),
+            replaced: CancellationToken::new(),
             entry,
             active: 0,
             pending_tokens: 0.0,
@@ -96,6 +111,12 @@
         self.paused_until = now + TimeSpan::from_millis(pause.min(LONGEST_PAUSE_MS));
     }
 
+    /// A connection was not made while this router's own link was at fault: the endpoint is left
+    /// alone for a moment, which says nothing of the next time.
+    pub fn not_reached_by_fault(&mut self, now: Moment) {
+        self.paused_until = now + TimeSpan::from_millis(FIRST_PAUSE_MS);
+    }
+
     /// The endpoint answered something.
     pub fn reached(&mut self) {
         self.refused = 0;
@@ -118,23 +139,39 @@
 
 impl EndpointTable {
     /// Takes over what is registered now. Rows of known endpoints keep what was learned.
-    pub fn replace(&mut self, entries: &BTreeMap<EndpointKey, EndpointEntry>) {
+    ///
+    /// Guards against an endpoint that starts again under its key: its queue, its cache and its
+    /// failures ended with the process, and calls that wait for the former process wait in vain.
+    /// The later process gets a row of its own, and attempts at the former one are told.
+    /// Returns the former processes that others have replaced.
+    pub fn replace(
+        &mut self,
+        entries: &BTreeMap<EndpointKey, EndpointEntry>,
+    ) -> Vec<EndpointEntry> {
+        let mut replaced = Vec::new();
         let before = std::mem::take(&mut self.rows).into_iter();
         let mut known: BTreeMap<EndpointKey, EndpointRow> =
             before.map(|row| (row.entry.key.clone(), row)).collect();
         self.services.clear();
         for (key, entry) in entries {
             let row = match known.remove(key) {
-                Some(row) => EndpointRow {
+                Some(row) if row.entry.born == entry.born => EndpointRow {
                     entry: entry.clone(),
                     ..row
                 },
+                Some(former) => {
+                    spdlog::info!("endpoint: key={key} born={} started again", entry.born);
+                    former.replaced.cancel();
+                    replaced.push(former.entry);
+                    EndpointRow::new(entry.clone())
+                }
                 None => EndpointRow::new(entry.clone()),
             };
             let places = self.services.entry(entry.service.clone()).or_default();
             places.push(self.rows.len());
             self.rows.push(row);
         }
+        replaced
     }
 
     fn place(&self, key: &EndpointKey) -> Option<usize> {
@@ -148,6 +185,12 @@
         self.place(key).map(|place| &self.rows[place])
     }
 
+    /// The row of the process that an attempt was placed at; nothing if that has ended.
+    pub fn of_attempt(&mut self, entry: &EndpointEntry) -> Option<&mut EndpointRow> {
+        let row = self.get_mut(&entry.key)?;
+        (row.entry.born == entry.born).then_some(row)
+    }
+
     /// One endpoint, to change.
     pub fn get_mut(&mut self, key: &EndpointKey) -> Option<&mut EndpointRow> {
         self.place(key).map(|place| &mut self.rows[place])
--- a/src/gateway/decide/health.rs
+++ b/src/gateway/decide/health.rs
@@ -46,6 +46,13 @@
 /// others: their sums made all routers refuse more, since single measurements err upwards.
 const LEARNING_WEIGHT: f64 = 0.08;
 
+/// Time for which a measured slowness holds without another measurement. In a fleet of a hundred
+/// routers each of them measures an engine about once in that time.
+const SLOWNESS_FRESH: TimeSpan = TimeSpan::from_millis(1_500);
+
+/// Time after which half of it is believed from then on, in us.
+const SLOWNESS_HALF_LIFE_US: f64 = 1_500_000.0;
+
 /// Bounds of what a single measurement may say of an engine's slowness, so that one stalled
 /// request does not shut an engine out.
 const SLOWNESS_RANGE: (f64, f64) = (0.5, 8.0);
@@ -98,6 +105,7 @@
     counted_at: Moment,
     /// Measured time to the first output against the predicted one; 1 is as predicted.
     slowness: f64,
+    learned_at: Moment,
     expectation: Option<AnswerExpectation>,
     /// This router's attempts before their first output.
     waiting: u32,
@@ -114,6 +122,7 @@
             failures: 0.0,
             counted_at: Moment(0),
             slowness: 1.0,
+            learned_at: Moment(0),
             expectation: None,
             waiting: 0,
             streaming: 0,
@@ -180,15 +189,22 @@
     }
 
     /// Learns from one measured time to a first output against the predicted one.
-    pub fn learn_slowness(&mut self, ratio: f64) {
-        let sample = (self.slowness * ratio).clamp(SLOWNESS_RANGE.0, SLOWNESS_RANGE.1);
-        self.slowness += LEARNING_WEIGHT * (sample - self.slowness);
+    pub fn learn_slowness(&mut self, now: Moment, ratio: f64) {
+        let known = self.slowness(now);
+        let sample = (known * ratio).clamp(SLOWNESS_RANGE.0, SLOWNESS_RANGE.1);
+        self.slowness = known + LEARNING_WEIGHT * (sample - known);
+        self.learned_at = now;
     }
 
     /// Measured time to the first output against the predicted one.
+    ///
+    /// Guards against a router that has learned that all endpoints are slow, and so refuses every
+    /// call: it would measure nothing any more and never learn better. What was not measured again
+    /// for a while fades.
     #[must_use]
-    pub fn slowness(&self) -> f64 {
-        self.slowness
+    pub fn slowness(&self, now: Moment) -> f64 {
+        let fading_since = self.learned_at + SLOWNESS_FRESH;
+        1.0 + (self.slowness - 1.0) * remaining(fading_since, now, SLOWNESS_HALF_LIFE_US)
     }
 
     /// Whether something came from it of late.
--- a/src/gateway/decide/mod.rs
+++ b/src/gateway/decide/mod.rs
@@ -4,10 +4,12 @@
 //! endpoint's own refusal is the last word, so a wrong belief costs time and never correctness.
 
 pub mod budget;
+pub mod capacity;
 pub mod core;
 pub mod endpoints;
 pub mod health;
 pub mod placement;
+pub mod quarantine;
 pub mod shares;
 pub mod sizes;
 pub mod window;
--- a/src/gateway/decide/placement.rs
+++ b/src/gateway/decide/placement.rs
@@ -6,6 +6,8 @@
 //! read costs nothing there; every router ranks endpoints alike for a part (rendezvous hashing),
 //! so that the part stays in few caches without the routers asking each other.
 
+use std::net::SocketAddr;
+
 use smol_str::SmolStr;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -37,6 +39,19 @@
 /// the price of bytes between domains.
 const DOMAIN_PENALTY_MS: f64 = 4.0;
 
+/// What fetching a shared part from another engine counts beside the time that it takes, in
+/// multiples of that time: the memory's way over two links delays whatever is fetched after it.
+const FETCH_WEIGHT: f64 = 1.0;
+
+/// Time that a fetch takes beside its bytes, in ms: two ways between engines and its set-up.
+const FETCH_START_MS: f64 = 5.0;
+
+/// How much longer a fetch from another failure domain takes.
+const FETCH_AWAY_FACTOR: f64 = 2.0;
+
+/// Shared tokens below which nothing is fetched: reading them takes about as long.
+const LEAST_FETCH: f64 = 256.0;
+
 /// What a failing endpoint is taken to cost more, in ms for a rate of one: a failed attempt costs
 /// the caller about as much as a late answer.
 const FAILURE_PENALTY_MS: f64 = 1_500.0;
@@ -83,6 +98,10 @@
     pub alone_ms: f64,
     /// Prompt tokens that the endpoint must read.
     pub uncached: f64,
+    /// Those of them that other requests share.
+    pub reread: f64,
+    /// The engine from which the shared parts are fetched that this one lacks.
+    pub fetch_from: Option<SocketAddr>,
 }
 
 /// The parts that other requests may share: all but the last.
@@ -131,6 +150,8 @@
     tokens: f64,
     /// Those of shared parts.
     shared: f64,
+    /// Tokens of shared parts that it is expected to keep.
+    kept: f64,
 }
 
 /// The reading work of a prompt at one endpoint. A part is kept there with all parts before it
@@ -154,9 +175,59 @@
     ReadingWork {
         tokens: total - kept,
         shared: shared - kept,
+        kept,
+    }
+}
+
+/// The engine that keeps most of a prompt's shared parts.
+///
+/// Fetched from there, a part costs another engine the time of its bytes, a seventh of its
+/// reading, so that a request goes to the engine with the least queue wherever its parts lie.
+#[derive(Debug, Clone, Copy)]
+struct PartHolder<'a> {
+    row: &'a EndpointRow,
+    kept: f64,
+    ms_per_token: f64,
+}
+
+impl<'a> PartHolder<'a> {
+    fn of(rows: &[(&'a EndpointRow, ReadingWork)], engine: Option<EngineShape>) -> Option<Self> {
+        let ms_per_token = engine?.fetch_ms_per_token()?;
+        let most = rows
+            .iter()
+            .max_by(|(_, left), (_, right)| left.kept.total_cmp(&right.kept))?;
+        let (row, ReadingWork { kept, .. }) = *most;
+        (kept >= LEAST_FETCH).then_some(Self {
+            row,
+            kept,
+            ms_per_token,
+        })
+    }
+
+    /// What an engine that has this much to read would fetch; nothing if it is not worth it.
+    fn fetch(&self, row: &EndpointRow, work: ReadingWork) -> Option<PartFetch> {
+        let tokens = self.kept - work.kept;
+        if tokens < LEAST_FETCH || row.entry.key == self.row.entry.key {
+            return None;
+        }
+        let is_away = row.entry.domain != self.row.entry.domain;
+        let factor = if is_away { FETCH_AWAY_FACTOR } else { 1.0 };
+        Some(PartFetch {
+            from: self.row.entry.address,
+            tokens,
+            ms: FETCH_START_MS + tokens * self.ms_per_token * factor,
+        })
     }
 }
 
+/// Shared parts that an engine gets from another one in place of reading them.
+#[derive(Debug, Clone, Copy)]
+struct PartFetch {
+    from: SocketAddr,
+    tokens: f64,
+    ms: f64,
+}
+
 /// Time that a request waits for a slot, in ms.
 fn slot_wait(row: &EndpointRow, slots: u32, hold_ms: f64) -> f64 {
     let active = row.total_active();
@@ -171,6 +242,7 @@
     ask: &PlacementAsk<'_>,
     model: &EngineModel,
     uncached: f64,
+    now: Moment,
 ) -> f64 {
     let slots = ask.engine.map_or(row.entry.slots, |engine| engine.slots);
     let waiting = slot_wait(row, slots, model.hold_ms);
@@ -178,7 +250,7 @@
         return waiting;
     };
     let reading = (row.total_pending() + uncached) / model.tokens_per_ms;
-    IDLE_FIRST_TOKEN_MS + (waiting + reading) * row.health.slowness()
+    IDLE_FIRST_TOKEN_MS + (waiting + reading) * row.health.slowness(now)
 }
 
 /// The endpoint with the least predicted time to a first output, and what it costs there.
@@ -202,21 +274,34 @@
         .iter()
         .map(|row| row.health.failure_rate(now))
         .fold(1.0, f64::min);
+    let work_of = |row: &EndpointRow| {
+        let prompt = ask.prompt;
+        prompt.map(|prompt| reading_work(row, prompt, &homes, now))
+    };
+    let candidates: Vec<(&EndpointRow, ReadingWork)> = usable
+        .into_iter()
+        .map(|row| (row, work_of(row).unwrap_or_default()))
+        .collect();
+    let holder = PartHolder::of(&candidates, ask.engine);
     let mut best: Option<(f64, Placement)> = None;
-    for row in usable {
-        let work = ask
-            .prompt
-            .map(|prompt| reading_work(row, prompt, &homes, now))
-            .unwrap_or_default();
-        let first_ms = predicted_ms(row, ask, model, work.tokens);
+    for (row, mut work) in candidates {
+        let fetch = holder.and_then(|holder| holder.fetch(row, work));
+        let fetched = fetch.map_or(0.0, |fetch| fetch.tokens);
+        let fetch_ms = fetch.map_or(0.0, |fetch| fetch.ms);
+        work.tokens -= fetched;
+        work.shared -= fetched;
+        let first_ms = predicted_ms(row, ask, model, work.tokens, now) + fetch_ms;
         let reread_ms = REREAD_WEIGHT * work.shared / model.tokens_per_ms;
-        let cost = first_ms + reread_ms + side_cost(row, ask, now, lowest);
+        let side_ms = side_cost(row, ask, now, lowest) + FETCH_WEIGHT * fetch_ms;
+        let cost = first_ms + reread_ms + side_ms;
         if best.as_ref().is_none_or(|(least, _)| cost < *least) {
             let placement = Placement {
                 endpoint: row.entry.key.clone(),
                 first_ms,
-                alone_ms: IDLE_FIRST_TOKEN_MS + work.tokens / model.tokens_per_ms,
+                alone_ms: IDLE_FIRST_TOKEN_MS + fetch_ms + work.tokens / model.tokens_per_ms,
                 uncached: work.tokens,
+                reread: work.shared,
+                fetch_from: fetch.map(|fetch| fetch.from),
             };
             best = Some((cost, placement));
         }
--- a/src/gateway/decide/shares.rs
+++ b/src/gateway/decide/shares.rs
@@ -57,6 +57,8 @@
     window: TimeSpan,
     /// When the first request was counted.
     begun: Option<Moment>,
+    /// Requests within shares that found the endpoints full.
+    turned_away: WindowCount,
     teams: BTreeMap<TeamKey, TeamCounts>,
 }
 
@@ -67,6 +69,7 @@
         Self {
             window,
             begun: None,
+            turned_away: WindowCount::new(window),
             teams: BTreeMap::new(),
         }
     }
@@ -117,6 +120,17 @@
         }
     }
 
+    /// Counts a request within its team's share that found the endpoints full.
+    pub fn turn_away(&mut self, now: Moment, tokens: f64) {
+        self.turned_away.add(now, tokens);
+    }
+
+    /// Tokens a second of such requests.
+    pub fn turned_away_per_s(&mut self, now: Moment) -> f64 {
+        let seconds = self.counted_s(now);
+        self.turned_away.sum(now) / seconds
+    }
+
     /// Seconds over which the counts go: the window, or the shorter time since the first request.
     ///
     /// Guards against a fleet that has just started and shares nothing out: over the whole window
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -78,9 +78,11 @@
     loop {
         sleep(SWEEP_PAUSE).await;
         let core = traffic.shared.core();
-        traffic
-            .pool
-            .sweep(|endpoint| core.endpoints.get(endpoint).is_some());
+        traffic.pool.sweep(|life| {
+            core.endpoints
+                .get(&life.key)
+                .is_some_and(|row| row.entry.born == life.born)
+        });
     }
 }
 
@@ -107,7 +109,7 @@
 }
 
 async fn serve_connection<P: CallProtocol>(traffic: Rc<Traffic<P>>, stream: TcpStream) {
-    let mut caller = WireStream::new(stream);
+    let mut caller = WireStream::new(stream).metered(&traffic.shared.link);
     let _open = traffic.callers.open();
     loop {
         let request = match read_request(&traffic, &mut caller).await {
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -17,15 +17,20 @@
 use tokio::net::UdpSocket;
 use tokio::time::interval;
 
+use crate::units::EndpointId;
 use crate::units::Moment;
+use crate::units::RequestFingerprint;
 use crate::units::TimeSpan;
 
 use super::decide::endpoints::EndpointRow;
+use super::decide::quarantine::CrashSuspect;
+use super::digest::DemandEntry;
+use super::digest::LoadEntry;
+use super::digest::RouterDigest;
+use super::digest::SuspectEntry;
 use super::handover;
-use super::peer_table::DemandEntry;
-use super::peer_table::LoadEntry;
+use super::link::LinkSpeed;
 use super::peer_table::PeerTable;
-use super::peer_table::RouterDigest;
 use super::readers::ReaderElection;
 use super::shared::SharedState;
 
@@ -48,6 +53,16 @@
 const YOUNG_ROUNDS: u64 = 15;
 const YOUNG_MESSAGES: usize = 40;
 
+/// Part of a host's link that messages to other routers may fill. At 10 Mbit/s, twenty messages a
+/// round took a quarter of a small host's link just when a flood of calls filled the rest.
+const LINK_PART: f64 = 0.03;
+
+/// Bytes of a datagram beside its content.
+const DATAGRAM_HEADER_BYTES: usize = 28;
+
+/// Rounds between two messages that name other routers, once these have found each other.
+const ADDRESS_ROUNDS: u64 = 5;
+
 /// Rounds between two messages to addresses that do not answer.
 const SILENT_ROUNDS: u64 = 10;
 
@@ -118,7 +133,10 @@
         tokio::select! {
             _ = ticks.tick() => gossip.tick().await,
             received = gossip.socket.recv_from(&mut buffer) => match received {
-                Ok((length, from)) => gossip.received(&buffer[..length], from),
+                Ok((length, from)) => {
+                    gossip.shared.link.received(length);
+                    gossip.received(&buffer[..length], from);
+                }
                 Err(fault) => spdlog::debug!("peers: step=receive fault=\"{fault}\""),
             }
         }
@@ -142,6 +160,8 @@
             Ok(digest) => {
                 let now = self.shared.clock.now();
                 let is_new = !self.peers.knows_life(&from.ip(), digest.incarnation);
+                let suspects = digest.suspects.iter().map(told_suspect);
+                self.shared.core().quarantine.take_told(now, suspects);
                 if self.peers.take(now, from.ip(), digest) && is_new {
                     spdlog::info!("peers: router={} found", from.ip());
                     self.newcomers.insert(from.ip());
@@ -160,8 +180,9 @@
         self.choose_reader(now);
         self.fetch_if_behind(now);
         let digest = self.digest(now).encode_to_vec();
-        for address in self.receivers(now) {
+        for address in self.receivers(now, digest.len()) {
             let target = SocketAddr::new(address, self.plan.listen.port());
+            self.shared.link.sent(digest.len());
             if let Err(fault) = self.socket.send_to(&digest, target).await {
                 spdlog::debug!("peers: router={target} step=send fault=\"{fault}\"");
             }
@@ -172,6 +193,7 @@
     fn take_over(&self, now: Moment) {
         let timeout = self.timeout();
         let flows = self.peers.flows(now, timeout);
+        let turned_away = self.peers.turned_away(now, timeout);
         let rate = self
             .shared
             .routes()
@@ -179,7 +201,7 @@
         let mut core = self.shared.core();
         core.set_peer_loads(self.peers.loads());
         core.set_routers(self.peers.budget_routers(now));
-        core.shares.share_out(now, rate, &flows);
+        core.share_out(now, rate, &flows, turned_away);
         core.forget_parts(now);
     }
 
@@ -187,9 +209,14 @@
     fn digest(&self, now: Moment) -> RouterDigest {
         let endpoints_revision = self.shared.endpoints_revision().0;
         let routes_version = self.shared.routes().map_or(0, |table| table.version);
+        let tells_routers = self.round < YOUNG_ROUNDS
+            || !self.newcomers.is_empty()
+            || self.round.is_multiple_of(ADDRESS_ROUNDS);
         let mut core = self.shared.core();
+        let suspects = core.quarantine.telling(now);
+        let turned_away = core.shares.turned_away_per_s(now);
         let flows = core.shares.flows(now);
-        let trusts_itself = core.endpoints.is_trustworthy(now);
+        let trusts_itself = core.endpoints.is_trustworthy(now) && !core.is_disturbed();
         let loads = core.endpoints.rows();
         let loads = loads.filter_map(|row| load_entry(row, now, trusts_itself));
         RouterDigest {
@@ -208,9 +235,15 @@
                     served_per_s: flow.served as u32,
                 })
                 .collect(),
-            routers: self.told_addresses(now),
+            routers: if tells_routers {
+                self.told_addresses(now)
+            } else {
+                Vec::new()
+            },
             in_touch: self.shared.is_in_touch(),
             store_failing: self.shared.own_touch().is_failing,
+            suspects: suspects.into_iter().map(suspect_entry).collect(),
+            turned_away_per_s: turned_away as u32,
         }
     }
 
@@ -225,7 +258,7 @@
             .collect()
     }
 
-    fn receivers(&mut self, now: Moment) -> Vec<IpAddr> {
+    fn receivers(&mut self, now: Moment, digest_bytes: usize) -> Vec<IpAddr> {
         let timeout = self.timeout();
         let live: Vec<IpAddr> = self.peers.live(now, timeout).map(|(ip, _)| *ip).collect();
         let count = if self.has_news() {
@@ -233,7 +266,8 @@
         } else if self.round < YOUNG_ROUNDS {
             live.len().min(YOUNG_MESSAGES)
         } else {
-            messages_per_round(live.len(), self.own_active(), self.peers.all_active())
+            let wanted = messages_per_round(live.len(), self.own_active(), self.peers.all_active());
+            wanted.min(self.messages_of_link(digest_bytes))
         };
         let turned = live.iter().cycle().skip(self.next % live.len().max(1));
         let mut receivers: Vec<IpAddr> = turned.take(count).copied().collect();
@@ -249,6 +283,13 @@
         receivers
     }
 
+    /// Messages a round that the host's link has room for.
+    fn messages_of_link(&self, digest_bytes: usize) -> usize {
+        let config = &self.shared.config;
+        let round = Duration::from_millis(config.gossip_ms);
+        messages_on_link(config.link_mbps, round, digest_bytes)
+    }
+
     /// This router's calls at endpoints.
     fn own_active(&self) -> u64 {
         let core = self.shared.core();
@@ -336,12 +377,20 @@
         .clamp(FEWEST_MESSAGES, MOST_MESSAGES)
 }
 
+/// Messages of that size that fit a round's part of the link, at least one.
+#[must_use]
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+pub fn messages_on_link(speed: LinkSpeed, round: Duration, digest_bytes: usize) -> usize {
+    let bytes = (speed.bytes_in(round) * LINK_PART) as usize;
+    (bytes / (digest_bytes + DATAGRAM_HEADER_BYTES)).max(1)
+}
+
 /// What this router tells of one endpoint; nothing if there is nothing to tell. A router that does
 /// not trust its own links tells of its load only.
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
 fn load_entry(row: &EndpointRow, now: Moment, trusts_itself: bool) -> Option<LoadEntry> {
     let load = LoadEntry {
-        endpoint: row.hash,
+        endpoint: row.life,
         active: row.active,
         pending_tokens: row.pending_tokens as u32,
         ..LoadEntry::default()
@@ -362,6 +411,22 @@
     })
 }
 
+fn suspect_entry(suspect: CrashSuspect) -> SuspectEntry {
+    SuspectEntry {
+        endpoint: suspect.endpoint.0,
+        life: suspect.life,
+        fingerprint: suspect.fingerprint.0,
+    }
+}
+
+fn told_suspect(entry: &SuspectEntry) -> CrashSuspect {
+    CrashSuspect {
+        endpoint: EndpointId(entry.endpoint),
+        life: entry.life,
+        fingerprint: RequestFingerprint(entry.fingerprint),
+    }
+}
+
 /// The IP number of a seed, with or without a port.
 fn seed_ip(seed: &str) -> Option<IpAddr> {
     let address = seed.parse::<SocketAddr>().map(|address| address.ip());
--- a/src/gateway/http/connection.rs
+++ b/src/gateway/http/connection.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::BytesMut;
@@ -12,6 +13,8 @@
 use tokio::net::TcpStream;
 use tokio::time;
 
+use crate::gateway::link::LinkMeter;
+
 /// Space made before a read, in bytes: a whole head or some events in one system call.
 const READ_BYTES: usize = 8_192;
 
@@ -21,6 +24,7 @@
     stream: TcpStream,
     /// Bytes that were read and not yet used.
     pub buffer: BytesMut,
+    meter: Option<Arc<LinkMeter>>,
 }
 
 impl WireStream {
@@ -30,6 +34,26 @@
         Self {
             stream,
             buffer: BytesMut::new(),
+            meter: None,
+        }
+    }
+
+    /// Counts what it moves from now on.
+    #[must_use]
+    pub fn metered(mut self, meter: &Arc<LinkMeter>) -> Self {
+        self.meter = Some(Arc::clone(meter));
+        self
+    }
+
+    fn count_received(&self, bytes: usize) {
+        if let Some(meter) = &self.meter {
+            meter.received(bytes);
+        }
+    }
+
+    fn count_sent(&self, bytes: usize) {
+        if let Some(meter) = &self.meter {
+            meter.sent(bytes);
         }
     }
 
@@ -58,7 +82,9 @@
     /// If the connection broke.
     pub async fn fill(&mut self) -> io::Result<usize> {
         self.buffer.reserve(READ_BYTES);
-        self.stream.read_buf(&mut self.buffer).await
+        let read = self.stream.read_buf(&mut self.buffer).await?;
+        self.count_received(read);
+        Ok(read)
     }
 
     /// Writes all of `bytes`.
@@ -66,6 +92,7 @@
     /// # Errors
     /// If the connection broke.
     pub async fn send(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.count_sent(bytes.len());
         self.stream.write_all(bytes).await
     }
 
@@ -74,6 +101,7 @@
     /// # Errors
     /// If the connection broke or the peer closed its side.
     pub async fn send_watching(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.count_sent(bytes.len());
         // Almost every write fits the socket's buffer and needs no watching.
         let mut sent = match self.stream.try_write(bytes) {
             Ok(count) => count,
--- /dev/null
+++ b/src/gateway/link.rs
@@ -0,0 +1,118 @@
+//! How full this host's network link is.
+//!
+//! The load that this answers: small hosts on slow links before prompts of many kilobytes. A host
+//! at 10 Mbit/s carries about a hundred such calls a second; a flood of one team through it fills
+//! the link while its processor idles. Packets then wait for seconds: answers that endpoints made
+//! arrive after the callers have left, connections to endpoints time out, and the endpoints are
+//! taken for dead while they idle. Nothing on the host shows that but the bytes that it moves.
+
+use std::fmt;
+use std::str::FromStr;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use schemars::JsonSchema;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Part of the bytes on a link that are headers of packets, in percent: 40 bytes of each packet of
+/// 1,448, and acknowledgements the other way.
+const HEADER_PERCENT: u64 = 5;
+
+/// Weight of a new look in the mean: three looks of a tenth of a second follow a step by two
+/// thirds, so that one burst that a window of the network holds anyway does not count as full.
+const LOOK_WEIGHT: f64 = 0.3;
+
+/// Speed of a link, in Mbit/s.
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd, Serialize, Deserialize, JsonSchema)]
+#[serde(transparent)]
+pub struct LinkSpeed(pub f64);
+
+impl fmt::Display for LinkSpeed {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}", self.0)
+    }
+}
+
+impl FromStr for LinkSpeed {
+    type Err = std::num::ParseFloatError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.parse().map(Self)
+    }
+}
+
+impl LinkSpeed {
+    /// Bytes that it carries in that time, one way.
+    #[must_use]
+    pub fn bytes_in(self, time: Duration) -> f64 {
+        self.0 * 1e6 / 8.0 * time.as_secs_f64()
+    }
+}
+
+/// Bytes that this process has moved over its link since it started.
+#[derive(Debug, Default)]
+pub struct LinkMeter {
+    received: AtomicU64,
+    sent: AtomicU64,
+}
+
+impl LinkMeter {
+    /// Counts bytes that came.
+    pub fn received(&self, bytes: usize) {
+        self.received.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
+    /// Counts bytes that went.
+    pub fn sent(&self, bytes: usize) {
+        self.sent.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
+    /// All that came, and all that went.
+    #[must_use]
+    pub fn totals(&self) -> (u64, u64) {
+        let received = self.received.load(Ordering::Relaxed);
+        (received, self.sent.load(Ordering::Relaxed))
+    }
+}
+
+/// How full a link was of late.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct LinkUse {
+    totals: (u64, u64),
+    received: f64,
+    sent: f64,
+}
+
+impl LinkUse {
+    /// Looks at the meter again after that time.
+    #[allow(clippy::cast_precision_loss)]
+    pub fn look(&mut self, totals: (u64, u64), passed: Duration, speed: LinkSpeed) {
+        let carried = speed.bytes_in(passed).max(1.0);
+        let part = |now: u64, before: u64| {
+            let bytes = now.saturating_sub(before) * (100 + HEADER_PERCENT) / 100;
+            bytes as f64 / carried
+        };
+        self.received += LOOK_WEIGHT * (part(totals.0, self.totals.0) - self.received);
+        self.sent += LOOK_WEIGHT * (part(totals.1, self.totals.1) - self.sent);
+        self.totals = totals;
+    }
+
+    /// The fuller of its two ways, in percent of what it carries.
+    #[must_use]
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    pub fn percent(&self) -> usize {
+        (self.received.max(self.sent) * 100.0) as usize
+    }
+
+    /// Both ways in percent: what came, what went.
+    #[must_use]
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    pub fn both(&self) -> (usize, usize) {
+        (
+            (self.received * 100.0) as usize,
+            (self.sent * 100.0) as usize,
+        )
+    }
+}
--- a/src/gateway/load.rs
+++ b/src/gateway/load.rs
@@ -15,6 +15,7 @@
 use tokio::time::sleep;
 
 use super::front::Traffic;
+use super::link::LinkUse;
 
 /// Pause between two looks.
 const LOOK_PAUSE: Duration = Duration::from_millis(100);
@@ -47,6 +48,13 @@
 /// another router at once. A part of the half second in which such work has to end.
 const ALL_LAG_MS: f64 = 150.0;
 
+/// Use of the link, in percent, beyond which what this router measures is its own delay: a queue
+/// as long as a prompt's reading builds up on a link that is half full and gets its calls in clumps.
+const DISTURBED_LINK_PERCENT: usize = 50;
+
+/// Lateness of timers, in ms, beyond which it is: a fifth of the usual time to a first token.
+const DISTURBED_LAG_MS: f64 = 20.0;
+
 /// Weight of a new lateness of timers in the mean: a second of steady lateness shows.
 const LAG_WEIGHT: f64 = 0.2;
 
@@ -144,6 +152,8 @@
 /// Looks at the load until the router ends.
 pub async fn watch_load<P>(traffic: Rc<Traffic<P>>) {
     let shared = &traffic.shared;
+    let mut link = LinkUse::default();
+    let mut looked = Instant::now();
     let mut lag_ms = 0.0;
     loop {
         let due = Instant::now() + LOOK_PAUSE;
@@ -153,16 +163,25 @@
         traffic.callers.lag.set(LagLevel::of(late));
         let was = shared.is_overloaded();
         let used = descriptor_use(&traffic);
+        let passed = Instant::now().saturating_duration_since(looked);
+        looked = Instant::now();
+        link.look(shared.link.totals(), passed, shared.config.link_mbps);
+        let is_late = lag_ms > DISTURBED_LAG_MS;
+        let is_disturbed = is_late || link.percent() > DISTURBED_LINK_PERCENT;
+        shared.core().set_disturbed(is_disturbed);
         let percent = used.percent(shared.config.descriptors);
         if percent > ASK_PERCENT {
             traffic.callers.scarce.notify_waiters();
         }
-        let is = is_overloaded(percent, lag_ms, shared.config.overload_lag_ms, was);
+        let fullest = percent.max(link.percent());
+        let is = is_overloaded(fullest, lag_ms, shared.config.overload_lag_ms, was);
         if is != was {
             let DescriptorUse { callers, calls, .. } = used;
+            let (received, sent) = link.both();
             spdlog::warn!(
                 "gateway: overloaded={is} descriptors_percent={percent} callers={callers} \
-                 calls={calls} lag_ms={lag_ms:.0}"
+                 calls={calls} lag_ms={lag_ms:.0} link_in_percent={received} \
+                 link_out_percent={sent}"
             );
             shared.set_overloaded(is);
         }
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -1,5 +1,6 @@
 //! The edge towards callers and endpoints: what headers mean is the deployment's.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use smol_str::SmolStr;
@@ -79,6 +80,8 @@
     pub time_left: Duration,
     /// The last event that was delivered, if the stream goes on.
     pub last_event: Option<u64>,
+    /// The engine from which it fetches shared parts of the prompt that it lacks.
+    pub fetch_from: Option<SocketAddr>,
 }
 
 /// What an answer's head says, decoded.
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -21,6 +21,7 @@
 use super::decide::GatewayCore;
 use super::follow::StateSection;
 use super::follow::StoreRevision;
+use super::link::LinkMeter;
 use super::metrics::GatewayMetrics;
 use super::routes::EndpointEntry;
 use super::routes::EndpointKey;
@@ -101,6 +102,8 @@
     pub life: LifeStages,
     /// Counters and histograms.
     pub metrics: GatewayMetrics,
+    /// What this process moves over its host's link.
+    pub link: Arc<LinkMeter>,
     in_flight: AtomicUsize,
     body_bytes: AtomicUsize,
     fetching: AtomicBool,
@@ -123,6 +126,7 @@
             config,
             life: LifeStages::new(),
             metrics,
+            link: Arc::default(),
             in_flight: AtomicUsize::new(0),
             body_bytes: AtomicUsize::new(0),
             fetching: AtomicBool::new(false),
@@ -156,10 +160,13 @@
     }
 
     /// Puts newer endpoints in force; whether they are newer.
+    ///
+    /// Guards against a peer that took the late entry of an endpoint's former process for its
+    /// present one: an endpoint never goes back to an earlier start.
     pub fn offer_endpoints(
         &self,
         as_of: StoreRevision,
-        entries: BTreeMap<EndpointKey, EndpointEntry>,
+        mut entries: BTreeMap<EndpointKey, EndpointEntry>,
     ) -> bool {
         let mut list = self
             .endpoints
@@ -168,7 +175,14 @@
         if as_of < list.as_of {
             return false;
         }
-        self.core().set_endpoints(&entries);
+        for (key, known) in &list.entries {
+            if let Some(entry) = entries.get_mut(key)
+                && entry.born < known.born
+            {
+                *entry = known.clone();
+            }
+        }
+        self.core().set_endpoints(self.clock.now(), &entries);
         *list = EndpointList { entries, as_of };
         true
     }
--- /dev/null
+++ b/tests/gateway_capacity.rs
@@ -0,0 +1,91 @@
+//! Shares of what the endpoints can really do, without a network.
+
+use std::collections::BTreeMap;
+
+use smol_str::SmolStr;
+
+use verbenaturn::gateway::decide::capacity::CapacityEstimate;
+use verbenaturn::gateway::decide::capacity::FleetFlow;
+use verbenaturn::gateway::decide::shares::ShareStanding;
+use verbenaturn::gateway::decide::shares::ShareTable;
+use verbenaturn::gateway::routes::TeamKey;
+use verbenaturn::units::Moment;
+use verbenaturn::units::TimeSpan;
+
+/// The published rate.
+const PUBLISHED: f64 = 2_700_000.0;
+
+fn ms(millis: u64) -> Moment {
+    Moment(millis * 1_000)
+}
+
+fn flow(asked: f64, served: f64, turned_away: f64) -> FleetFlow {
+    FleetFlow {
+        asked,
+        served,
+        turned_away,
+    }
+}
+
+#[test]
+fn a_fleet_that_turns_nothing_away_shares_the_published_rate() {
+    let mut capacity = CapacityEstimate::default();
+    let rate = capacity.rate(ms(100), PUBLISHED, flow(2e6, 1.2e6, 0.0));
+    assert!((rate - PUBLISHED).abs() < 1.0);
+    assert!(capacity.limit().is_none());
+}
+
+/// Two thirds of the engines are away. Teams ask twice what is left; against the published rate
+/// none of them is beyond its share, and routers turn away whoever comes.
+#[test]
+fn a_saturated_fleet_shares_what_it_serves() {
+    let mut capacity = CapacityEstimate::default();
+    let mut rate = 0.0;
+    for look in 1..50 {
+        rate = capacity.rate(ms(look * 100), PUBLISHED, flow(2e6, 9e5, 1e6));
+    }
+    assert!((8e5..1e6).contains(&rate), "{rate}");
+}
+
+/// The engines are back. The estimate must not hold the fleet to what it could do before.
+#[test]
+fn a_fleet_that_has_recovered_shares_the_published_rate_again() {
+    let mut capacity = CapacityEstimate::default();
+    capacity.rate(ms(100), PUBLISHED, flow(2e6, 9e5, 1e6));
+    let mut looks = 0;
+    while capacity.limit().is_some() {
+        looks += 1;
+        assert!(looks < 60, "{:?}", capacity.limit());
+        capacity.rate(ms(100 + looks * 100), PUBLISHED, flow(1e6, 1e6, 0.0));
+    }
+}
+
+/// One team floods a fleet that can do far less than is published. The small team must be within
+/// its share and the flood beyond it, or both are turned away alike.
+#[test]
+fn a_flood_is_beyond_its_share_of_what_is_left() {
+    let (small, flood) = (
+        TeamKey(SmolStr::new("nadi")),
+        TeamKey(SmolStr::new("lautoka")),
+    );
+    let mut shares = ShareTable::new(TimeSpan::from_millis(4_000));
+    let mut capacity = CapacityEstimate::default();
+    let mut turned = (0, 0);
+    for look in 1..60_u64 {
+        let now = ms(look * 100);
+        match shares.ask(now, &small, 5_000.0) {
+            ShareStanding::Within => shares.serve(now, &small, 5_000.0),
+            ShareStanding::Beyond(_) => turned.0 += 1,
+        }
+        match shares.ask(now, &flood, 200_000.0) {
+            ShareStanding::Within => shares.serve(now, &flood, 200_000.0),
+            ShareStanding::Beyond(_) => turned.1 += 1,
+        }
+        let saturated = flow(2_050_000.0, 900_000.0, 1_100_000.0);
+        let rate = capacity.rate(now, PUBLISHED, saturated);
+        shares.share_out(now, rate, &BTreeMap::new());
+    }
+    assert_eq!(turned.0, 0);
+    // It asks 2 M tokens a second and is owed 0.85 M.
+    assert!((25..45).contains(&turned.1), "{turned:?}");
+}
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -17,10 +17,12 @@
 use verbenaturn::gateway::decide::shares::TeamFlow;
 use verbenaturn::gateway::decide::shares::max_min_level;
 use verbenaturn::gateway::follow::EndpointView;
+use verbenaturn::gateway::link::LinkSpeed;
 use verbenaturn::gateway::protocol::PromptPart;
 use verbenaturn::gateway::protocol::PromptShape;
 use verbenaturn::gateway::routes::EndpointKey;
 use verbenaturn::gateway::routes::RouteTable;
+use verbenaturn::gateway::routes::ServiceEntry;
 use verbenaturn::gateway::routes::ServiceKey;
 use verbenaturn::gateway::routes::TeamKey;
 use verbenaturn::units::Moment;
@@ -68,7 +70,7 @@
 
 fn core() -> GatewayCore {
     let mut core = GatewayCore::new(GatewayConfig::default(), SmolStr::new("suva-a"));
-    core.set_endpoints(&endpoints("engine", 3));
+    core.set_endpoints(Moment(0), &endpoints("engine", 3));
     core
 }
 
@@ -444,7 +446,7 @@
     view.replace(ms(10_000), BTreeMap::new());
     assert_eq!(view.used().len(), 3);
     let back = all.values().next().unwrap().clone();
-    view.put(back);
+    view.put(ms(10_100), back);
     assert!(!view.end_lapses(ms(11_999)));
     assert_eq!(
         view.wait(ms(11_500), Duration::from_secs(5)),
@@ -476,3 +478,54 @@
     assert_eq!(name("CLINIC.example", "/x").as_deref(), Some("all"));
     assert_eq!(name("other.example", "/a/"), None);
 }
+
+/// Shape of engines that fetch each other's memory over a link of 550 Gbit/s.
+fn fetching_service() -> ServiceEntry {
+    let mut service = engine_service();
+    if let Some(engine) = &mut service.engine {
+        engine.token_bytes = 163_840;
+        engine.memory_link = Some(LinkSpeed(550_000.0));
+    }
+    service
+}
+
+/// A part of 4,870 tokens lies at its home, which has a queue. Another engine gets it from there
+/// in a seventh of the time that reading takes; without that the request waits, or the part is
+/// read again while other engines idle.
+#[test]
+fn a_request_goes_to_an_idle_engine_that_fetches_the_kept_part() {
+    let mut core = core();
+    let (route, service) = (route("plans", 800), "engine".parse().unwrap());
+    let shape = fetching_service();
+    let (asked, team) = (prompt(7, 4_870, 1_000), nadi());
+    let mut homes = Vec::new();
+    let mut fetched = None;
+    for turn in 0..8 {
+        let call = ask(&route, &service, &shape, &team, &asked);
+        let Admission::Send(ticket) = core.admit(ms(turn), &call, ShareStanding::Within) else {
+            panic!("refused at turn {turn}");
+        };
+        match ticket.fetch_from {
+            None => homes.push(ticket.entry.key.clone()),
+            Some(from) => fetched = Some((ticket.entry.key.clone(), from, ticket.reread)),
+        }
+    }
+    let (engine, _, reread) = fetched.expect("no engine fetched the part");
+    assert!(!homes.is_empty() && homes[0] != engine);
+    assert!(reread < 1.0, "{reread}");
+}
+
+/// Where engines fetch nothing, nothing names a holder.
+#[test]
+fn engines_that_can_not_fetch_are_told_of_no_holder() {
+    let mut core = core();
+    let (route, service) = (route("plans", 800), "engine".parse().unwrap());
+    let shape = engine_service();
+    let (asked, team) = (prompt(7, 4_870, 1_000), nadi());
+    for turn in 0..8 {
+        let call = ask(&route, &service, &shape, &team, &asked);
+        if let Admission::Send(ticket) = core.admit(ms(turn), &call, ShareStanding::Within) {
+            assert_eq!(ticket.fetch_from, None);
+        }
+    }
+}
--- a/tests/gateway_health.rs
+++ b/tests/gateway_health.rs
@@ -29,7 +29,7 @@
 
 fn core(endpoint_count: usize) -> GatewayCore {
     let mut core = GatewayCore::new(GatewayConfig::default(), SmolStr::new("suva-a"));
-    core.set_endpoints(&endpoints("engine", endpoint_count));
+    core.set_endpoints(Moment(0), &endpoints("engine", endpoint_count));
     core
 }
 
@@ -58,12 +58,12 @@
     core.endpoints.rows().nth(index).unwrap().entry.key.clone()
 }
 
-fn told(core: &GatewayCore, index: usize, health: ToldHealth) -> (u64, PeerLoad) {
+fn told(core: &GatewayCore, index: usize, health: ToldHealth) -> (u32, PeerLoad) {
     let load = PeerLoad {
         health,
         ..PeerLoad::default()
     };
-    (core.endpoints.rows().nth(index).unwrap().hash, load)
+    (core.endpoints.rows().nth(index).unwrap().life, load)
 }
 
 /// An engine goes dark: it accepts requests and says nothing, and its probe is good. Requests that
@@ -182,3 +182,52 @@
     assert!(core.endpoints.is_trustworthy(ms(1_100)));
     assert!(!core.endpoints.is_trustworthy(ms(4_000)));
 }
+
+/// Gives the engine so many first outputs, each `factor` times later than predicted.
+fn late_outputs(core: &mut GatewayCore, count: u64, factor: f64, from: u64) -> u64 {
+    let mut at = from;
+    for number in 0..count {
+        let mut tickets: Vec<_> = (0..8)
+            .map(|other| placed(core, ms(at), number * 8 + other))
+            .collect();
+        let mut last = tickets.pop().unwrap();
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let taken = (last.first_ms * factor) as u64;
+        core.first_output(ms(at + taken), &mut last);
+        core.ended(ms(at + taken), last, AttemptEnd::Answered);
+        for ticket in tickets {
+            core.ended(ms(at + taken), ticket, AttemptEnd::Abandoned);
+        }
+        at += taken + 1;
+    }
+    at
+}
+
+/// A flood fills a small host's link, and every first output comes late there. The host takes all
+/// engines for slow, refuses every call, and measures nothing that could teach it better: the
+/// engines idle while it refuses what its neighbours serve.
+#[test]
+fn a_router_that_measured_slow_engines_does_not_shut_itself_out() {
+    let mut core = core(1);
+    let end = late_outputs(&mut core, 60, 6.0, 1_000);
+    let row = core.endpoints.rows().next().unwrap();
+    assert!(row.health.slowness(ms(end)) > 2.0);
+    assert!(row.health.slowness(ms(end + 10_000)) < 1.1);
+}
+
+/// The same host knows that its link is full: what it measures is its own delay.
+#[test]
+fn a_disturbed_router_blames_no_endpoint() {
+    let mut core = core(1);
+    core.set_disturbed(true);
+    let end = late_outputs(&mut core, 60, 6.0, 1_000);
+    let row = core.endpoints.rows().next().unwrap();
+    assert!(row.health.slowness(ms(end)) < 1.05);
+    for turn in 0..6 {
+        let at = ms(end + 1_000 * (turn + 1));
+        let ticket = placed(&mut core, at, 900 + turn);
+        core.ended(at, ticket, AttemptEnd::NotReached);
+        let row = core.endpoints.rows().next().unwrap();
+        assert!(row.paused_until.since(at).as_millis() <= 250);
+    }
+}
--- a/tests/gateway_load.rs
+++ b/tests/gateway_load.rs
@@ -1,12 +1,24 @@
 //! What a router does when it has more callers than processor time or descriptors, and how much it
 //! tells of its load, without a network.
 
+use std::time::Duration;
+
+use prost::Message;
+
+use verbenaturn::gateway::digest::DemandColumns;
+use verbenaturn::gateway::digest::DemandEntry;
+use verbenaturn::gateway::digest::LoadColumns;
+use verbenaturn::gateway::digest::LoadEntry;
+use verbenaturn::gateway::digest::RouterDigest;
+use verbenaturn::gateway::gossip::messages_on_link;
 use verbenaturn::gateway::gossip::messages_per_round;
+use verbenaturn::gateway::link::LinkMeter;
+use verbenaturn::gateway::link::LinkSpeed;
+use verbenaturn::gateway::link::LinkUse;
 use verbenaturn::gateway::load::DescriptorUse;
 use verbenaturn::gateway::load::LagLevel;
 use verbenaturn::gateway::load::is_overloaded;
 use verbenaturn::gateway::peer_table::PeerTable;
-use verbenaturn::gateway::peer_table::RouterDigest;
 use verbenaturn::units::Moment;
 
 /// A balancer sends most callers to one small host, whose timers come late. Its callers wait until
@@ -77,3 +89,96 @@
     assert_eq!(peers.take_ungreeted(40).len(), 40);
     assert!(peers.told.len() <= 4_096, "{}", peers.told.len());
 }
+
+/// Prompts of 12 KB flood a host on a link of 10 Mbit/s. Its processor and descriptors idle, and
+/// only the bytes that it moves show why its callers wait.
+#[test]
+fn a_full_link_asks_for_fewer_callers() {
+    let meter = LinkMeter::default();
+    let mut link = LinkUse::default();
+    let look = Duration::from_millis(100);
+    for _ in 0..10 {
+        for _ in 0..10 {
+            meter.received(12_000);
+        }
+        link.look(meter.totals(), look, LinkSpeed(10.0));
+    }
+    assert!(link.percent() > 90, "{}", link.percent());
+    assert!(is_overloaded(link.percent(), 0.0, 60, false));
+    for _ in 0..10 {
+        link.look(meter.totals(), look, LinkSpeed(10.0));
+    }
+    assert!(!is_overloaded(link.percent(), 0.0, 60, true));
+}
+
+/// One clump of calls fills a slow link for a moment, which its network holds anyway. Asking for
+/// fewer callers each time would send them around between routers.
+#[test]
+fn one_clump_of_calls_does_not_fill_a_link() {
+    let meter = LinkMeter::default();
+    let mut link = LinkUse::default();
+    meter.received(125_000);
+    link.look(meter.totals(), Duration::from_millis(100), LinkSpeed(10.0));
+    assert!(!is_overloaded(link.percent(), 0.0, 60, false));
+}
+
+/// Twenty messages a round would take a quarter of a slow link, just when calls fill the rest.
+#[test]
+fn messages_leave_a_slow_link_to_calls() {
+    let round = Duration::from_millis(100);
+    let slow = messages_on_link(LinkSpeed(10.0), round, 800);
+    assert!((1..=5).contains(&slow), "{slow}");
+    assert!(messages_on_link(LinkSpeed(1_000.0), round, 800) > 100);
+    assert_eq!(messages_on_link(LinkSpeed(0.1), round, 800), 1);
+}
+
+fn digest(endpoints: u32, teams: u64) -> RouterDigest {
+    let load = |endpoint| LoadEntry {
+        endpoint: endpoint * 77_777_777,
+        active: 12,
+        pending_tokens: 9_000,
+        attempts: 450,
+        failures: 0,
+        silent: false,
+        heard: true,
+    };
+    let demand = |team: u64| DemandEntry {
+        team: team.wrapping_mul(0x9E37_79B9_7F4A_7C15),
+        tokens_per_s: 15_000,
+        served_per_s: 9_000,
+    };
+    RouterDigest {
+        incarnation: 1,
+        sequence: 1,
+        loads: (0..endpoints).map(load).collect::<LoadColumns>(),
+        demands: (0..teams).map(demand).collect::<DemandColumns>(),
+        ..RouterDigest::default()
+    }
+}
+
+#[test]
+fn digests_stay_small() {
+    let bytes = digest(12, 16).encoded_len();
+    assert!(bytes <= 420, "{bytes}");
+}
+
+#[test]
+fn digests_say_the_same_after_the_way() {
+    let sent = digest(5, 3);
+    let read = RouterDigest::decode(&sent.encode_to_vec()[..]).unwrap();
+    assert_eq!(read, sent);
+    let load = read.loads.entries().nth(2).unwrap();
+    assert_eq!((load.active, load.attempts, load.heard), (12, 450, true));
+    // Told in steps of 64, rounded up.
+    assert_eq!(load.pending_tokens, 9_024);
+}
+
+/// A message with columns of different lengths comes from no router of this version.
+#[test]
+fn columns_of_different_lengths_are_read_up_to_the_shortest() {
+    // Three endpoints (field 1, fixed32) and two counts (field 2); nothing else.
+    let bytes = [10, 12, 1, 0, 0, 0, 2, 0, 0, 0, 3, 0, 0, 0, 18, 2, 5, 6];
+    let columns = LoadColumns::decode(&bytes[..]).unwrap();
+    assert!(!columns.is_empty());
+    assert_eq!(columns.entries().count(), 0);
+}
