A team's allowance is steered by what all routers serve it

Ruled out: refusals beyond the share (the gap is in what was served within). The allowance is now the share times the 1.5th power of share over service of all routers, between 0.3 and 1.3.

--- a/src/gateway/decide/shares.rs
+++ b/src/gateway/decide/shares.rs
@@ -17,6 +17,15 @@
 /// through a clump of arrivals; the published window of shares is several seconds.
 const BURST_S: f64 = 1.0;
 
+/// How strongly service that differs from a share steers the allowance. Of a bias of 2 between two
+/// teams 1.3 remains; the mean over the window of shares keeps it from swinging.
+const CORRECTION_POWER: f64 = 1.5;
+
+/// Bounds of the correction: what was served before a limit began must not close a team out, and
+/// routers that could not serve a team must not make the others flood.
+const LEAST_CORRECTION: f64 = 0.3;
+const MOST_CORRECTION: f64 = 1.3;
+
 /// Shortest time over which demand is counted: a few requests of a large team.
 const LEAST_COUNTED: TimeSpan = TimeSpan::from_millis(500);
 
@@ -184,12 +193,27 @@
                 counts.credit = 0.0;
                 counts.credited_at = now;
             }
-            counts.allowed = Some(level * own.asked / all.asked);
+            let part = own.asked / all.asked;
+            counts.allowed = Some(level * part * correction(level, all.served));
             counts.served_part = all.served / level.max(1.0);
         }
     }
 }
 
+/// By how much a team's allowance is raised or lowered, from its share and what all routers
+/// together serve it.
+///
+/// The load that this answers: two teams that flood, one through many routers and one through a
+/// few small ones. An allowance that is not asked for in time at one router is not used at another,
+/// and demand counted from messages is late, so that equal shares gave one team twice what the
+/// other got. What they were served is known; it steers the allowances until it is equal.
+fn correction(level: f64, served: f64) -> f64 {
+    let ratio = level / served.max(1.0);
+    ratio
+        .powf(CORRECTION_POWER)
+        .clamp(LEAST_CORRECTION, MOST_CORRECTION)
+}
+
 /// The most that a demand gets, so that all together get `rate`; infinite if all fit.
 #[must_use]
 pub fn max_min_level(rate: f64, demands: impl Iterator<Item = f64>) -> f64 {
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -529,3 +529,38 @@
         }
     }
 }
+
+/// Tokens a second that a team may use within its share at a router that gets a tenth of its
+/// demand, when all routers together are known to serve it this much.
+fn used_within(served_elsewhere: f64) -> f64 {
+    let (team, mut shares) = (nadi(), ShareTable::new(TimeSpan::from_millis(4_000)));
+    let elsewhere = TeamFlow {
+        asked: 900_000.0,
+        served: served_elsewhere,
+    };
+    let others = BTreeMap::from([(team.hash(), elsewhere), (1, asked(900_000.0))]);
+    let mut used = 0.0;
+    for tick in 0..100 {
+        let now = ms(tick * 100);
+        if shares.ask(now, &team, 10_000.0) == ShareStanding::Within {
+            shares.serve(now, &team, 10_000.0);
+            used += 10_000.0;
+        }
+        shares.share_out(now, 200_000.0, &others);
+    }
+    used / 10.0
+}
+
+/// Two teams flood, one through many routers and one through a few small ones that lose part of
+/// its calls. With equal allowances the one got less than half of what the other got. What a team
+/// is served by all routers has to steer its allowance at each of them.
+#[test]
+fn what_all_routers_serve_a_team_steers_its_allowance() {
+    let (little, even, much) = (
+        used_within(40_000.0),
+        used_within(90_000.0),
+        used_within(200_000.0),
+    );
+    assert!(little > 1.1 * even, "{little} {even}");
+    assert!(much < 0.7 * even, "{much} {even}");
+}
