A store that falls silent to all readers at once is noticed in two seconds

Ruled out: lost messages between routers, handovers refused for want of places (they repeat within 0.2 s). Keepalive probes were tried: they don't see this silence. Now a watch waits 1.5 s and 0.5 s more, a reader that loses the store says so to all at once, and with nobody in touch six candidates try together.

--- a/src/gateway/config.rs
+++ b/src/gateway/config.rs
@@ -169,7 +169,7 @@
             overload_lag_ms: 60,
             body_memory_bytes: 25_165_824,
             max_answer_bytes: 4_194_304,
-            watch_ms: 2_500,
+            watch_ms: 1_500,
             store_timeout_ms: 1_000,
             store_retry_ms: 150,
             endpoint_batch_ms: 150,
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -131,6 +131,12 @@
     ) -> impl Future<Output = Result<StateChanges, StoreFault>> + Send;
 }
 
+/// Time beyond a watch's wait after which its connection is taken for silent. A store that is slow
+/// by fifty times answers within 0.2 s. Together with the wait it is how long a fleet may hear of
+/// no change when the store falls silent to all of its readers at once; a configuration has to be
+/// in force within two or three seconds.
+const WATCH_SLACK: Duration = Duration::from_millis(500);
+
 /// Longest pause before a failed call is made again, as a multiple of the first one. A call to a
 /// store that is away costs as much as any other.
 const MOST_PAUSES: u32 = 5;
@@ -216,7 +222,7 @@
 
     async fn watch_from(&mut self, mut after: StoreRevision) {
         let wait = Duration::from_millis(self.shared.config.watch_ms);
-        let limit = wait + Duration::from_millis(self.shared.config.store_timeout_ms);
+        let limit = wait + WATCH_SLACK;
         while self.shared.is_reader() {
             let asked = self.endpoints.wait(self.shared.clock.now(), wait);
             // A connection that went silent shows only by an answer that does not come.
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -107,6 +107,8 @@
     behind_since: Option<Moment>,
     /// What was last told of the versions known.
     told_versions: (u64, u64),
+    /// Whether this router was last told to hear from the store.
+    told_in_touch: bool,
 }
 
 /// Exchanges digests until the process ends.
@@ -124,6 +126,7 @@
         election,
         behind_since: None,
         told_versions: (0, 0),
+        told_in_touch: false,
     };
     let pause = Duration::from_millis(gossip.shared.config.gossip_ms.max(1));
     let mut ticks = interval(pause);
@@ -296,13 +299,17 @@
         core.endpoints.rows().map(|row| u64::from(row.active)).sum()
     }
 
-    /// Whether the store itself told this router something that the others don't know yet. All of
-    /// them are told in the same round: a change has to be in force everywhere within seconds.
+    /// Whether the store itself told this router something that the others don't know yet, or it has
+    /// lost the store. All of them are told in the same round: a change has to be in force everywhere
+    /// within seconds, and while others believe that this router hears of changes they do not try.
     fn has_news(&mut self) -> bool {
+        let in_touch = self.shared.is_in_touch();
         let versions = self.versions();
-        let is_new = versions != self.told_versions;
+        let is_new = versions != self.told_versions && in_touch;
+        let is_lost = self.told_in_touch && !in_touch;
         self.told_versions = versions;
-        is_new && self.shared.is_in_touch()
+        self.told_in_touch = in_touch;
+        is_new || is_lost
     }
 
     fn versions(&self) -> (u64, u64) {
--- a/src/gateway/readers.rs
+++ b/src/gateway/readers.rs
@@ -91,15 +91,19 @@
             return standing.failing_before < MOST_FAILING;
         }
         // Those that the store refuses say so, and the next ones in the order try in their place.
-        let wanted = (READERS - touching) << self.doublings(now);
+        let wanted = (READERS - touching) << self.doublings(now, touching);
         standing.failing < MOST_FAILING && standing.idle_before < wanted
     }
 
-    fn doublings(&self, now: Moment) -> u32 {
+    /// Guards against a store that falls silent to all readers at once: the next three in the order
+    /// may be cut off from it as well, and each of them needs its whole timeout to know. With nobody
+    /// in touch twice as many try from the first.
+    fn doublings(&self, now: Moment, touching: usize) -> u32 {
+        let at_once = u32::from(touching == 0);
         let pauses = now.since(self.enough_at).0 / DOUBLING_PAUSE.0;
         u32::try_from(pauses)
             .unwrap_or(u32::MAX)
-            .min(MOST_DOUBLINGS)
+            .clamp(at_once, MOST_DOUBLINGS)
     }
 
     /// Time for which too few routers have been in touch.
--- a/tests/gateway_follow.rs
+++ b/tests/gateway_follow.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use smol_str::SmolStr;
@@ -26,9 +28,10 @@
 
 use self::engines::endpoints;
 
-/// A store that holds endpoints, or refuses.
+/// A store that holds endpoints, or refuses, or no longer answers watches.
 #[derive(Debug, Default)]
 struct FakeStore {
+    is_silent: AtomicBool,
     held: Mutex<Option<(BTreeMap<EndpointKey, EndpointEntry>, u64)>>,
 }
 
@@ -63,6 +66,9 @@
         _: Duration,
     ) -> Result<StateChanges, StoreFault> {
         sleep(Duration::from_millis(20)).await;
+        if self.is_silent.load(Ordering::Relaxed) {
+            std::future::pending::<()>().await;
+        }
         let (_, revision) = self.held()?;
         if revision > after.0 {
             return Err(StoreFault::Compacted);
@@ -181,3 +187,18 @@
     sleep(Duration::from_millis(100)).await;
     assert_eq!(shared.endpoints().entries.len(), 2);
 }
+
+/// The store falls silent to a reader: its connections stay open and nothing comes any more. As
+/// long as it believes that it hears of changes nobody else reads the store, and keys that were
+/// taken away go on working everywhere.
+#[tokio::test]
+async fn a_reader_notices_a_silent_store_soon() {
+    let all = endpoints("engine", 2);
+    let (shared, store) = following(&all).await;
+    store.is_silent.store(true, Ordering::Relaxed);
+    let begun = std::time::Instant::now();
+    while !shared.own_touch().is_failing {
+        assert!(begun.elapsed() < Duration::from_millis(3_300));
+        sleep(Duration::from_millis(20)).await;
+    }
+}
--- a/tests/gateway_readers.rs
+++ b/tests/gateway_readers.rs
@@ -179,3 +179,27 @@
     fleet.run(3);
     assert_eq!(fleet.touching(), 1);
 }
+
+/// The store falls silent to all three readers at the same moment and to a third of the others. The
+/// next three in the order may be among those, and each needs a second to know it; meanwhile keys
+/// that were taken away go on working. Twice as many have to try from the first.
+#[test]
+fn when_nobody_is_in_touch_six_try_at_once() {
+    let wanted = |touching: usize| {
+        (0..12)
+            .filter(|idle_before| {
+                let mut election = ReaderElection::new(ms(0), TimeSpan(0));
+                let standing = |touching| ReaderStanding {
+                    touching,
+                    idle_before: *idle_before,
+                    ..ReaderStanding::default()
+                };
+                // Enough are in touch until now.
+                election.reads(ms(1_000), standing(3));
+                election.reads(ms(1_100), standing(touching))
+            })
+            .count()
+    };
+    assert_eq!(wanted(0), 6);
+    assert_eq!(wanted(2), 1);
+}
