Service beyond a share counts fully only after a whole window

After a common start callers' retries come at once; what half a second of them is served seems several times a share that is due over four seconds, and idle engines refused teams for three seconds (100 to 177 refusals a half second against 30 to 60 usual).

--- a/src/gateway/decide/shares.rs
+++ b/src/gateway/decide/shares.rs
@@ -151,6 +151,17 @@
         age.clamp(LEAST_COUNTED, self.window.max(LEAST_COUNTED)).0 as f64 / 1e6
     }
 
+    /// How much of the window the counts cover, from 0 at the first request to 1.
+    ///
+    /// Guards against a fleet that has just started together: its callers' retries come at once, and
+    /// what a second of them is served seems several times a share that is due over the window.
+    /// Taken at its word, idle engines refuse teams for seconds.
+    #[allow(clippy::cast_precision_loss)]
+    fn settled_part(&self, now: Moment) -> f64 {
+        let age = self.begun.map_or(TimeSpan(0), |begun| now.since(begun));
+        (age.0 as f64 / self.window.0.max(1) as f64).min(1.0)
+    }
+
     /// What each team asked of this router and was served by it.
     pub fn flows(&mut self, now: Moment) -> BTreeMap<TeamKey, TeamFlow> {
         let seconds = self.counted_s(now);
@@ -182,6 +193,7 @@
             sum.served += flow.served;
         }
         let level = max_min_level(rate, flows.values().map(|flow| flow.asked));
+        let settled = self.settled_part(now);
         for (team, counts) in &mut self.teams {
             let own = own.get(team).copied().unwrap_or_default();
             let all = flows.get(&team.hash()).copied().unwrap_or_default();
@@ -195,7 +207,8 @@
             }
             let part = own.asked / all.asked;
             counts.allowed = Some(level * part * correction(level, all.served));
-            counts.served_part = all.served / level.max(1.0);
+            let served_part = all.served / level.max(1.0);
+            counts.served_part = 1.0 + settled * (served_part - 1.0);
         }
     }
 }
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -564,3 +564,30 @@
     assert!(little > 1.1 * even, "{little} {even}");
     assert!(much < 0.7 * even, "{much} {even}");
 }
+
+/// All routers lost power and start together; callers' retries come at once and are served. After
+/// half a second each team was served several times its share of that half second. Idle engines
+/// refused them for three seconds, until the window was full.
+#[test]
+fn a_fleet_that_has_just_started_holds_little_against_its_teams() {
+    let standing_after = |millis: u64| {
+        let (team, mut shares) = (nadi(), ShareTable::new(TimeSpan::from_millis(4_000)));
+        let flow = TeamFlow {
+            asked: 90_000.0,
+            served: 40_000.0,
+        };
+        let elsewhere = BTreeMap::from([(team.hash(), flow), (1, asked(90_000.0))]);
+        for step in 0..=millis / 10 {
+            shares.ask(ms(step * 10), &team, 100.0);
+        }
+        shares.share_out(ms(millis), 20_000.0, &elsewhere);
+        shares.ask(ms(millis), &team, 100.0)
+    };
+    let ShareStanding::Beyond(early) = standing_after(500) else {
+        panic!("within its share");
+    };
+    let ShareStanding::Beyond(later) = standing_after(4_000) else {
+        panic!("within its share");
+    };
+    assert!(early < 1.6 && later > 3.0, "{early} {later}");
+}
