--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -8,7 +8,7 @@
 
 use crate::units::RequestFingerprint;
 
-use super::call::CallState;
+use super::call_state::CallState;
 use super::decide::AttemptEnd;
 use super::decide::AttemptTicket;
 use super::front::Traffic;
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -7,16 +7,18 @@
 use bytes::Bytes;
 use rand::RngExt;
 use tokio::time::Instant;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::units::RequestFingerprint;
 use crate::units::TimeSpan;
 
 use super::attempt::AttemptOutcome;
 use super::attempt::NotRunCause;
 use super::attempt::run_attempt;
+use super::call_record::DecisionFacts;
+use super::call_record::record;
+use super::call_state::CallEnd;
+use super::call_state::CallState;
+use super::call_state::fingerprint;
 use super::decide::Admission;
-use super::decide::AttemptTicket;
 use super::decide::CallAsk;
 use super::decide::RefusalCause;
 use super::decide::shares::ShareStanding;
@@ -37,125 +39,11 @@
 use super::routes::Repeatability;
 use super::routes::RouteEntry;
 use super::routes::RouteTable;
-use super::routes::ServiceKey;
-use super::routes::TeamKey;
 
 /// Endpoints that a call may find unreachable. A dark address costs the connection timeout, so
 /// that three of them use up most of an objective.
 const MOST_UNREACHED: usize = 3;
 
-/// A call while it runs.
-#[derive(Debug)]
-pub struct CallState {
-    /// Its head.
-    pub head: RequestHead,
-    /// Its body.
-    pub body: Bytes,
-    /// What its head says.
-    pub facts: CallFacts,
-    /// Its route.
-    pub route: RouteEntry,
-    /// The service chosen for it.
-    pub service: ServiceKey,
-    /// The team that its key belongs to.
-    pub team: Option<TeamKey>,
-    /// What it asks, to recognise its resends.
-    pub fingerprint: RequestFingerprint,
-    /// When it arrived.
-    pub arrived: Instant,
-    /// When it must have its answer.
-    pub deadline: Instant,
-    /// Whether the caller's connection stays open.
-    pub keep: bool,
-    /// Whether the caller has the head of a stream.
-    pub head_sent: bool,
-    /// When the caller got its first output.
-    pub first_output: Option<Instant>,
-    /// The stream's events.
-    pub splitter: EventSplitter,
-    /// Times that the request was written to an endpoint.
-    pub sends: u32,
-    /// What its last placement was decided from.
-    decided: DecisionFacts,
-    /// Whether an attempt may have run.
-    may_have_run: bool,
-    tried: Vec<EndpointKey>,
-    unreached: usize,
-}
-
-/// What a call's last placement or refusal was decided from, for its log line.
-#[derive(Debug, Clone, Copy, Default)]
-struct DecisionFacts {
-    is_beyond: bool,
-    predicted_ms: f64,
-    queued: f64,
-    uncached: f64,
-    reread: f64,
-}
-
-impl DecisionFacts {
-    fn placed(&mut self, ticket: &AttemptTicket) {
-        self.predicted_ms = ticket.first_ms;
-        self.queued = ticket.queued - ticket.uncached;
-        self.uncached = ticket.uncached;
-        self.reread = ticket.reread;
-    }
-}
-
-/// How a call ended, for logs and metrics.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum CallEnd {
-    /// The caller has an endpoint's answer.
-    Answered(u16),
-    /// The router answered.
-    Own(OwnStatus, &'static str),
-    /// A stream was cut.
-    Cut(&'static str),
-    /// The caller left.
-    CallerLeft,
-}
-
-impl CallState {
-    /// The last event that the caller has.
-    #[must_use]
-    pub fn last_event(&self) -> Option<u64> {
-        self.splitter.last_id().or(self.facts.last_event)
-    }
-
-    fn can_repeat(&self) -> bool {
-        match self.route.repeats {
-            Repeatability::Idempotent => !self.head_sent,
-            Repeatability::Resumable => true,
-            Repeatability::AtMostOnce => false,
-        }
-    }
-
-    fn has_attempts(&self) -> bool {
-        self.sends < self.route.max_attempts.max(1)
-    }
-
-    /// How long an endpoint may be silent before its first output. An endpoint that hangs is
-    /// left for another one only where the request may be repeated.
-    #[must_use]
-    pub fn patience(&self, ticket: &AttemptTicket) -> Duration {
-        if !self.can_repeat() || !self.has_attempts() {
-            return self.deadline.saturating_duration_since(Instant::now());
-        }
-        let predicted = Duration::from_secs_f64(ticket.first_ms.max(0.0) / 1e3);
-        Duration::from_millis(self.route.objective_ms) + predicted * 2
-    }
-
-    /// When silence counts as an endpoint's failure: never for what can't go on elsewhere.
-    #[must_use]
-    pub fn stall_at(&self, stall: Instant) -> Instant {
-        if self.can_repeat() && self.has_attempts() {
-            stall
-        } else {
-            self.deadline
-        }
-    }
-}
-
 /// What a caller's connection does after a call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AfterCall {
@@ -191,18 +79,15 @@
     };
     let id = facts.call_id.clone();
     let Some(table) = traffic.shared.routes() else {
-        let wait = Duration::from_millis(traffic.shared.config.no_endpoint_retry_ms);
-        let reply = OwnReply::later(OwnStatus::Unavailable, wait);
+        let reply = unavailable(traffic.shared.config.no_endpoint_retry_ms);
         return refuse(traffic, caller, &id, reply, "no routes yet", keep).await;
     };
     if is_full(traffic) || traffic.callers.lag() == LagLevel::TooLate {
-        let wait = Duration::from_millis(traffic.shared.config.elsewhere_retry_ms);
-        let reply = OwnReply::later(OwnStatus::Unavailable, wait);
+        let reply = unavailable(traffic.shared.config.elsewhere_retry_ms);
         return refuse(traffic, caller, &id, reply, "router is full", false).await;
     }
     if traffic.shared.life.closing.is_cancelled() {
-        let wait = Duration::from_millis(traffic.shared.config.retry_after_ms);
-        let reply = OwnReply::later(OwnStatus::Unavailable, wait);
+        let reply = unavailable(traffic.shared.config.retry_after_ms);
         return refuse(traffic, caller, &id, reply, "shutting down", false).await;
     }
     let route = match routed(&table, &head, &facts) {
@@ -253,13 +138,6 @@
     }
 }
 
-/// A hash of what a call asks and who asks it. Its id differs from one resend to the next.
-fn fingerprint(head: &RequestHead, body: &[u8], team: Option<&TeamKey>) -> RequestFingerprint {
-    let seed = team.map_or(0, TeamKey::hash);
-    let target = xxh3_64_with_seed(&head.target, seed);
-    RequestFingerprint(xxh3_64_with_seed(body, target))
-}
-
 fn routed<'a>(
     table: &'a RouteTable,
     head: &RequestHead,
@@ -484,6 +362,11 @@
     own(traffic, caller, call, reply, cause.label()).await
 }
 
+/// Says that a request did not run and may come back after so many ms.
+fn unavailable(wait_ms: u64) -> OwnReply {
+    OwnReply::later(OwnStatus::Unavailable, Duration::from_millis(wait_ms))
+}
+
 /// Spreads the return of callers that are refused together over as much time again.
 fn spread(wait: Duration) -> Duration {
     wait.mul_f64(rand::rng().random_range(1.0..2.0))
@@ -537,49 +420,3 @@
     let reply = OwnReply::plain(status);
     refuse(traffic, caller, call_id, reply, cause, keep).await
 }
-
-/// One log line and the metrics of a call that ended.
-fn record<P: CallProtocol>(traffic: &Traffic<P>, call: &CallState, end: CallEnd, version: u64) {
-    let (status, cause) = match end {
-        CallEnd::Answered(status) => (status, "answered"),
-        CallEnd::Own(status, cause) => (status.line().0, cause),
-        CallEnd::Cut(cause) => (0, cause),
-        CallEnd::CallerLeft => (0, "caller left"),
-    };
-    let total = call.arrived.elapsed();
-    traffic
-        .shared
-        .metrics
-        .call(&call.route.name.0, status, cause, total);
-    let first = call
-        .first_output
-        .map_or(0, |at| (at - call.arrived).as_millis());
-    let team = call.team.as_ref().map_or("-", |team| team.0.as_str());
-    let endpoint = call.tried.last().map_or("-", |key| key.0.as_str());
-    let standing = if call.decided.is_beyond {
-        "beyond"
-    } else {
-        "within"
-    };
-    let prompt = call.facts.prompt.as_ref();
-    let DecisionFacts {
-        predicted_ms,
-        queued,
-        uncached,
-        reread,
-        ..
-    } = call.decided;
-    spdlog::info!(
-        "calls: id={} route={} team={team} version={version} endpoint={endpoint} sends={} \
-         tries={} status={status} cause=\"{cause}\" first_ms={first} total_ms={} \
-         objective_ms={} standing={standing} predicted_ms={predicted_ms:.0} queued={queued:.0} \
-         prompt={} uncached={uncached:.0} reread={reread:.0}",
-        call.facts.call_id,
-        call.route.name,
-        call.sends,
-        call.tried.len(),
-        total.as_millis(),
-        call.route.objective_ms,
-        prompt.map_or(0, |prompt| prompt.prompt_tokens),
-    );
-}
--- /dev/null
+++ b/src/gateway/call_record.rs
@@ -0,0 +1,78 @@
+//! The log line and the metrics of a call that ended.
+
+use super::call_state::CallEnd;
+use super::call_state::CallState;
+use super::decide::AttemptTicket;
+use super::front::Traffic;
+use super::protocol::CallProtocol;
+
+/// What a call's last placement or refusal was decided from, for its log line.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct DecisionFacts {
+    /// Whether its team was beyond its share.
+    pub is_beyond: bool,
+    /// Predicted time to the first output, in ms.
+    pub predicted_ms: f64,
+    /// Prompt tokens queued before it at its endpoint.
+    queued: f64,
+    /// Prompt tokens that the endpoint had to read.
+    uncached: f64,
+    /// Those of them that other requests share.
+    reread: f64,
+}
+
+impl DecisionFacts {
+    /// Takes over what an attempt was placed by.
+    pub fn placed(&mut self, ticket: &AttemptTicket) {
+        self.predicted_ms = ticket.first_ms;
+        self.queued = ticket.queued - ticket.uncached;
+        self.uncached = ticket.uncached;
+        self.reread = ticket.reread;
+    }
+}
+
+/// One log line and the metrics of a call that ended.
+pub fn record<P: CallProtocol>(traffic: &Traffic<P>, call: &CallState, end: CallEnd, version: u64) {
+    let (status, cause) = match end {
+        CallEnd::Answered(status) => (status, "answered"),
+        CallEnd::Own(status, cause) => (status.line().0, cause),
+        CallEnd::Cut(cause) => (0, cause),
+        CallEnd::CallerLeft => (0, "caller left"),
+    };
+    let total = call.arrived.elapsed();
+    traffic
+        .shared
+        .metrics
+        .call(&call.route.name.0, status, cause, total);
+    let first = call
+        .first_output
+        .map_or(0, |at| (at - call.arrived).as_millis());
+    let team = call.team.as_ref().map_or("-", |team| team.0.as_str());
+    let endpoint = call.tried.last().map_or("-", |key| key.0.as_str());
+    let standing = if call.decided.is_beyond {
+        "beyond"
+    } else {
+        "within"
+    };
+    let prompt = call.facts.prompt.as_ref();
+    let DecisionFacts {
+        predicted_ms,
+        queued,
+        uncached,
+        reread,
+        ..
+    } = call.decided;
+    spdlog::info!(
+        "calls: id={} route={} team={team} version={version} endpoint={endpoint} sends={} \
+         tries={} status={status} cause=\"{cause}\" first_ms={first} total_ms={} \
+         objective_ms={} standing={standing} predicted_ms={predicted_ms:.0} queued={queued:.0} \
+         prompt={} uncached={uncached:.0} reread={reread:.0}",
+        call.facts.call_id,
+        call.route.name,
+        call.sends,
+        call.tried.len(),
+        total.as_millis(),
+        call.route.objective_ms,
+        prompt.map_or(0, |prompt| prompt.prompt_tokens),
+    );
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -11,6 +11,8 @@
 
 pub mod attempt;
 pub mod call;
+pub mod call_record;
+pub mod call_state;
 pub mod config;
 pub mod decide;
 pub mod digest;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -14,7 +14,7 @@
 use super::attempt::Interruption;
 use super::attempt::WaitBounds;
 use super::attempt::read_watching;
-use super::call::CallState;
+use super::call_state::CallState;
 use super::decide::AttemptTicket;
 use super::front::Traffic;
 use super::http::ResponseHead;
--- a/src/report/calls.rs
+++ b/src/report/calls.rs
@@ -140,10 +140,6 @@
             "No endpoint would have answered in time. If other routers had room, look at this \
              one's link and lateness; if none had, the endpoints are full."
         }
-        "link" => {
-            "The router's network link was full, so that even a refusal was better at once; the \
-             caller's next try goes to another router."
-        }
         "no_endpoint" => "No endpoint of the service was registered as ready.",
         "quarantined" => "The same request was running in several crashes of endpoints.",
         "router is full" => "The router had no descriptors left, or its timers were late.",
