An account of shares in logs and metrics: how long teams are held, level, asked, served

What a team got in a second could not be told: the collected lines of busy routers begin later, and calls' lines are left out where most calls are. One line a second for each of the four teams asked most, and a counter of tokens by team.

--- a/src/gateway/call_record.rs
+++ b/src/gateway/call_record.rs
@@ -55,6 +55,11 @@
         "within"
     };
     let prompt = call.facts.prompt.as_ref();
+    if let Some(prompt) = prompt {
+        let tokens = prompt.share_tokens();
+        let metrics = &traffic.shared.metrics;
+        metrics.team_tokens(team, standing, call.sends > 0, tokens);
+    }
     let DecisionFacts {
         predicted_ms,
         queued,
--- a/src/gateway/decide/core.rs
+++ b/src/gateway/decide/core.rs
@@ -31,6 +31,7 @@
 use super::placement::Placement;
 use super::placement::PlacementAsk;
 use super::quarantine::CrashQuarantine;
+use super::shares::LimitedTeam;
 use super::shares::ShareStanding;
 use super::shares::ShareTable;
 use super::shares::TeamFlow;
@@ -43,6 +44,12 @@
 /// Prompt tokens below which the time to a first token says nothing about reading speed.
 const LEARNING_TOKENS: f64 = 2_000.0;
 
+/// Pause between two accounts of the teams that are held to their shares.
+const SHARE_ACCOUNT: TimeSpan = TimeSpan::from_millis(1_000);
+
+/// Teams in such an account: those that are asked most of. A few teams flood at a time.
+const ACCOUNT_TEAMS: usize = 4;
+
 /// What a call asks of the core.
 #[derive(Debug)]
 pub struct CallAsk<'a> {
@@ -175,6 +182,8 @@
     /// Shares of teams.
     pub shares: ShareTable,
     capacity: CapacityEstimate,
+    /// When shares were last accounted for in the log.
+    accounted_at: Moment,
     /// Requests that crash endpoints.
     pub quarantine: CrashQuarantine,
     budget: RetryBudget,
@@ -199,6 +208,7 @@
             endpoints: EndpointTable::default(),
             shares: ShareTable::new(seconds(config.share_window_s)),
             capacity: CapacityEstimate::default(),
+            accounted_at: Moment(0),
             quarantine: CrashQuarantine::default(),
             budget: RetryBudget::new(bounds),
             sizes: SizeTable::default(),
@@ -295,6 +305,37 @@
             );
         }
         self.shares.share_out(now, rate, elsewhere);
+        self.account_for_shares(now, rate);
+    }
+
+    /// Logs what the teams that are held to their shares ask, get and may have.
+    ///
+    /// Calls' lines are left out where most calls are, so what a team got in a second can't be
+    /// summed up from them.
+    fn account_for_shares(&mut self, now: Moment, rate: f64) {
+        if now.since(self.accounted_at) < SHARE_ACCOUNT {
+            return;
+        }
+        self.accounted_at = now;
+        let limited = self.shares.limited();
+        let (count, level) = (limited.len(), self.shares.level());
+        for held in limited.iter().take(ACCOUNT_TEAMS) {
+            let LimitedTeam {
+                team,
+                flow,
+                asked_here,
+                allowed_here,
+                since,
+            } = held;
+            let held_ms = now.since(*since).as_millis();
+            spdlog::info!(
+                "shares: team={team} held_ms={held_ms} level={level:.0} asked={:.0} served={:.0} \
+                 asked_here={asked_here:.0} allowed_here={allowed_here:.0} held={count} \
+                 rate={rate:.0}",
+                flow.asked,
+                flow.served,
+            );
+        }
     }
 
     /// Decides where a call goes, or that it is refused.
--- a/src/gateway/decide/shares.rs
+++ b/src/gateway/decide/shares.rs
@@ -48,6 +48,21 @@
     pub served: f64,
 }
 
+/// A team that is held to its share, as logs tell it. Rates are in tokens a second.
+#[derive(Debug, Clone, PartialEq)]
+pub struct LimitedTeam {
+    /// The team.
+    pub team: TeamKey,
+    /// What all routers are asked and serve.
+    pub flow: TeamFlow,
+    /// What this router is asked.
+    pub asked_here: f64,
+    /// What this router may serve within the share.
+    pub allowed_here: f64,
+    /// When it began to be held.
+    pub since: Moment,
+}
+
 #[derive(Debug)]
 struct TeamCounts {
     asked: WindowCount,
@@ -57,6 +72,12 @@
     credited_at: Moment,
     /// This router's part of the team's share, in tokens a second; nothing if it is not limited.
     allowed: Option<f64>,
+    /// Since when it has been limited.
+    limited_at: Moment,
+    /// What all routers were asked and served when shares were last set.
+    flow: TeamFlow,
+    /// What this router was asked then.
+    asked_here: f64,
     /// What all routers together serve the team, against its share.
     served_part: f64,
 }
@@ -69,6 +90,8 @@
     begun: Option<Moment>,
     /// Requests within shares that found the endpoints full.
     turned_away: WindowCount,
+    /// The most that a team gets, in tokens a second; infinite while all demands fit.
+    level: f64,
     teams: BTreeMap<TeamKey, TeamCounts>,
 }
 
@@ -80,6 +103,7 @@
             window,
             begun: None,
             turned_away: WindowCount::new(window),
+            level: f64::INFINITY,
             teams: BTreeMap::new(),
         }
     }
@@ -94,6 +118,9 @@
                 credit: 0.0,
                 credited_at: Moment(0),
                 allowed: None,
+                limited_at: Moment(0),
+                flow: TeamFlow::default(),
+                asked_here: 0.0,
                 served_part: 0.0,
             })
     }
@@ -178,6 +205,29 @@
             .collect()
     }
 
+    /// The most that a team gets, in tokens a second; infinite while all demands fit.
+    #[must_use]
+    pub fn level(&self) -> f64 {
+        self.level
+    }
+
+    /// Teams that are held to their shares, those that are asked most of first.
+    #[must_use]
+    pub fn limited(&self) -> Vec<LimitedTeam> {
+        let limited = self.teams.iter().filter_map(|(team, counts)| {
+            Some(LimitedTeam {
+                team: team.clone(),
+                flow: counts.flow,
+                asked_here: counts.asked_here,
+                allowed_here: counts.allowed?,
+                since: counts.limited_at,
+            })
+        });
+        let mut limited: Vec<LimitedTeam> = limited.collect();
+        limited.sort_by(|left, right| right.flow.asked.total_cmp(&left.flow.asked));
+        limited
+    }
+
     /// Sets this router's part of each team's share from what all routers were asked. `rate` is
     /// what all endpoints together handle, in tokens a second.
     ///
@@ -194,10 +244,13 @@
             sum.served += flow.served;
         }
         let level = max_min_level(rate, flows.values().map(|flow| flow.asked));
+        self.level = level;
         let settled = self.settled_part(now);
         for (team, counts) in &mut self.teams {
             let own = own.get(team).copied().unwrap_or_default();
             let all = flows.get(&team.hash()).copied().unwrap_or_default();
+            counts.flow = all;
+            counts.asked_here = own.asked;
             if all.asked <= level || all.asked <= 0.0 || rate <= 0.0 {
                 counts.allowed = None;
                 continue;
@@ -205,6 +258,7 @@
             if counts.allowed.is_none() {
                 counts.credit = 0.0;
                 counts.credited_at = now;
+                counts.limited_at = now;
             }
             let part = own.asked / all.asked;
             counts.allowed = Some(level * part * correction(level, all.served));
--- a/src/gateway/digest.rs
+++ b/src/gateway/digest.rs
@@ -5,8 +5,13 @@
 //! where a message a row takes a tag a field as well. At 12 endpoints and 16 teams a digest has
 //! 410 bytes.
 
+use std::collections::BTreeMap;
+
 use prost::Message;
 
+use super::decide::shares::TeamFlow;
+use super::routes::TeamKey;
+
 /// Unread prompt tokens are told in such steps: a thousandth of a second of reading.
 const PENDING_STEP: u32 = 64;
 
@@ -118,6 +123,20 @@
 }
 
 impl DemandColumns {
+    /// What a router tells of what teams ask of it and are served by it.
+    #[must_use]
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    pub fn of(flows: &BTreeMap<TeamKey, TeamFlow>) -> Self {
+        let asking = flows.iter().filter(|(_, flow)| flow.asked >= 1.0);
+        asking
+            .map(|(team, flow)| DemandEntry {
+                team: team.hash(),
+                tokens_per_s: flow.asked as u32,
+                served_per_s: flow.served as u32,
+            })
+            .collect()
+    }
+
     /// The rows, as those of [`LoadColumns::entries`].
     pub fn entries(&self) -> impl Iterator<Item = DemandEntry> + '_ {
         let rates = self.tokens_per_s.iter().zip(&self.served_per_s);
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -24,7 +24,7 @@
 
 use super::decide::endpoints::EndpointRow;
 use super::decide::quarantine::CrashSuspect;
-use super::digest::DemandEntry;
+use super::digest::DemandColumns;
 use super::digest::LoadEntry;
 use super::digest::RouterDigest;
 use super::digest::SuspectEntry;
@@ -229,15 +229,7 @@
             routes_version,
             endpoints_revision,
             loads: loads.collect(),
-            demands: flows
-                .iter()
-                .filter(|(_, flow)| flow.asked >= 1.0)
-                .map(|(team, flow)| DemandEntry {
-                    team: team.hash(),
-                    tokens_per_s: flow.asked as u32,
-                    served_per_s: flow.served as u32,
-                })
-                .collect(),
+            demands: DemandColumns::of(&flows),
             routers: if tells_routers {
                 self.told_addresses(now)
             } else {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -22,6 +22,7 @@
     registry: Registry,
     calls: Counter<u64>,
     call_seconds: Histogram<f64>,
+    team_tokens: Counter<u64>,
     endpoint_connections: Counter<u64>,
     store_failures: Counter<u64>,
     _provider: SdkMeterProvider,
@@ -57,6 +58,12 @@
                 .with_description("Seconds from a call's arrival to its end, by route.")
                 .with_boundaries(CALL_SECONDS.to_vec())
                 .build(),
+            team_tokens: meter
+                .u64_counter("verbenaturn_gateway_team_tokens")
+                .with_description(
+                    "Tokens that teams asked, by standing and whether they were sent.",
+                )
+                .build(),
             endpoint_connections: meter
                 .u64_counter("verbenaturn_gateway_endpoint_connections")
                 .with_description("Connections opened to endpoints.")
@@ -78,6 +85,17 @@
         self.call_seconds.record(total.as_secs_f64(), &[route]);
     }
 
+    /// Counts what a generation asked against its team's share, in tokens. The library bounds the
+    /// number of teams that are counted apart.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    pub fn team_tokens(&self, team: &str, standing: &'static str, was_sent: bool, tokens: f64) {
+        let team = KeyValue::new("team", team.to_owned());
+        let standing = KeyValue::new("standing", standing);
+        let outcome = KeyValue::new("outcome", if was_sent { "sent" } else { "refused" });
+        self.team_tokens
+            .add(tokens as u64, &[team, standing, outcome]);
+    }
+
     /// Counts a connection to an endpoint.
     pub fn endpoint_connection(&self) {
         self.endpoint_connections.add(1, &[]);
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -600,3 +600,26 @@
     let (after_flood, even) = (used_within(900_000.0), used_within(90_000.0));
     assert!(after_flood > 0.5 * even, "{after_flood} {even}");
 }
+
+/// A team complains of a second in which calls' log lines were left out. The account of shares must
+/// tell since when it was held and what it and the others got.
+#[test]
+fn the_account_of_shares_names_the_teams_that_are_held() {
+    let mut shares = ShareTable::new(TimeSpan::from_millis(4_000));
+    let (large, larger) = (nadi(), TeamKey(SmolStr::new("suva")));
+    for step in 0..100 {
+        shares.ask(ms(step * 40), &large, 1_000.0);
+        shares.ask(ms(step * 40), &larger, 2_000.0);
+    }
+    let elsewhere = BTreeMap::from([(1, asked(1_000.0))]);
+    shares.share_out(ms(4_000), 100_000.0, &elsewhere);
+    assert!(shares.limited().is_empty());
+    shares.share_out(ms(4_100), 21_000.0, &elsewhere);
+    shares.share_out(ms(4_200), 21_000.0, &elsewhere);
+    let limited = shares.limited();
+    let teams: Vec<_> = limited.iter().map(|held| &held.team).collect();
+    assert_eq!(teams, [&larger, &large]);
+    assert!(limited.iter().all(|held| held.since == ms(4_100)));
+    assert!((9_999.0..10_001.0).contains(&shares.level()));
+    assert!(limited[0].asked_here > limited[0].allowed_here);
+}
