A team that begins to press is held after a third of a second, and pays for nothing it got before

Cause: a rate was bounded by a mean over four seconds of news that is up to 1.8 s old. Until it told, a flood through many routers was within its share at each of them; then its own first seconds were taken off its allowance, just while the next flood was not held yet. Mend: demand of the last 0.3 s beside the mean, summed over the routers just heard, each standing for those that were not; it counts while it is several times the mean. Service counts from when a team is held. Beyond shares, who has more than the one that presses and gets least needs an emptier endpoint.

--- a/src/gateway/decide/mod.rs
+++ b/src/gateway/decide/mod.rs
@@ -12,6 +12,7 @@
 pub mod quarantine;
 pub mod shares;
 pub mod sizes;
+pub mod surge;
 pub mod window;
 
 pub use budget::RetryBudget;
--- a/src/gateway/decide/shares.rs
+++ b/src/gateway/decide/shares.rs
@@ -6,11 +6,14 @@
 //! requests arrive. While endpoints have room nobody yields.
 
 use std::collections::BTreeMap;
+use std::ops::AddAssign;
 
 use crate::units::Moment;
 use crate::units::TimeSpan;
 
 use super::super::routes::TeamKey;
+use super::surge::SurgeWatch;
+use super::surge::TeamDemand;
 use super::window::WindowCount;
 
 /// Part of a second's worth of a team's share that it may use ahead of time. A whole second lets
@@ -30,6 +33,22 @@
 /// Shortest time over which demand is counted: a few requests of a large team.
 const LEAST_COUNTED: TimeSpan = TimeSpan::from_millis(500);
 
+/// Tokens that a request is taken to have until some came, and weight of a new one in the mean: a hundred
+/// requests, a second of a busy router's traffic.
+const FIRST_TOKENS: f64 = 3_000.0;
+const SIZE_WEIGHT: f64 = 0.01;
+
+/// Size, in means, as which a longer request counts in the demand of the last moments. One of the longest
+/// kind has twenty, and would make a usual team seem to press.
+const MOST_SIZE: f64 = 2.0;
+
+/// The last moments: a few requests of a team that presses at a router, and three rounds of messages.
+pub const LATELY: TimeSpan = TimeSpan::from_millis(300);
+
+/// What a team that surges counts as served against its share at least. What it gets is known as late as
+/// what it asks, so it may use only endpoints that are nearly idle meanwhile.
+const SURGE_SERVED: f64 = 2.0;
+
 /// How a request stands to its team's share.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum ShareStanding {
@@ -42,12 +61,22 @@
 /// What a team asks of routers and is served by them, in tokens a second.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct TeamFlow {
-    /// Asked.
+    /// Asked, over the window of shares.
     pub asked: f64,
-    /// Served.
+    /// Asked in the last moments, where a long request counts as twice the usual one.
+    pub asked_lately: f64,
+    /// Served, over the window of shares.
     pub served: f64,
 }
 
+impl AddAssign for TeamFlow {
+    fn add_assign(&mut self, other: Self) {
+        self.asked += other.asked;
+        self.asked_lately += other.asked_lately;
+        self.served += other.served;
+    }
+}
+
 /// A team that is held to its share, as logs tell it. Rates are in tokens a second.
 #[derive(Debug, Clone, PartialEq)]
 pub struct LimitedTeam {
@@ -66,7 +95,11 @@
 #[derive(Debug)]
 struct TeamCounts {
     asked: WindowCount,
+    asked_lately: WindowCount,
     served: WindowCount,
+    /// Since when service has been counted, if that is later than the table's first request.
+    served_from: Option<Moment>,
+    surge: SurgeWatch,
     /// Tokens that may be used within the share.
     credit: f64,
     credited_at: Moment,
@@ -78,10 +111,38 @@
     flow: TeamFlow,
     /// What this router was asked then.
     asked_here: f64,
-    /// What all routers together serve the team, against its share.
+    /// What all routers together serve the team, against its share, and once more against what the
+    /// team gets that presses and gets least.
     served_part: f64,
 }
 
+impl TeamCounts {
+    /// Adds what the allowance gave since it was last added.
+    #[allow(clippy::cast_precision_loss)]
+    fn accrue(&mut self, now: Moment) {
+        let passed_s = now.since(self.credited_at).0 as f64 / 1e6;
+        self.credited_at = now;
+        let Some(allowed) = self.allowed else {
+            return;
+        };
+        let most = (allowed * BURST_S).max(self.credit);
+        self.credit = (self.credit + allowed * passed_s).min(most);
+    }
+
+    /// Begins to hold the team to its share.
+    ///
+    /// What it was served before is forgotten. Guards against a team that pays for the first
+    /// moments of its flood: its allowance would be lowered for as long as the window of shares, while the
+    /// next team that begins to press is not held yet and gets several times as much.
+    fn hold(&mut self, now: Moment, window: TimeSpan) {
+        self.credit = 0.0;
+        self.credited_at = now;
+        self.limited_at = now;
+        self.served = WindowCount::new(window);
+        self.served_from = Some(now);
+    }
+}
+
 /// What teams ask and what they are owed.
 #[derive(Debug)]
 pub struct ShareTable {
@@ -90,6 +151,8 @@
     begun: Option<Moment>,
     /// Requests within shares that found the endpoints full.
     turned_away: WindowCount,
+    /// The usual size of a request, of whichever team.
+    mean_tokens: f64,
     /// The most that a team gets, in tokens a second; infinite while all demands fit.
     level: f64,
     teams: BTreeMap<TeamKey, TeamCounts>,
@@ -103,6 +166,7 @@
             window,
             begun: None,
             turned_away: WindowCount::new(window),
+            mean_tokens: FIRST_TOKENS,
             level: f64::INFINITY,
             teams: BTreeMap::new(),
         }
@@ -114,7 +178,10 @@
             .entry(team.clone())
             .or_insert_with(|| TeamCounts {
                 asked: WindowCount::new(window),
+                asked_lately: WindowCount::new(LATELY),
                 served: WindowCount::new(window),
+                served_from: None,
+                surge: SurgeWatch::default(),
                 credit: 0.0,
                 credited_at: Moment(0),
                 allowed: None,
@@ -131,16 +198,15 @@
     /// it is [`Self::serve`]d.
     pub fn ask(&mut self, now: Moment, team: &TeamKey, tokens: f64) -> ShareStanding {
         self.begun.get_or_insert(now);
+        self.mean_tokens += SIZE_WEIGHT * (tokens - self.mean_tokens);
+        let most_tokens = MOST_SIZE * self.mean_tokens;
         let counts = self.counts(team);
         counts.asked.add(now, tokens);
-        let Some(allowed) = counts.allowed else {
+        counts.asked_lately.add(now, tokens.min(most_tokens));
+        if counts.allowed.is_none() {
             return ShareStanding::Within;
-        };
-        #[allow(clippy::cast_precision_loss)]
-        let passed_s = now.since(counts.credited_at).0 as f64 / 1e6;
-        counts.credited_at = now;
-        let most = allowed * BURST_S;
-        counts.credit = (counts.credit + allowed * passed_s).min(most);
+        }
+        counts.accrue(now);
         if counts.credit > 0.0 {
             return ShareStanding::Within;
         }
@@ -164,21 +230,10 @@
 
     /// Tokens a second of such requests.
     pub fn turned_away_per_s(&mut self, now: Moment) -> f64 {
-        let seconds = self.counted_s(now);
+        let seconds = counted_s(now, self.begun, self.window);
         self.turned_away.sum(now) / seconds
     }
 
-    /// Seconds over which the counts go: the window, or the shorter time since the first request.
-    ///
-    /// Guards against a fleet that has just started and shares nothing out: over the whole window
-    /// its teams' demand would seem to fit for seconds, while the largest of them floods the
-    /// endpoints.
-    #[allow(clippy::cast_precision_loss)]
-    fn counted_s(&self, now: Moment) -> f64 {
-        let age = self.begun.map_or(TimeSpan(0), |begun| now.since(begun));
-        age.clamp(LEAST_COUNTED, self.window.max(LEAST_COUNTED)).0 as f64 / 1e6
-    }
-
     /// How much of the window the counts cover, from 0 at the first request to 1.
     ///
     /// Guards against a fleet that has just started together: its callers' retries come at once, and
@@ -192,13 +247,18 @@
 
     /// What each team asked of this router and was served by it.
     pub fn flows(&mut self, now: Moment) -> BTreeMap<TeamKey, TeamFlow> {
-        let seconds = self.counted_s(now);
+        let (begun, window) = (self.begun, self.window);
+        let asked_s = counted_s(now, begun, window);
+        #[allow(clippy::cast_precision_loss)]
+        let lately_s = LATELY.0 as f64 / 1e6;
         self.teams
             .iter_mut()
             .map(|(team, counts)| {
+                let served_s = counted_s(now, counts.served_from.or(begun), window);
                 let flow = TeamFlow {
-                    asked: counts.asked.sum(now) / seconds,
-                    served: counts.served.sum(now) / seconds,
+                    asked: counts.asked.sum(now) / asked_s,
+                    asked_lately: counts.asked_lately.sum(now) / lately_s,
+                    served: counts.served.sum(now) / served_s,
                 };
                 (team.clone(), flow)
             })
@@ -239,33 +299,82 @@
         let own = self.flows(now);
         let mut flows = elsewhere.clone();
         for (team, flow) in &own {
-            let sum = flows.entry(team.hash()).or_default();
-            sum.asked += flow.asked;
-            sum.served += flow.served;
+            *flows.entry(team.hash()).or_default() += *flow;
         }
-        let level = max_min_level(rate, flows.values().map(|flow| flow.asked));
-        self.level = level;
+        let demands = self.demands(&own, &flows);
+        let level = max_min_level(rate, demands.values().map(|demand| demand.asked));
+        let least = least_served(level, &flows);
         let settled = self.settled_part(now);
+        let window = self.window;
+        self.level = level;
         for (team, counts) in &mut self.teams {
-            let own = own.get(team).copied().unwrap_or_default();
+            counts.accrue(now);
             let all = flows.get(&team.hash()).copied().unwrap_or_default();
+            let demand = demands.get(&team.hash()).copied().unwrap_or_default();
             counts.flow = all;
-            counts.asked_here = own.asked;
-            if all.asked <= level || all.asked <= 0.0 || rate <= 0.0 {
+            counts.asked_here = own.get(team).map_or(0.0, |flow| flow.asked);
+            if demand.asked <= level || demand.asked <= 0.0 || rate <= 0.0 {
                 counts.allowed = None;
                 continue;
             }
             if counts.allowed.is_none() {
-                counts.credit = 0.0;
-                counts.credited_at = now;
-                counts.limited_at = now;
+                counts.hold(now, window);
             }
-            let part = own.asked / all.asked;
-            counts.allowed = Some(level * part * correction(level, all.served));
+            counts.allowed = Some(level * demand.part * correction(level, all.served));
             let served_part = all.served / level.max(1.0);
-            counts.served_part = 1.0 + settled * (served_part - 1.0);
+            let ahead = (all.served / least.max(1.0)).max(1.0);
+            counts.served_part = (1.0 + settled * (served_part - 1.0)) * ahead;
+            if counts.surge.is_surging() {
+                counts.served_part = counts.served_part.max(SURGE_SERVED);
+            }
         }
     }
+
+    /// What counts of each team's demand, by the team's number.
+    fn demands(
+        &mut self,
+        own: &BTreeMap<TeamKey, TeamFlow>,
+        flows: &BTreeMap<u64, TeamFlow>,
+    ) -> BTreeMap<u64, TeamDemand> {
+        let mut demands: BTreeMap<u64, TeamDemand> = flows
+            .iter()
+            .map(|(team, all)| {
+                let demand = TeamDemand {
+                    asked: all.asked,
+                    part: 0.0,
+                };
+                (*team, demand)
+            })
+            .collect();
+        for (team, counts) in &mut self.teams {
+            let own = own.get(team).copied().unwrap_or_default();
+            let all = flows.get(&team.hash()).copied().unwrap_or_default();
+            let demand = counts.surge.demand(own, all);
+            demands.insert(team.hash(), demand);
+        }
+        demands
+    }
+}
+
+/// Seconds over which a count goes: the window, or the shorter time since it began.
+///
+/// Guards against a fleet that has just started and shares nothing out: over the whole window
+/// its teams' demand would seem to fit for seconds, while the largest of them floods the
+/// endpoints.
+#[allow(clippy::cast_precision_loss)]
+fn counted_s(now: Moment, begun: Option<Moment>, window: TimeSpan) -> f64 {
+    let age = begun.map_or(TimeSpan(0), |begun| now.since(begun));
+    age.clamp(LEAST_COUNTED, window.max(LEAST_COUNTED)).0 as f64 / 1e6
+}
+
+/// What the team gets that presses and gets least, at least the level.
+fn least_served(level: f64, flows: &BTreeMap<u64, TeamFlow>) -> f64 {
+    let pressing = flows
+        .values()
+        .filter(|flow| flow.asked > level && flow.asked_lately > level);
+    let served = pressing.map(|flow| flow.served);
+    let least = served.fold(f64::INFINITY, f64::min);
+    least.max(level)
 }
 
 /// By how much a team's allowance is raised or lowered, from its share and what all routers
--- /dev/null
+++ b/src/gateway/decide/surge.rs
@@ -0,0 +1,65 @@
+//! A team's demand while it rises faster than its mean over the window of shares tells.
+//!
+//! The load that this answers: a team begins to press from one moment to the next, with many times
+//! what it asked before, through any number of routers. Its mean over seconds reaches its share only after
+//! one or two of them, in which it counts as within its share everywhere and takes all that the
+//! endpoints can begin: more than teams that press already get in six seconds. Counted over the last
+//! moments it is known after a quarter of a second.
+
+use super::shares::TeamFlow;
+
+/// Demand of the last moments against the mean at which a team counts as surging. Of a team that asks a
+/// share of a hundredth, three times its mean is seen by chance in one look of two hundred.
+const SURGE_BEGINS: f64 = 3.0;
+
+/// The same at which it ends: the mean, from which parts of a share are steadier, is nearly there.
+const SURGE_ENDS: f64 = 1.5;
+
+/// What is kept of the highest demand from one look to the next, a tenth of a second: half of it after
+/// 0.7 s. A single look that misses the busiest routers must not end a surge.
+const PEAK_KEPT: f64 = 0.9;
+
+/// What counts of a team when shares are set.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct TeamDemand {
+    /// What all routers are asked, in tokens a second.
+    pub asked: f64,
+    /// This router's part of it, from 0 to 1.
+    pub part: f64,
+}
+
+/// Whether a team surges.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct SurgeWatch {
+    /// The highest demand of the last moments, in tokens a second.
+    peak: f64,
+    is_surging: bool,
+}
+
+impl SurgeWatch {
+    /// Whether the team's demand has just risen to several times its mean.
+    #[must_use]
+    pub fn is_surging(&self) -> bool {
+        self.is_surging
+    }
+
+    /// The team's demand, from what this router and all together are asked.
+    pub fn demand(&mut self, own: TeamFlow, all: TeamFlow) -> TeamDemand {
+        let bound = if self.is_surging {
+            SURGE_ENDS
+        } else {
+            SURGE_BEGINS
+        };
+        self.peak = all.asked_lately.max(self.peak * PEAK_KEPT);
+        self.is_surging = self.peak > bound * all.asked;
+        // Both of one kind: a mean that lags against one that does not would make all routers' parts
+        // several times the whole.
+        let (asked, here) = if self.is_surging {
+            (self.peak, own.asked_lately)
+        } else {
+            (all.asked, own.asked)
+        };
+        let part = if asked > 0.0 { here / asked } else { 0.0 };
+        TeamDemand { asked, part }
+    }
+}
--- a/src/gateway/digest.rs
+++ b/src/gateway/digest.rs
@@ -15,6 +15,10 @@
 /// Unread prompt tokens are told in such steps: a thousandth of a second of reading.
 const PENDING_STEP: u32 = 64;
 
+/// Rates of teams are told in such steps, in tokens a second, to the nearest: a request of the mean size
+/// each half a minute. A router's usual rates then take a byte.
+const RATE_STEP: u32 = 128;
+
 /// The endpoint is silent to the sender.
 const SILENT: u32 = 1;
 /// The sender heard from it of late.
@@ -109,17 +113,21 @@
     pub tokens_per_s: u32,
     /// Tokens a second that it is served there.
     pub served_per_s: u32,
+    /// Tokens a second that it asked in the last half second.
+    pub lately_per_s: u32,
 }
 
-/// Demands at one router, a column a field.
+/// Demands at one router, a column a field, rates in steps.
 #[derive(Clone, PartialEq, Message)]
 pub struct DemandColumns {
     #[prost(fixed64, repeated, tag = "1")]
     teams: Vec<u64>,
-    #[prost(uint32, repeated, tag = "2")]
-    tokens_per_s: Vec<u32>,
-    #[prost(uint32, repeated, tag = "3")]
-    served_per_s: Vec<u32>,
+    #[prost(uint32, repeated, tag = "4")]
+    asked: Vec<u32>,
+    #[prost(uint32, repeated, tag = "5")]
+    served: Vec<u32>,
+    #[prost(uint32, repeated, tag = "6")]
+    asked_lately: Vec<u32>,
 }
 
 impl DemandColumns {
@@ -127,35 +135,46 @@
     #[must_use]
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     pub fn of(flows: &BTreeMap<TeamKey, TeamFlow>) -> Self {
-        let asking = flows.iter().filter(|(_, flow)| flow.asked >= 1.0);
+        let least = f64::from(RATE_STEP) / 2.0;
+        let asking = flows.iter().filter(|(_, flow)| flow.asked >= least);
         asking
             .map(|(team, flow)| DemandEntry {
                 team: team.hash(),
                 tokens_per_s: flow.asked as u32,
                 served_per_s: flow.served as u32,
+                lately_per_s: flow.asked_lately as u32,
             })
             .collect()
     }
 
     /// The rows, as those of [`LoadColumns::entries`].
     pub fn entries(&self) -> impl Iterator<Item = DemandEntry> + '_ {
-        let rates = self.tokens_per_s.iter().zip(&self.served_per_s);
-        let rows = self.teams.iter().zip(rates);
-        rows.map(|(team, (asked, served))| DemandEntry {
-            team: *team,
-            tokens_per_s: *asked,
-            served_per_s: *served,
-        })
+        let asked = self.asked.iter().zip(&self.asked_lately);
+        let rates = asked.zip(&self.served);
+        self.teams
+            .iter()
+            .zip(rates)
+            .map(|(team, ((asked, lately), served))| DemandEntry {
+                team: *team,
+                tokens_per_s: asked.saturating_mul(RATE_STEP),
+                served_per_s: served.saturating_mul(RATE_STEP),
+                lately_per_s: lately.saturating_mul(RATE_STEP),
+            })
     }
 }
 
+fn rate_steps(tokens_per_s: u32) -> u32 {
+    tokens_per_s.saturating_add(RATE_STEP / 2) / RATE_STEP
+}
+
 impl FromIterator<DemandEntry> for DemandColumns {
     fn from_iter<I: IntoIterator<Item = DemandEntry>>(entries: I) -> Self {
         let mut columns = Self::default();
         for entry in entries {
             columns.teams.push(entry.team);
-            columns.tokens_per_s.push(entry.tokens_per_s);
-            columns.served_per_s.push(entry.served_per_s);
+            columns.asked.push(rate_steps(entry.tokens_per_s));
+            columns.served.push(rate_steps(entry.served_per_s));
+            columns.asked_lately.push(rate_steps(entry.lately_per_s));
         }
         columns
     }
--- a/src/gateway/peer_table.rs
+++ b/src/gateway/peer_table.rs
@@ -11,6 +11,7 @@
 use crate::units::TimeSpan;
 
 use super::decide::endpoints::PeerLoad;
+use super::decide::shares::LATELY;
 use super::decide::shares::TeamFlow;
 use super::digest::LoadColumns;
 use super::digest::RouterDigest;
@@ -32,6 +33,24 @@
     pub digest: RouterDigest,
     /// When.
     pub heard: Moment,
+    /// Time between its last two messages; zero after the first.
+    interval: TimeSpan,
+}
+
+impl PeerRow {
+    /// For how many routers this one stands in a sum over those that were heard lately; zero if it
+    /// was not.
+    ///
+    /// In a large fleet a router hears from each other one in turns of seconds. The sum of all that
+    /// they told last is as old as that; the sum of those just heard, each multiplied by how
+    /// seldom it is heard, is right on the average and as old as the last moments.
+    #[allow(clippy::cast_precision_loss)]
+    fn lately_weight(&self, now: Moment) -> f64 {
+        if now.since(self.heard) >= LATELY {
+            return 0.0;
+        }
+        (self.interval.0 as f64 / LATELY.0 as f64).max(1.0)
+    }
 }
 
 /// The other routers as this one knows them.
@@ -72,7 +91,14 @@
         self.told.remove(&from);
         self.ungreeted.remove(&from);
         self.add_loads(&digest.loads);
-        if let Some(before) = self.heard.insert(from, PeerRow { digest, heard: now }) {
+        let known = self.heard.get(&from);
+        let interval = known.map_or(TimeSpan(0), |row| now.since(row.heard));
+        let row = PeerRow {
+            digest,
+            heard: now,
+            interval,
+        };
+        if let Some(before) = self.heard.insert(from, row) {
             self.remove_loads(&before.digest.loads);
         }
         true
@@ -155,10 +181,13 @@
     pub fn flows(&self, now: Moment, timeout: TimeSpan) -> BTreeMap<u64, TeamFlow> {
         let mut sums: BTreeMap<u64, TeamFlow> = BTreeMap::new();
         for (_, row) in self.live(now, timeout) {
+            let weight = row.lately_weight(now);
             for demand in row.digest.demands.entries() {
-                let sum = sums.entry(demand.team).or_default();
-                sum.asked += f64::from(demand.tokens_per_s);
-                sum.served += f64::from(demand.served_per_s);
+                *sums.entry(demand.team).or_default() += TeamFlow {
+                    asked: f64::from(demand.tokens_per_s),
+                    asked_lately: f64::from(demand.lately_per_s) * weight,
+                    served: f64::from(demand.served_per_s),
+                };
             }
         }
         sums
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -93,6 +93,7 @@
     TeamFlow {
         asked: tokens_per_s,
         served: 0.0,
+        ..TeamFlow::default()
     }
 }
 
@@ -352,6 +353,7 @@
     let flow = TeamFlow {
         asked: 90_000.0,
         served: 20_000.0,
+        ..TeamFlow::default()
     };
     let elsewhere = BTreeMap::from([(nadi().hash(), flow), (1, asked(90_000.0))]);
     for step in 0..100 {
@@ -537,6 +539,7 @@
     let elsewhere = TeamFlow {
         asked: 900_000.0,
         served: served_elsewhere,
+        ..TeamFlow::default()
     };
     let others = BTreeMap::from([(team.hash(), elsewhere), (1, asked(900_000.0))]);
     let mut used = 0.0;
@@ -575,6 +578,7 @@
         let flow = TeamFlow {
             asked: 90_000.0,
             served: 40_000.0,
+            ..TeamFlow::default()
         };
         let elsewhere = BTreeMap::from([(team.hash(), flow), (1, asked(90_000.0))]);
         for step in 0..=millis / 10 {
