--- a/src/gateway/decide/shares.rs
+++ b/src/gateway/decide/shares.rs
@@ -349,7 +349,7 @@
         for (team, counts) in &mut self.teams {
             let own = own.get(team).copied().unwrap_or_default();
             let all = flows.get(&team.hash()).copied().unwrap_or_default();
-            let demand = counts.surge.demand(own, all);
+            let demand = counts.surge.demand(own, all, self.level);
             demands.insert(team.hash(), demand);
         }
         demands
--- a/src/gateway/decide/surge.rs
+++ b/src/gateway/decide/surge.rs
@@ -8,10 +8,15 @@
 
 use super::shares::TeamFlow;
 
-/// Demand of the last moments against the mean at which a team counts as surging. Of a team that asks a
-/// share of a hundredth, three times its mean is seen by chance in one look of two hundred.
+/// Demand of the last moments against the mean at which a team counts as surging.
 const SURGE_BEGINS: f64 = 3.0;
 
+/// The same against what a team gets at most. A flood of twice that is known from the mean after
+/// three seconds, in which it gets half as much again as others in six; who asks less can wait for the
+/// mean. Usual teams' requests come in clumps of several times their mean, and while all demands fit
+/// nobody is short of anything.
+const SURGE_LEVELS: f64 = 2.0;
+
 /// The same at which it ends: the mean, from which parts of a share are steadier, is nearly there.
 const SURGE_ENDS: f64 = 1.5;
 
@@ -43,15 +48,16 @@
         self.is_surging
     }
 
-    /// The team's demand, from what this router and all together are asked.
-    pub fn demand(&mut self, own: TeamFlow, all: TeamFlow) -> TeamDemand {
+    /// The team's demand, from what this router and all together are asked and the most that a team
+    /// got by now.
+    pub fn demand(&mut self, own: TeamFlow, all: TeamFlow, level: f64) -> TeamDemand {
+        self.peak = all.asked_lately.max(self.peak * PEAK_KEPT);
         let bound = if self.is_surging {
-            SURGE_ENDS
+            SURGE_ENDS * all.asked
         } else {
-            SURGE_BEGINS
+            (SURGE_BEGINS * all.asked).max(SURGE_LEVELS * level)
         };
-        self.peak = all.asked_lately.max(self.peak * PEAK_KEPT);
-        self.is_surging = self.peak > bound * all.asked;
+        self.is_surging = self.peak > bound;
         // Both of one kind: a mean that lags against one that does not would make all routers' parts
         // several times the whole.
         let (asked, here) = if self.is_surging {
--- a/tests/gateway_floods.rs
+++ b/tests/gateway_floods.rs
@@ -1,5 +1,22 @@
 //! What a fleet of many routers serves teams that press at the same time, without a network.
 
+use std::collections::BTreeMap;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+
+use smol_str::SmolStr;
+
+use verbenaturn::gateway::decide::shares::ShareStanding;
+use verbenaturn::gateway::decide::shares::ShareTable;
+use verbenaturn::gateway::decide::shares::TeamFlow;
+use verbenaturn::gateway::decide::surge::SurgeWatch;
+use verbenaturn::gateway::digest::DemandColumns;
+use verbenaturn::gateway::digest::RouterDigest;
+use verbenaturn::gateway::peer_table::PeerTable;
+use verbenaturn::gateway::routes::TeamKey;
+use verbenaturn::units::Moment;
+use verbenaturn::units::TimeSpan;
+
 mod floods;
 
 use self::floods::FleetShape;
@@ -85,3 +102,127 @@
         assert!(short.is_empty(), "seed {seed}: {short:#?}");
     }
 }
+
+/// Teams ask a tenth less than is published, in clumps. A clump that counted as a flood would have its
+/// team held and refused on a day on which all demands fit over the window of shares.
+#[test]
+fn clumps_of_usual_teams_are_no_floods() {
+    let mut watch = SurgeWatch::default();
+    let clump = TeamFlow {
+        asked: 20_000.0,
+        asked_lately: 80_000.0,
+        served: 20_000.0,
+    };
+    let fits = watch.demand(clump, clump, f64::INFINITY);
+    assert!(!watch.is_surging());
+    assert!((fits.asked - 20_000.0).abs() < 1.0);
+    watch.demand(clump, clump, 50_000.0);
+    assert!(
+        !watch.is_surging(),
+        "four times its mean, less than two levels"
+    );
+    let flood = TeamFlow {
+        asked_lately: 150_000.0,
+        ..clump
+    };
+    let pressing = watch.demand(flood, flood, 50_000.0);
+    assert!(watch.is_surging());
+    assert!((pressing.asked - 150_000.0).abs() < 1.0);
+}
+
+/// One look hears none of the routers through which a flood comes. It must not end the surge: the team
+/// would be within its share at every router until the next look.
+#[test]
+fn a_look_that_misses_the_busy_routers_ends_no_surge() {
+    let mut watch = SurgeWatch::default();
+    let flow = |lately: f64| TeamFlow {
+        asked: 20_000.0,
+        asked_lately: lately,
+        served: 0.0,
+    };
+    watch.demand(flow(10_000.0), flow(400_000.0), 50_000.0);
+    for _ in 0..3 {
+        let demand = watch.demand(flow(10_000.0), flow(10_000.0), 50_000.0);
+        assert!(watch.is_surging());
+        assert!(demand.asked > 250_000.0, "{demand:?}");
+    }
+}
+
+/// Two teams press and one has twice what the other gets, as it asks ten times as often and small prompts find
+/// room at nearly any endpoint. It must need an emptier endpoint than the other one, or it gets more
+/// and more of what endpoints do beyond the published rate.
+#[test]
+fn who_has_twice_what_another_pressing_team_gets_needs_an_emptier_endpoint() {
+    let served_part = |least: f64| {
+        let (team, mut shares) = (TeamKey(SmolStr::new("suva")), table());
+        let ahead = TeamFlow {
+            asked: 900_000.0,
+            asked_lately: 900_000.0,
+            served: 100_000.0,
+        };
+        let behind = TeamFlow {
+            served: least,
+            ..ahead
+        };
+        let elsewhere = BTreeMap::from([(team.hash(), ahead), (1, behind)]);
+        shares.ask(Moment(0), &team, 100.0);
+        for round in 0..50 {
+            let now = Moment(round * 100_000);
+            shares.share_out(now, 100_000.0, &elsewhere);
+        }
+        match shares.ask(Moment(5_000_000), &team, 100_000.0) {
+            ShareStanding::Beyond(served) => served,
+            ShareStanding::Within => {
+                shares.serve(Moment(5_000_000), &team, 1_000_000.0);
+                let ShareStanding::Beyond(served) = shares.ask(Moment(5_000_000), &team, 1.0)
+                else {
+                    panic!("within its share");
+                };
+                served
+            }
+        }
+    };
+    let (alike, twice) = (served_part(100_000.0), served_part(50_000.0));
+    assert!((1.9..2.1).contains(&alike), "{alike}");
+    assert!((3.8..4.2).contains(&twice), "{twice}");
+}
+
+fn table() -> ShareTable {
+    ShareTable::new(TimeSpan::from_millis(4_000))
+}
+
+/// A team floods through routers of which each hears from another one once in two seconds. What the last
+/// ones told, each taken for those not heard, must come near what all are asked, long before all have told.
+#[test]
+fn demand_of_the_last_moments_stands_for_routers_not_heard_of_late() {
+    let mut peers = PeerTable::default();
+    let told = |sequence: u64, rate: f64| RouterDigest {
+        incarnation: 1,
+        sequence,
+        demands: DemandColumns::of(&BTreeMap::from([(
+            TeamKey(SmolStr::new("suva")),
+            TeamFlow {
+                asked: 10_000.0,
+                asked_lately: rate,
+                served: 0.0,
+            },
+        )])),
+        ..RouterDigest::default()
+    };
+    let address = |router: u32| IpAddr::V4(Ipv4Addr::from(0x0a00_0001 + router));
+    // Ninety routers, one each 20 ms. From the second turn on each is asked 30,000 tokens a second.
+    for step in 0..110_u64 {
+        let router = u32::try_from(step % 90).unwrap();
+        let rate = if step < 90 { 0.0 } else { 30_000.0 };
+        let now = Moment(step * 20_000);
+        peers.take(now, address(router), told(step + 1, rate));
+    }
+    let flows = peers.flows(Moment(110 * 20_000), TimeSpan::from_millis(5_000));
+    let flow = flows.values().next().unwrap();
+    let asked = 90.0 * 30_000.0;
+    assert!(
+        (0.8 * asked..1.2 * asked).contains(&flow.asked_lately),
+        "{flow:?}"
+    );
+    assert!((890_000.0..910_000.0).contains(&flow.asked), "{flow:?}");
+}
