--- a/src/gateway/decide/shares.rs
+++ b/src/gateway/decide/shares.rs
@@ -1,5 +1,8 @@
 //! Max-min shares of the published token rate, over all routers.
 //!
+//! Two floods that begin seconds apart must get about the same in any six seconds: a team is held from the
+//! demand of the last moments ([`super::surge`]), and what it got before does not count against it.
+//!
 //! The load that this answers: a few teams send many times their usual while the others do not.
 //! Each router counts what teams ask of it and tells the others; all compute the same max-min
 //! shares. A team beyond its share yields when endpoints are busy, in proportion to where its
@@ -42,7 +45,8 @@
 /// kind has twenty, and would make a usual team seem to press.
 const MOST_SIZE: f64 = 2.0;
 
-/// The last moments: a few requests of a team that presses at a router, and three rounds of messages.
+/// The last moments: a few requests of a team that presses at a router, and three rounds of messages, in
+/// which a router of ninety hears from fifteen others. A flood of ten shares is known within them.
 pub const LATELY: TimeSpan = TimeSpan::from_millis(300);
 
 /// What a team that surges counts as served against its share at least. What it gets is known as late as
@@ -116,6 +120,19 @@
     served_part: f64,
 }
 
+/// What holds for all teams when shares are set.
+#[derive(Debug)]
+struct ShareTerms {
+    /// The most that a team gets, in tokens a second; infinite while all demands fit.
+    level: f64,
+    /// What the team gets that presses and gets least, in tokens a second.
+    least: f64,
+    /// How much of the window of shares the counts cover, from 0 to 1.
+    settled: f64,
+    /// The window of shares.
+    window: TimeSpan,
+}
+
 impl TeamCounts {
     /// Adds what the allowance gave since it was last added.
     #[allow(clippy::cast_precision_loss)]
@@ -129,6 +146,25 @@
         self.credit = (self.credit + allowed * passed_s).min(most);
     }
 
+    /// Sets this router's part of the team's share from what all routers are asked and serve.
+    fn set_share(&mut self, now: Moment, terms: &ShareTerms, demand: TeamDemand) {
+        if demand.asked <= terms.level || demand.asked <= 0.0 {
+            self.allowed = None;
+            return;
+        }
+        if self.allowed.is_none() {
+            self.hold(now, terms.window);
+        }
+        let served = self.flow.served;
+        self.allowed = Some(terms.level * demand.part * correction(terms.level, served));
+        let served_part = served / terms.level.max(1.0);
+        let ahead = (served / terms.least.max(1.0)).max(1.0);
+        self.served_part = (1.0 + terms.settled * (served_part - 1.0)) * ahead;
+        if self.surge.is_surging() {
+            self.served_part = self.served_part.max(SURGE_SERVED);
+        }
+    }
+
     /// Begins to hold the team to its share.
     ///
     /// What it was served before is forgotten. Guards against a team that pays for the first
@@ -303,9 +339,12 @@
         }
         let demands = self.demands(&own, &flows);
         let level = max_min_level(rate, demands.values().map(|demand| demand.asked));
-        let least = least_served(level, &flows);
-        let settled = self.settled_part(now);
-        let window = self.window;
+        let terms = ShareTerms {
+            level: if rate > 0.0 { level } else { f64::INFINITY },
+            least: least_served(level, &flows),
+            settled: self.settled_part(now),
+            window: self.window,
+        };
         self.level = level;
         for (team, counts) in &mut self.teams {
             counts.accrue(now);
@@ -313,20 +352,7 @@
             let demand = demands.get(&team.hash()).copied().unwrap_or_default();
             counts.flow = all;
             counts.asked_here = own.get(team).map_or(0.0, |flow| flow.asked);
-            if demand.asked <= level || demand.asked <= 0.0 || rate <= 0.0 {
-                counts.allowed = None;
-                continue;
-            }
-            if counts.allowed.is_none() {
-                counts.hold(now, window);
-            }
-            counts.allowed = Some(level * demand.part * correction(level, all.served));
-            let served_part = all.served / level.max(1.0);
-            let ahead = (all.served / least.max(1.0)).max(1.0);
-            counts.served_part = (1.0 + settled * (served_part - 1.0)) * ahead;
-            if counts.surge.is_surging() {
-                counts.served_part = counts.served_part.max(SURGE_SERVED);
-            }
+            counts.set_share(now, &terms, demand);
         }
     }
 
@@ -368,6 +394,10 @@
 }
 
 /// What the team gets that presses and gets least, at least the level.
+///
+/// What endpoints do beyond the published rate goes to whoever finds one nearly idle, which is more often
+/// the team that asks more and has shorter prompts. Against its share alone it got twice the level
+/// while another one got the level.
 fn least_served(level: f64, flows: &BTreeMap<u64, TeamFlow>) -> f64 {
     let pressing = flows
         .values()
