--- a/src/gateway/decide/shares.rs
+++ b/src/gateway/decide/shares.rs
@@ -101,16 +101,14 @@
     asked: WindowCount,
     asked_lately: WindowCount,
     served: WindowCount,
-    /// Since when service has been counted, if that is later than the table's first request.
-    served_from: Option<Moment>,
     surge: SurgeWatch,
     /// Tokens that may be used within the share.
     credit: f64,
     credited_at: Moment,
     /// This router's part of the team's share, in tokens a second; nothing if it is not limited.
     allowed: Option<f64>,
-    /// Since when it has been limited.
-    limited_at: Moment,
+    /// When it was last begun to be held to its share; service is counted from then.
+    held_at: Option<Moment>,
     /// What all routers were asked and served when shares were last set.
     flow: TeamFlow,
     /// What this router was asked then.
@@ -173,9 +171,8 @@
     fn hold(&mut self, now: Moment, window: TimeSpan) {
         self.credit = 0.0;
         self.credited_at = now;
-        self.limited_at = now;
+        self.held_at = Some(now);
         self.served = WindowCount::new(window);
-        self.served_from = Some(now);
     }
 }
 
@@ -216,12 +213,11 @@
                 asked: WindowCount::new(window),
                 asked_lately: WindowCount::new(LATELY),
                 served: WindowCount::new(window),
-                served_from: None,
                 surge: SurgeWatch::default(),
                 credit: 0.0,
                 credited_at: Moment(0),
                 allowed: None,
-                limited_at: Moment(0),
+                held_at: None,
                 flow: TeamFlow::default(),
                 asked_here: 0.0,
                 served_part: 0.0,
@@ -290,7 +286,7 @@
         self.teams
             .iter_mut()
             .map(|(team, counts)| {
-                let served_s = counted_s(now, counts.served_from.or(begun), window);
+                let served_s = counted_s(now, counts.held_at.or(begun), window);
                 let flow = TeamFlow {
                     asked: counts.asked.sum(now) / asked_s,
                     asked_lately: counts.asked_lately.sum(now) / lately_s,
@@ -316,7 +312,7 @@
                 flow: counts.flow,
                 asked_here: counts.asked_here,
                 allowed_here: counts.allowed?,
-                since: counts.limited_at,
+                since: counts.held_at?,
             })
         });
         let mut limited: Vec<LimitedTeam> = limited.collect();
--- a/tests/engines/mod.rs
+++ b/tests/engines/mod.rs
@@ -164,6 +164,23 @@
     }
 }
 
+/// Sends one team's prompt to an engine. A refusal fails the test.
+pub fn sent(
+    core: &mut GatewayCore,
+    now: Moment,
+    route: &RouteEntry,
+    prompt: &PromptShape,
+) -> AttemptTicket {
+    let shape = engine_service();
+    let (service, team) = ("engine".parse().unwrap(), TeamKey(SmolStr::new("nadi")));
+    let call = ask(route, &service, &shape, &team, prompt);
+    let standing = core.arrived(now, &call);
+    match core.admit(now, &call, standing) {
+        Admission::Send(ticket) => ticket,
+        refusal @ Admission::Refuse { .. } => panic!("{refusal:?}"),
+    }
+}
+
 #[derive(Debug, Default)]
 struct ModelEngine {
     reads_until: f64,
--- a/tests/gateway_health.rs
+++ b/tests/gateway_health.rs
@@ -4,7 +4,6 @@
 use smol_str::SmolStr;
 
 use verbenaturn::gateway::config::GatewayConfig;
-use verbenaturn::gateway::decide::Admission;
 use verbenaturn::gateway::decide::AttemptEnd;
 use verbenaturn::gateway::decide::AttemptTicket;
 use verbenaturn::gateway::decide::GatewayCore;
@@ -13,15 +12,13 @@
 use verbenaturn::gateway::protocol::PromptPart;
 use verbenaturn::gateway::protocol::PromptShape;
 use verbenaturn::gateway::routes::EndpointKey;
-use verbenaturn::gateway::routes::TeamKey;
 use verbenaturn::units::Moment;
 
 mod engines;
 
-use self::engines::ask;
 use self::engines::endpoints;
-use self::engines::engine_service;
 use self::engines::route;
+use self::engines::sent;
 
 fn ms(millis: u64) -> Moment {
     Moment(millis * 1_000)
@@ -44,14 +41,7 @@
             tokens: 500,
         }],
     };
-    let (route, shape) = (route("queries", 800), engine_service());
-    let (service, team) = ("engine".parse().unwrap(), TeamKey(SmolStr::new("nadi")));
-    let call = ask(&route, &service, &shape, &team, &prompt);
-    let standing = core.arrived(now, &call);
-    match core.admit(now, &call, standing) {
-        Admission::Send(ticket) => ticket,
-        refusal @ Admission::Refuse { .. } => panic!("{refusal:?}"),
-    }
+    sent(core, now, &route("queries", 800), &prompt)
 }
 
 fn key_of(core: &GatewayCore, index: usize) -> EndpointKey {
--- a/tests/gateway_lives.rs
+++ b/tests/gateway_lives.rs
@@ -6,7 +6,6 @@
 use smol_str::SmolStr;
 
 use verbenaturn::gateway::config::GatewayConfig;
-use verbenaturn::gateway::decide::Admission;
 use verbenaturn::gateway::decide::AttemptEnd;
 use verbenaturn::gateway::decide::AttemptTicket;
 use verbenaturn::gateway::decide::GatewayCore;
@@ -20,17 +19,15 @@
 use verbenaturn::gateway::routes::EndpointEntry;
 use verbenaturn::gateway::routes::EndpointKey;
 use verbenaturn::gateway::routes::EndpointState;
-use verbenaturn::gateway::routes::TeamKey;
 use verbenaturn::gateway::shared::SharedState;
 use verbenaturn::units::Moment;
 use verbenaturn::units::TimeSpan;
 
 mod engines;
 
-use self::engines::ask;
 use self::engines::endpoints;
-use self::engines::engine_service;
 use self::engines::route;
+use self::engines::sent;
 
 fn ms(millis: u64) -> Moment {
     Moment(millis * 1_000)
@@ -69,14 +66,7 @@
             },
         ],
     };
-    let (route, shape) = (route("plans", 800), engine_service());
-    let (service, team) = ("engine".parse().unwrap(), TeamKey(SmolStr::new("nadi")));
-    let call = ask(&route, &service, &shape, &team, &prompt);
-    let standing = core.arrived(now, &call);
-    match core.admit(now, &call, standing) {
-        Admission::Send(ticket) => ticket,
-        refusal @ Admission::Refuse { .. } => panic!("{refusal:?}"),
-    }
+    sent(core, now, &route("plans", 800), &prompt)
 }
 
 fn core() -> GatewayCore {
