Sight: how many endpoints a router keeps though they are not registered, until when, and who reads

The incident's logs showed two lists of one revision, and no line said why they differ. Lines of lists now say how many endpoints are kept beyond their registration, for how long, and whether the router is a reader; each endpoint that is no longer registered has a line of its own.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -289,9 +289,14 @@
 
     fn publish_endpoints(&self, as_of: StoreRevision) {
         let entries = self.endpoints.used();
+        let kept = self.endpoints.lapsed.len();
+        let lapses_end = self.endpoints.lapses_end;
+        let kept_ms = lapses_end.since(self.shared.clock.now()).as_millis();
         spdlog::info!(
-            "store: endpoints={} revision={as_of} source=store",
-            entries.len()
+            "store: endpoints={} kept={kept} kept_ms={kept_ms} revision={as_of} source=store \
+             reads_store={}",
+            entries.len(),
+            self.shared.is_reader(),
         );
         self.shared.offer_endpoints(as_of, entries);
     }
@@ -396,6 +401,8 @@
         };
         self.gone.retain(|_, (_, at)| now.since(*at) < BIRTH_MEMORY);
         self.gone.insert(key.clone(), (entry.born, now));
+        let kept_ms = self.lapses_end.since(now).as_millis();
+        spdlog::info!("store: key={key} no longer registered kept_ms={kept_ms}");
         if now < self.lapses_end {
             self.lapsed.insert(key.clone(), entry);
         }
