--- /dev/null
+++ b/tests/gateway_leaving.rs
@@ -0,0 +1,73 @@
+//! Endpoints that leave: from when on no router sends work to them.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+use tokio::time::sleep;
+
+use verbenaturn::gateway::follow::StoreRevision;
+use verbenaturn::gateway::handover::fetch_state;
+use verbenaturn::gateway::handover::serve_state;
+use verbenaturn::gateway::routes::EndpointEntry;
+use verbenaturn::gateway::routes::EndpointKey;
+use verbenaturn::gateway::shared::SharedState;
+
+mod engines;
+mod stores;
+
+use self::engines::endpoints;
+use self::stores::FakeStore;
+use self::stores::GRACE;
+use self::stores::following;
+use self::stores::router;
+use self::stores::used;
+
+/// Time for a router to hear of a change.
+const NEWS: Duration = Duration::from_millis(100);
+
+/// A router that reached the store again after an outage and then stopped reading, since others
+/// read it. Its last watch tells it that an endpoint is no longer registered.
+async fn stopped_reader(
+    all: &BTreeMap<EndpointKey, EndpointEntry>,
+) -> (Arc<SharedState>, Arc<FakeStore>) {
+    let (shared, store) = following(all).await;
+    store.refuse();
+    sleep(NEWS).await;
+    store.hold(all, 20);
+    sleep(NEWS).await;
+    assert_eq!(shared.endpoints_revision(), StoreRevision(20));
+    shared.set_reader(false);
+    store.remove(all.keys().next().unwrap(), 30);
+    sleep(NEWS).await;
+    assert_eq!(shared.endpoints_revision(), StoreRevision(30));
+    (shared, store)
+}
+
+/// Callers' requests reached an endpoint two seconds after it had left and, later, found nobody
+/// there. The store had been away; a router reached it again and stopped reading, since others
+/// read it. Its last watch told of the endpoint's removal.
+#[tokio::test]
+async fn a_router_that_stopped_reading_drops_what_it_kept() {
+    let all = endpoints("engine", 4);
+    let (shared, _store) = stopped_reader(&all).await;
+    sleep(GRACE + NEWS).await;
+    assert_eq!(used(&shared).len(), 3);
+}
+
+/// As above, at a router that never read the store: it had fetched the list of the one that kept
+/// the endpoint, and no newer list came for seconds.
+#[tokio::test]
+async fn a_fetched_list_ends_as_early_as_the_one_it_came_from() {
+    let all = endpoints("engine", 4);
+    let (kept, _store) = stopped_reader(&all).await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(serve_state(kept, listener));
+    let fetching = router();
+    fetch_state(Arc::clone(&fetching), address).await;
+    assert_eq!(fetching.endpoints_revision(), StoreRevision(30));
+    sleep(GRACE + NEWS).await;
+    assert_eq!(used(&fetching).len(), 3);
+}
--- /dev/null
+++ b/tests/stores/mod.rs
@@ -0,0 +1,168 @@
+//! A stand-in for the store, held in memory, and routers that follow it.
+// Each test file that takes this module uses a part of it.
+#![allow(dead_code)]
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use smol_str::SmolStr;
+use tokio::time::sleep;
+
+use verbenaturn::gateway::config::GatewayConfig;
+use verbenaturn::gateway::follow::StateChange;
+use verbenaturn::gateway::follow::StateChanges;
+use verbenaturn::gateway::follow::StateItem;
+use verbenaturn::gateway::follow::StateSection;
+use verbenaturn::gateway::follow::StateSnapshot;
+use verbenaturn::gateway::follow::StateStore;
+use verbenaturn::gateway::follow::StoreFault;
+use verbenaturn::gateway::follow::StoreRevision;
+use verbenaturn::gateway::follow::follow_section;
+use verbenaturn::gateway::metrics::GatewayMetrics;
+use verbenaturn::gateway::routes::EndpointEntry;
+use verbenaturn::gateway::routes::EndpointKey;
+use verbenaturn::gateway::shared::SharedState;
+
+/// Pause between two looks of a waiting watch.
+const LOOK_PAUSE: Duration = Duration::from_millis(20);
+
+/// What a store holds.
+#[derive(Debug, Clone)]
+struct Holding {
+    entries: BTreeMap<EndpointKey, EndpointEntry>,
+    revision: u64,
+    /// The endpoint whose removal made this revision, if that did.
+    removed: Option<EndpointKey>,
+}
+
+/// A store that holds endpoints, or refuses, or no longer answers.
+#[derive(Debug, Default)]
+pub struct FakeStore {
+    /// Whether calls get no answer any more.
+    pub is_silent: AtomicBool,
+    held: Mutex<Option<Holding>>,
+}
+
+impl FakeStore {
+    /// Holds these endpoints and has forgotten how they changed.
+    pub fn hold(&self, entries: &BTreeMap<EndpointKey, EndpointEntry>, revision: u64) {
+        *self.held.lock().unwrap() = Some(Holding {
+            entries: entries.clone(),
+            revision,
+            removed: None,
+        });
+    }
+
+    /// Removes an endpoint and tells watches so.
+    pub fn remove(&self, key: &EndpointKey, revision: u64) {
+        let mut held = self.held.lock().unwrap();
+        let holding = held.as_mut().unwrap();
+        holding.entries.remove(key);
+        holding.revision = revision;
+        holding.removed = Some(key.clone());
+    }
+
+    /// Refuses all calls.
+    pub fn refuse(&self) {
+        *self.held.lock().unwrap() = None;
+    }
+
+    fn held(&self) -> Result<Holding, StoreFault> {
+        let held = self.held.lock().unwrap().clone();
+        held.ok_or(StoreFault::Unavailable("refused".to_owned()))
+    }
+}
+
+impl StateStore for FakeStore {
+    async fn read(&self, _: StateSection) -> Result<StateSnapshot, StoreFault> {
+        if self.is_silent.load(Ordering::Relaxed) {
+            std::future::pending::<()>().await;
+        }
+        let Holding {
+            entries, revision, ..
+        } = self.held()?;
+        Ok(StateSnapshot {
+            items: entries.into_values().map(StateItem::Endpoint).collect(),
+            as_of: StoreRevision(revision),
+        })
+    }
+
+    async fn watch(
+        &self,
+        _: StateSection,
+        after: StoreRevision,
+        wait: Duration,
+    ) -> Result<StateChanges, StoreFault> {
+        let begun = Instant::now();
+        loop {
+            sleep(LOOK_PAUSE).await;
+            if self.is_silent.load(Ordering::Relaxed) {
+                std::future::pending::<()>().await;
+            }
+            let Holding {
+                revision, removed, ..
+            } = self.held()?;
+            let is_new = revision > after.0;
+            if is_new || begun.elapsed() >= wait {
+                let changes = removed.filter(|_| is_new).map(StateChange::Removed);
+                if is_new && changes.is_none() {
+                    return Err(StoreFault::Compacted);
+                }
+                return Ok(StateChanges {
+                    changes: changes.into_iter().collect(),
+                    as_of: StoreRevision(revision),
+                });
+            }
+        }
+    }
+}
+
+/// Time for which routers of these tests keep endpoints that lapsed.
+pub const GRACE: Duration = Duration::from_millis(400);
+
+/// A router that may read the store.
+pub fn router() -> Arc<SharedState> {
+    let config = GatewayConfig {
+        store_retry_ms: 10,
+        lapse_grace_ms: 400,
+        ..GatewayConfig::default()
+    };
+    let metrics = GatewayMetrics::new().unwrap();
+    let shared = SharedState::new(config, SmolStr::new("suva-a"), metrics);
+    shared.set_reader(true);
+    Arc::new(shared)
+}
+
+/// Lets a router follow the endpoints of a store.
+pub fn follow(shared: &Arc<SharedState>, store: &Arc<FakeStore>) {
+    tokio::spawn(follow_section(
+        Arc::clone(store),
+        Arc::clone(shared),
+        StateSection::Endpoints,
+    ));
+}
+
+/// A router that follows a store with these endpoints.
+pub async fn following(
+    all: &BTreeMap<EndpointKey, EndpointEntry>,
+) -> (Arc<SharedState>, Arc<FakeStore>) {
+    let (shared, store) = (router(), Arc::new(FakeStore::default()));
+    store.hold(all, 10);
+    follow(&shared, &store);
+    sleep(Duration::from_millis(100)).await;
+    assert_eq!(used(&shared).len(), all.len());
+    (shared, store)
+}
+
+/// The endpoints that a router sends work to.
+pub fn used(shared: &SharedState) -> BTreeSet<EndpointKey> {
+    let core = shared.core();
+    let rows = core.endpoints.rows().filter(|row| row.is_ready());
+    rows.map(|row| row.entry.key.clone()).collect()
+}
