The grace after an outage counts from when the first router reached the store again

A router that reached the store seconds after the others took its own first answer for the store's return. What left in the grace that it counted from there was kept as lapsed, and told to others so: callers' requests reached endpoints that had left up to 2.2 s before, although entries that lapse with the store are back within two seconds of its return, not of a router's.

The return is now the moment at which any router was heard to read the store after none did. Test: fails before (an endpoint is still in use 250 ms after the fleet's grace ended), holds after.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -306,7 +306,7 @@
             let alone = self.failed_alone(since);
             spdlog::info!("store: section={section} reached again after_ms={ms} alone={alone}");
             if !alone {
-                self.shared.store_returned();
+                self.shared.store_returned(since);
             }
         }
     }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -74,6 +74,8 @@
 struct PeersTouch {
     touched: Option<Moment>,
     untouched: Option<Moment>,
+    /// When one heard from it after none did.
+    regained: Option<Moment>,
 }
 
 /// State that both threads see. Locks are held for one decision at a time.
@@ -176,10 +178,14 @@
         }
     }
 
-    /// The store is back, after an outage for all routers.
-    pub fn store_returned(&self) {
+    /// The store is back, after an outage for all routers that this one knew of since the moment
+    /// `since`. Entries that lapsed come back within seconds of the store's return, not of when
+    /// this router reached it: what leaves the list later than that has left.
+    pub fn store_returned(&self, since: Moment) {
+        let now = self.clock.now();
+        let returned = self.peers_regained_touch(since).unwrap_or(now).min(now);
         let grace = TimeSpan::from_millis(self.config.lapse_grace_ms);
-        self.endpoint_list().store_returned(self.clock.now(), grace);
+        self.endpoint_list().store_returned(returned, grace);
     }
 
     fn endpoint_list(&self) -> MutexGuard<'_, EndpointList> {
@@ -255,6 +261,9 @@
         let touch = self.peers_touch.lock();
         let mut touch = touch.unwrap_or_else(PoisonError::into_inner);
         if touched {
+            if touch.touched <= touch.untouched {
+                touch.regained = Some(now);
+            }
             touch.touched = Some(now);
         } else {
             touch.untouched = Some(now);
@@ -271,6 +280,14 @@
         touched && !untouched
     }
 
+    /// When another router heard from the store again, after `since` and a time in which none did.
+    fn peers_regained_touch(&self, since: Moment) -> Option<Moment> {
+        let touch = self.peers_touch.lock();
+        let touch = touch.unwrap_or_else(PoisonError::into_inner);
+        let is_touched = touch.touched > touch.untouched;
+        touch.regained.filter(|at| is_touched && *at > since)
+    }
+
     /// Decides whether this router reads the store itself.
     pub fn set_reader(&self, reads: bool) {
         self.reader.send_if_modified(|before| {
--- a/tests/gateway_follow.rs
+++ b/tests/gateway_follow.rs
@@ -85,6 +85,26 @@
     assert_eq!(used(&shared).len(), 4);
 }
 
+/// The store was away for everybody. A router that reaches it later than others would keep what
+/// leaves then for as long again, and tell its peers to: callers' requests would go on reaching
+/// endpoints that left well after the store's return.
+#[tokio::test]
+async fn the_grace_counts_from_when_the_first_router_reached_the_store() {
+    let all = endpoints("engine", 4);
+    let (shared, store) = following(&all).await;
+    store.refuse();
+    sleep(Duration::from_millis(100)).await;
+    shared.note_peers_touch(shared.clock.now(), false);
+    shared.note_peers_touch(shared.clock.now(), true);
+    sleep(Duration::from_millis(300)).await;
+    let mut rest = all.clone();
+    rest.pop_first();
+    store.hold(&rest, 30);
+    sleep(Duration::from_millis(250)).await;
+    assert_eq!(shared.endpoints_revision().0, 30);
+    assert!(used(&shared).iter().eq(rest.keys()));
+}
+
 /// A router that is no reader asks the store nothing, and starts when it becomes one.
 #[tokio::test]
 async fn only_readers_ask_the_store() {
