--- a/tests/gateway_leaving.rs
+++ b/tests/gateway_leaving.rs
@@ -5,9 +5,13 @@
 use std::time::Duration;
 
 use tokio::net::TcpListener;
+use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
+use verbenaturn::gateway::endpoint_list::RegisteredEndpoints;
 use verbenaturn::gateway::follow::StoreRevision;
+use verbenaturn::gateway::gossip::GossipPlan;
+use verbenaturn::gateway::gossip::run_gossip;
 use verbenaturn::gateway::handover::fetch_state;
 use verbenaturn::gateway::handover::serve_state;
 use verbenaturn::gateway::routes::EndpointEntry;
@@ -73,3 +77,49 @@
     sleep(GRACE + NEWS).await;
     assert_eq!(used(&fetching).len(), 3);
 }
+
+/// Lets two routers exchange messages on loopback. Neither answers who fetches its list.
+async fn exchanging(routers: [&Arc<SharedState>; 2]) {
+    let first = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let port = first.local_addr().unwrap().port();
+    let second = UdpSocket::bind(("127.0.0.2", port)).await.unwrap();
+    for (shared, socket) in routers.into_iter().zip([first, second]) {
+        let plan = GossipPlan {
+            listen: socket.local_addr().unwrap(),
+            seeds: vec!["127.0.0.1".into(), "127.0.0.2".into()],
+            incarnation: 1,
+        };
+        tokio::spawn(run_gossip(Arc::clone(shared), plan, socket));
+    }
+    sleep(Duration::from_millis(300)).await;
+}
+
+fn registered(
+    entries: &BTreeMap<EndpointKey, EndpointEntry>,
+    revision: u64,
+) -> RegisteredEndpoints {
+    RegisteredEndpoints {
+        entries: entries.clone(),
+        as_of: StoreRevision(revision),
+        ..RegisteredEndpoints::default()
+    }
+}
+
+/// Callers' requests reached an endpoint 3.7 s after it had left. The link of the host that sent
+/// them was full: small messages came and told of a newer list, and each fetch of it timed out.
+#[tokio::test]
+async fn an_endpoint_that_left_gets_no_work_though_the_list_can_not_be_fetched() {
+    let all = endpoints("engine", 4);
+    let (reading, other) = (router(), router());
+    for shared in [&reading, &other] {
+        shared.set_reader(false);
+        shared.offer_endpoints(registered(&all, 10));
+    }
+    exchanging([&reading, &other]).await;
+    let mut rest = all.clone();
+    rest.pop_first();
+    reading.offer_endpoints(registered(&rest, 20));
+    sleep(Duration::from_millis(500)).await;
+    assert_eq!(other.endpoints_revision(), StoreRevision(10));
+    assert!(used(&other).iter().eq(rest.keys()));
+}
