--- a/tests/gateway_leaving.rs
+++ b/tests/gateway_leaving.rs
@@ -2,14 +2,19 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
+use smol_str::SmolStr;
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
 use verbenaturn::gateway::endpoint_list::RegisteredEndpoints;
+use verbenaturn::gateway::follow::StateSection;
 use verbenaturn::gateway::follow::StoreRevision;
+use verbenaturn::gateway::follow::follow_section;
 use verbenaturn::gateway::gossip::GossipPlan;
 use verbenaturn::gateway::gossip::run_gossip;
 use verbenaturn::gateway::handover::fetch_state;
@@ -78,15 +83,19 @@
     assert_eq!(used(&fetching).len(), 3);
 }
 
-/// Lets two routers exchange messages on loopback. Neither answers who fetches its list.
-async fn exchanging(routers: [&Arc<SharedState>; 2]) {
-    let first = UdpSocket::bind("127.0.0.1:0").await.unwrap();
-    let port = first.local_addr().unwrap().port();
-    let second = UdpSocket::bind(("127.0.0.2", port)).await.unwrap();
-    for (shared, socket) in routers.into_iter().zip([first, second]) {
+/// Lets routers exchange messages on loopback. None answers who fetches its list.
+async fn exchanging(routers: &[Arc<SharedState>]) {
+    let mut port = 0;
+    let addresses: Vec<String> = (1..=routers.len())
+        .map(|number| format!("127.0.0.{number}"))
+        .collect();
+    for (shared, address) in routers.iter().zip(&addresses) {
+        let socket = UdpSocket::bind((address.as_str(), port)).await.unwrap();
+        let listen = socket.local_addr().unwrap();
+        port = listen.port();
         let plan = GossipPlan {
-            listen: socket.local_addr().unwrap(),
-            seeds: vec!["127.0.0.1".into(), "127.0.0.2".into()],
+            listen,
+            seeds: addresses.iter().map(SmolStr::new).collect(),
             incarnation: 1,
         };
         tokio::spawn(run_gossip(Arc::clone(shared), plan, socket));
@@ -116,7 +125,7 @@
         shared.set_reader(false);
         shared.offer_endpoints(registered(&all, 10));
     }
-    exchanging([&reading, &other]).await;
+    exchanging(&[Arc::clone(&reading), Arc::clone(&other)]).await;
     let mut rest = all.clone();
     rest.pop_first();
     reading.offer_endpoints(registered(&rest, 20));
@@ -124,3 +133,52 @@
     assert_eq!(other.endpoints_revision(), StoreRevision(10));
     assert!(used(&other).iter().eq(rest.keys()));
 }
+
+/// Time within which no router may send to an endpoint that left, in the strictest deployments.
+const LEAVE_BOUND: Duration = Duration::from_millis(2_000);
+
+/// Callers' requests would reach an endpoint more than two seconds after it left. All routers that
+/// read the store are cut off from it at once, silently and just after they began to wait for
+/// changes; the store is well and the other routers reach it.
+#[tokio::test]
+async fn an_endpoint_that_leaves_as_all_readers_are_cut_off_gets_no_work_within_the_bound() {
+    let all = endpoints("engine", 4);
+    let routers: Vec<Arc<SharedState>> = (0..5).map(|_| router()).collect();
+    let stores: Vec<Arc<FakeStore>> = (0..5).map(|_| Arc::default()).collect();
+    for (shared, store) in routers.iter().zip(&stores) {
+        shared.set_reader(false);
+        store.hold(&all, 10);
+        for section in StateSection::ALL {
+            tokio::spawn(follow_section(
+                Arc::clone(store),
+                Arc::clone(shared),
+                section,
+            ));
+        }
+    }
+    exchanging(&routers).await;
+    // All of them read at first; those that are too many stop after their first watch.
+    sleep(Duration::from_millis(2_500)).await;
+    let reading = routers.iter().filter(|shared| shared.is_in_touch()).count();
+    assert_eq!(reading, 3);
+    // A change, after which all readers wait for the next one.
+    let keys: Vec<&EndpointKey> = all.keys().collect();
+    for store in &stores {
+        store.remove(keys[0], 20);
+    }
+    sleep(Duration::from_millis(50)).await;
+    for (shared, store) in routers.iter().zip(&stores) {
+        store
+            .is_silent
+            .store(shared.is_in_touch(), Ordering::Relaxed);
+    }
+    let left_at = Instant::now();
+    for store in &stores {
+        store.remove(keys[1], 30);
+    }
+    while routers.iter().any(|shared| used(shared).contains(keys[1])) {
+        let passed = left_at.elapsed();
+        assert!(passed < LEAVE_BOUND, "in use after {passed:?}");
+        sleep(Duration::from_millis(10)).await;
+    }
+}
