An endpoint is looked up once more when its connection is made

Callers' requests would reach an endpoint by up to the time of a connection (0.3 s) later than the news that it left: the placement was made before, and nothing looked at the list again. Suspected from the sum of waits and on the full link, where connections take that long; not seen by itself in a trace.

A request goes out on a new connection only if its endpoint still takes work, by the list and by messages. It counts as not reached: another endpoint is tried, and no repeat is spent, since nothing was sent. Kept connections are taken in the moment of the placement and need no second look. Test: the table's answer once an endpoint says that it leaves, is registered no longer, or is told to have left; the connection itself is not tested, loopback has no slow ones.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -55,6 +55,8 @@
     NotReached,
     /// Nothing listens at the address.
     Gone,
+    /// The endpoint left while the connection was made.
+    Left,
     /// The endpoint refused it.
     Refused,
     /// Another endpoint has the address.
@@ -70,9 +72,13 @@
             Self::Delivered(_) | Self::Answer(_) => AttemptEnd::Answered,
             Self::NotRun(NotRunCause::Refused) => AttemptEnd::Full,
             Self::NotRun(NotRunCause::Gone) => AttemptEnd::Gone,
-            Self::NotRun(_) => AttemptEnd::NotReached,
+            Self::NotRun(NotRunCause::NotReached | NotRunCause::OtherEndpoint) => {
+                AttemptEnd::NotReached
+            }
             Self::Broken(_) => AttemptEnd::Lost(fingerprint),
-            Self::CallerLeft | Self::TimeUp => AttemptEnd::Abandoned,
+            Self::CallerLeft | Self::TimeUp | Self::NotRun(NotRunCause::Left) => {
+                AttemptEnd::Abandoned
+            }
         }
     }
 }
@@ -164,17 +170,35 @@
     pub reuse: Option<Duration>,
 }
 
+/// A connection on which the request may go out at once.
 async fn connected<P: CallProtocol>(
     traffic: &Traffic<P>,
     ticket: &AttemptTicket,
-) -> io::Result<WireStream> {
-    if let Some(stream) = traffic.pool.take(&ticket.entry.life()) {
+) -> Result<WireStream, NotRunCause> {
+    let entry = &ticket.entry;
+    if let Some(stream) = traffic.pool.take(&entry.life()) {
         return Ok(stream);
     }
-    traffic.shared.metrics.endpoint_connection();
-    let limit = Duration::from_millis(traffic.shared.config.connect_timeout_ms);
-    let stream = WireStream::connect(ticket.entry.address, limit).await?;
-    Ok(stream.metered(&traffic.shared.link))
+    let shared = &traffic.shared;
+    shared.metrics.endpoint_connection();
+    let limit = Duration::from_millis(shared.config.connect_timeout_ms);
+    let (key, address) = (&entry.key, entry.address);
+    let stream = match WireStream::connect(address, limit).await {
+        Ok(stream) => stream,
+        Err(fault) => {
+            spdlog::info!("endpoint: key={key} address={address} step=connect fault=\"{fault}\"");
+            return Err(match fault.kind() {
+                io::ErrorKind::ConnectionRefused => NotRunCause::Gone,
+                _ => NotRunCause::NotReached,
+            });
+        }
+    };
+    let now = shared.clock.now();
+    if !shared.core().endpoints.takes_work(now, entry) {
+        spdlog::info!("endpoint: key={key} address={address} step=connect it left meanwhile");
+        return Err(NotRunCause::Left);
+    }
+    Ok(stream.metered(&shared.link))
 }
 
 /// Sends the call to one endpoint and passes its answer on where that can't be undone later.
@@ -186,14 +210,7 @@
 ) -> AttemptOutcome {
     let mut endpoint = match connected(traffic, ticket).await {
         Ok(stream) => stream,
-        Err(fault) => {
-            let (key, address) = (&ticket.entry.key, ticket.entry.address);
-            spdlog::info!("endpoint: key={key} address={address} step=connect fault=\"{fault}\"");
-            return AttemptOutcome::NotRun(match fault.kind() {
-                io::ErrorKind::ConnectionRefused => NotRunCause::Gone,
-                _ => NotRunCause::NotReached,
-            });
-        }
+        Err(cause) => return AttemptOutcome::NotRun(cause),
     };
     // A router that lags reads requests whose callers have left in the meantime; an endpoint would
     // work on them for nobody. The look comes last, since a connection takes time as well.
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -253,7 +253,7 @@
             }
             Some(answered(traffic, caller, call, answer).await)
         }
-        AttemptOutcome::NotRun(NotRunCause::NotReached | NotRunCause::Gone) => {
+        AttemptOutcome::NotRun(NotRunCause::NotReached | NotRunCause::Gone | NotRunCause::Left) => {
             call.unreached += 1;
             if call.unreached < MOST_UNREACHED {
                 return None;
--- a/src/gateway/decide/endpoints.rs
+++ b/src/gateway/decide/endpoints.rs
@@ -239,6 +239,16 @@
         (row.entry.born == entry.born).then_some(row)
     }
 
+    /// Whether the process that an attempt was placed at still may get the request.
+    ///
+    /// Guards against a request that reaches an endpoint long after it left: a connection takes up
+    /// to its timeout, and the news came meanwhile.
+    #[must_use]
+    pub fn takes_work(&self, now: Moment, entry: &EndpointEntry) -> bool {
+        let row = self.get(&entry.key);
+        row.is_some_and(|row| row.entry.born == entry.born && row.is_ready(now))
+    }
+
     /// One endpoint, to change.
     pub fn get_mut(&mut self, key: &EndpointKey) -> Option<&mut EndpointRow> {
         self.place(key).map(|place| &mut self.rows[place])
--- a/tests/gateway_departures.rs
+++ b/tests/gateway_departures.rs
@@ -104,3 +104,31 @@
     assert!(peers.left(ms(100), TIMEOUT, 20).is_empty());
     assert!(peers.left(ms(1_500), TIMEOUT, 19).is_empty());
 }
+
+/// A call is placed, and its connection takes as long as the news that the endpoint left. The look
+/// just before the request goes out must find that, whether the list or a message brought it.
+#[test]
+fn a_placement_is_void_once_its_endpoint_left() {
+    let all = endpoints("engine", 3);
+    let mut core = router(&all);
+    let mut entries = all.values();
+    let (leaving, gone, told_gone) = (
+        entries.next().unwrap(),
+        entries.next().unwrap(),
+        entries.next().unwrap(),
+    );
+    assert!(
+        all.values()
+            .all(|entry| core.endpoints.takes_work(ms(0), entry))
+    );
+    let mut newer = all.clone();
+    newer.get_mut(&leaving.key).unwrap().state = EndpointState::Leaving;
+    newer.remove(&gone.key);
+    core.set_endpoints(ms(100), &newer);
+    let life = core.endpoints.get(&told_gone.key).unwrap().life;
+    core.endpoints.set_told_left(&BTreeSet::from([life]));
+    assert!(
+        !all.values()
+            .any(|entry| core.endpoints.takes_work(ms(100), entry))
+    );
+}
