Routes that could not be read open no grace for endpoints

Callers' requests would reach an endpoint for up to 2.2 s after it left, when only the calls for routes had failed just before. Now only the follower of endpoints opens it. Test: 4 endpoints in use in place of 3 before, 3 after. The in-memory store can refuse calls for routes alone.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -304,7 +304,8 @@
             let (section, ms) = (self.section, outage.as_millis());
             let alone = self.failed_alone(since);
             spdlog::info!("store: section={section} reached again after_ms={ms} alone={alone}");
-            if !alone {
+            // Routes that could not be read say nothing of registrations.
+            if !alone && section == StateSection::Endpoints {
                 self.shared.store_returned(since);
             }
         }
--- a/tests/gateway_follow.rs
+++ b/tests/gateway_follow.rs
@@ -8,6 +8,7 @@
 use tokio::time::sleep;
 
 use verbenaturn::gateway::endpoint_list::ToldEndpoints;
+use verbenaturn::gateway::follow::StateSection;
 
 mod engines;
 mod stores;
@@ -105,6 +106,25 @@
     assert!(used(&shared).iter().eq(rest.keys()));
 }
 
+/// Only the calls for routes failed for a while: the store was there, and no endpoint lapsed. One
+/// that leaves just after is not kept as if it had.
+#[tokio::test]
+async fn routes_that_could_not_be_read_make_no_endpoint_lapse() {
+    let all = endpoints("engine", 4);
+    let (shared, store) = following(&all).await;
+    follow(&shared, &store, StateSection::Routes);
+    sleep(Duration::from_millis(100)).await;
+    store.refuses_routes.store(true, Ordering::Relaxed);
+    sleep(Duration::from_millis(100)).await;
+    assert!(shared.own_touch().is_failing);
+    store.refuses_routes.store(false, Ordering::Relaxed);
+    sleep(Duration::from_millis(150)).await;
+    assert!(!shared.own_touch().is_failing);
+    store.remove(all.keys().next().unwrap(), 20);
+    sleep(Duration::from_millis(100)).await;
+    assert_eq!(used(&shared).len(), 3);
+}
+
 /// A router that is no reader asks the store nothing, and starts when it becomes one.
 #[tokio::test]
 async fn only_readers_ask_the_store() {
@@ -112,7 +132,7 @@
     shared.set_reader(false);
     let store = Arc::new(FakeStore::default());
     store.hold(&endpoints("engine", 2), 10);
-    follow(&shared, &store);
+    follow(&shared, &store, StateSection::Endpoints);
     sleep(Duration::from_millis(100)).await;
     assert!(used(&shared).is_empty());
     shared.set_reader(true);
--- a/tests/gateway_leaving.rs
+++ b/tests/gateway_leaving.rs
@@ -14,7 +14,6 @@
 use verbenaturn::gateway::endpoint_list::RegisteredEndpoints;
 use verbenaturn::gateway::follow::StateSection;
 use verbenaturn::gateway::follow::StoreRevision;
-use verbenaturn::gateway::follow::follow_section;
 use verbenaturn::gateway::gossip::GossipPlan;
 use verbenaturn::gateway::gossip::run_gossip;
 use verbenaturn::gateway::handover::fetch_state;
@@ -29,6 +28,7 @@
 use self::engines::endpoints;
 use self::stores::FakeStore;
 use self::stores::GRACE;
+use self::stores::follow;
 use self::stores::following;
 use self::stores::router;
 use self::stores::used;
@@ -150,11 +150,7 @@
         shared.set_reader(false);
         store.hold(&all, 10);
         for section in StateSection::ALL {
-            tokio::spawn(follow_section(
-                Arc::clone(store),
-                Arc::clone(shared),
-                section,
-            ));
+            follow(shared, store, section);
         }
     }
     exchanging(&routers).await;
--- a/tests/stores/mod.rs
+++ b/tests/stores/mod.rs
@@ -46,6 +46,8 @@
 pub struct FakeStore {
     /// Whether calls get no answer any more.
     pub is_silent: AtomicBool,
+    /// Whether calls for routes are refused.
+    pub refuses_routes: AtomicBool,
     held: Mutex<Option<Holding>>,
 }
 
@@ -73,20 +75,22 @@
         *self.held.lock().unwrap() = None;
     }
 
-    fn held(&self) -> Result<Holding, StoreFault> {
+    fn held(&self, section: StateSection) -> Result<Holding, StoreFault> {
+        let refuses = self.refuses_routes.load(Ordering::Relaxed);
         let held = self.held.lock().unwrap().clone();
+        let held = held.filter(|_| !refuses || section != StateSection::Routes);
         held.ok_or(StoreFault::Unavailable("refused".to_owned()))
     }
 }
 
 impl StateStore for FakeStore {
-    async fn read(&self, _: StateSection) -> Result<StateSnapshot, StoreFault> {
+    async fn read(&self, section: StateSection) -> Result<StateSnapshot, StoreFault> {
         if self.is_silent.load(Ordering::Relaxed) {
             std::future::pending::<()>().await;
         }
         let Holding {
             entries, revision, ..
-        } = self.held()?;
+        } = self.held(section)?;
         Ok(StateSnapshot {
             items: entries.into_values().map(StateItem::Endpoint).collect(),
             as_of: StoreRevision(revision),
@@ -95,7 +99,7 @@
 
     async fn watch(
         &self,
-        _: StateSection,
+        section: StateSection,
         after: StoreRevision,
         wait: Duration,
     ) -> Result<StateChanges, StoreFault> {
@@ -107,7 +111,7 @@
             }
             let Holding {
                 revision, removed, ..
-            } = self.held()?;
+            } = self.held(section)?;
             let is_new = revision > after.0;
             if is_new || begun.elapsed() >= wait {
                 let changes = removed.filter(|_| is_new).map(StateChange::Removed);
@@ -139,12 +143,12 @@
     Arc::new(shared)
 }
 
-/// Lets a router follow the endpoints of a store.
-pub fn follow(shared: &Arc<SharedState>, store: &Arc<FakeStore>) {
+/// Lets a router follow one section of a store.
+pub fn follow(shared: &Arc<SharedState>, store: &Arc<FakeStore>, section: StateSection) {
     tokio::spawn(follow_section(
         Arc::clone(store),
         Arc::clone(shared),
-        StateSection::Endpoints,
+        section,
     ));
 }
 
@@ -154,7 +158,7 @@
 ) -> (Arc<SharedState>, Arc<FakeStore>) {
     let (shared, store) = (router(), Arc::new(FakeStore::default()));
     store.hold(all, 10);
-    follow(&shared, &store);
+    follow(&shared, &store, StateSection::Endpoints);
     sleep(Duration::from_millis(100)).await;
     assert_eq!(used(&shared).len(), all.len());
     (shared, store)
