--- a/src/gateway/decide/core.rs
+++ b/src/gateway/decide/core.rs
@@ -221,7 +221,7 @@
         }
     }
 
-    /// Takes over the endpoints that are registered now.
+    /// Takes over the endpoints that are used now, registered or kept.
     pub fn set_endpoints(&mut self, now: Moment, entries: &BTreeMap<EndpointKey, EndpointEntry>) {
         for former in self.endpoints.replace(now, entries) {
             self.quarantine.ended(now, &former);
--- a/src/gateway/decide/departures.rs
+++ b/src/gateway/decide/departures.rs
@@ -2,16 +2,15 @@
 //!
 //! The load that this answers: a host whose link a flood fills, so that connections to other
 //! routers time out for seconds while small datagrams still come. Such a router hears that a newer
-//! list exists and can't fetch it. The keys that left are a few bytes in each message; they are in
-//! force one round after a reader knows them, and the list follows when it can.
+//! list exists and can't fetch it. The numbers of the processes that left are a few bytes in each
+//! message; they are in force one round after a reader knows them, and the list follows when it can.
 
 use std::collections::BTreeMap;
 
 use crate::units::Moment;
 use crate::units::TimeSpan;
 
-/// Time for which a departure is told. A list that can't be fetched for longer belongs to a
-/// router that no caller reaches either.
+/// Time for which a departure is told: longer than a full link holds a list back.
 const TELLING_TIME: TimeSpan = TimeSpan::from_millis(10_000);
 
 /// Departures in one message: 160 bytes of it. A fleet that replaces more endpoints in ten seconds
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -1,8 +1,8 @@
 //! Routers tell each other who they are, what they have outstanding and what they know.
 //!
 //! Each router sends small datagrams to the others: its requests and unread prompt tokens per
-//! endpoint, what teams ask of it, and the versions that it knows. They are hints: a lost,
-//! doubled or late one makes a placement worse and nothing else. Whole published states are
+//! endpoint, what teams ask of it, the versions that it knows and the endpoints that left. They are
+//! hints: a lost, doubled or late one makes a placement worse and nothing else. Whole published states are
 //! fetched over TCP ([`super::handover`]) by a router that has lost the store.
 
 use std::collections::BTreeSet;
