What teams get beyond their shares is bounded by a rate

Cause: whether a request beyond its share finds an endpoint empty enough depends on the square of what its team was served, a mean over four seconds that is known one or two later. The loop swings with a period of five seconds: the accounts show a team served 148, 119, 177, 1146, 1711, 335, 141, 178, 306 and 2045 thousand tokens in successive seconds. A team that presses for a few seconds falls between. The new model of endpoints with room beyond the published rate swings alike.

Now each team that presses has, beside its allowance, an equal part of what they got on the mean, and half as much again to find out whether there is more. The mean hardly moves, so its age does no harm.

--- a/src/gateway/decide/shares.rs
+++ b/src/gateway/decide/shares.rs
@@ -58,10 +58,19 @@
 pub enum ShareStanding {
     /// Within the share, or nothing is limited.
     Within,
-    /// Beyond it; the number is what the team is served against its share, from 1 up.
+    /// Beyond it; the number is what the team is served against its share, from 1 up. Infinite if it
+    /// has no part left of what is served beyond shares.
     Beyond(f64),
 }
 
+/// What teams that press may get beyond their shares at least, against a share. Less would leave
+/// endpoints idle that were full a moment ago.
+const LEAST_SPARE: f64 = 0.5;
+
+/// What each of them may get against the mean of what they got. The rest is room to find out that
+/// endpoints can do more, and for parts that are not asked for where they lie.
+const SPARE_GROWTH: f64 = 1.5;
+
 /// What a team asks of routers and is served by them, in tokens a second.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct TeamFlow {
@@ -107,6 +116,11 @@
     credited_at: Moment,
     /// This router's part of the team's share, in tokens a second; nothing if it is not limited.
     allowed: Option<f64>,
+    /// This router's part of what it may get beyond its share, in tokens a second; nothing while
+    /// that is not bounded.
+    spare: Option<f64>,
+    /// Tokens that may be used beyond the share.
+    spare_credit: f64,
     /// When it was last begun to be held to its share; service is counted from then.
     held_at: Option<Moment>,
     /// What all routers were asked and served when shares were last set.
@@ -125,6 +139,9 @@
     level: f64,
     /// What the team gets that presses and gets least, in tokens a second.
     least: f64,
+    /// What each team that presses may get beyond its share, in tokens a second; nothing if none
+    /// competes with another.
+    spare: Option<f64>,
     /// How much of the window of shares the counts cover, from 0 to 1.
     settled: f64,
     /// The window of shares.
@@ -142,6 +159,10 @@
         };
         let most = (allowed * BURST_S).max(self.credit);
         self.credit = (self.credit + allowed * passed_s).min(most);
+        if let Some(spare) = self.spare {
+            let most = (spare * BURST_S).max(self.spare_credit);
+            self.spare_credit = (self.spare_credit + spare * passed_s).min(most);
+        }
     }
 
     /// Sets this router's part of the team's share from what all routers are asked and serve.
@@ -155,6 +176,7 @@
         }
         let served = self.flow.served;
         self.allowed = Some(terms.level * demand.part * correction(terms.level, served));
+        self.spare = terms.spare.map(|spare| spare * demand.part);
         let served_part = served / terms.level.max(1.0);
         let ahead = (served / terms.least.max(1.0)).max(1.0);
         self.served_part = (1.0 + terms.settled * (served_part - 1.0)) * ahead;
@@ -170,6 +192,7 @@
     /// next team that begins to press is not held yet and gets several times as much.
     fn hold(&mut self, now: Moment, window: TimeSpan) {
         self.credit = 0.0;
+        self.spare_credit = 0.0;
         self.credited_at = now;
         self.held_at = Some(now);
         self.served = WindowCount::new(window);
@@ -217,6 +240,8 @@
                 credit: 0.0,
                 credited_at: Moment(0),
                 allowed: None,
+                spare: None,
+                spare_credit: 0.0,
                 held_at: None,
                 flow: TeamFlow::default(),
                 asked_here: 0.0,
@@ -242,6 +267,9 @@
         if counts.credit > 0.0 {
             return ShareStanding::Within;
         }
+        if counts.spare.is_some() && counts.spare_credit <= 0.0 {
+            return ShareStanding::Beyond(f64::INFINITY);
+        }
         ShareStanding::Beyond(counts.served_part.max(1.0))
     }
 
@@ -250,8 +278,13 @@
     pub fn serve(&mut self, now: Moment, team: &TeamKey, tokens: f64) {
         let counts = self.counts(team);
         counts.served.add(now, tokens);
-        if counts.allowed.is_some() && counts.credit > 0.0 {
+        if counts.allowed.is_none() {
+            return;
+        }
+        if counts.credit > 0.0 {
             counts.credit -= tokens;
+        } else if counts.spare.is_some() {
+            counts.spare_credit -= tokens;
         }
     }
 
@@ -338,6 +371,7 @@
         let terms = ShareTerms {
             level: if rate > 0.0 { level } else { f64::INFINITY },
             least: least_served(level, &flows),
+            spare: spare_level(level, &flows),
             settled: self.settled_part(now),
             window: self.window,
         };
@@ -389,16 +423,38 @@
     age.clamp(LEAST_COUNTED, window.max(LEAST_COUNTED)).0 as f64 / 1e6
 }
 
+/// Teams that ask more than the level, over the window of shares and still.
+fn pressing(level: f64, flows: &BTreeMap<u64, TeamFlow>) -> impl Iterator<Item = &TeamFlow> {
+    let flows = flows.values();
+    flows.filter(move |flow| flow.asked > level && flow.asked_lately > level)
+}
+
+/// What each team that presses may get beyond the level; nothing if fewer than two press.
+///
+/// Guards against service that swings. Whether a request beyond its share finds an endpoint empty
+/// enough depends on what its team was served, which is known a second or two late: without a
+/// bound on the rate the team gets nothing and several times its share by turns, and another one
+/// that presses for a few seconds falls between. The mean over all of them is known as late and
+/// hardly moves.
+#[allow(clippy::cast_precision_loss)]
+fn spare_level(level: f64, flows: &BTreeMap<u64, TeamFlow>) -> Option<f64> {
+    let beyond: Vec<f64> = pressing(level, flows)
+        .map(|flow| (flow.served - level).max(0.0))
+        .collect();
+    if beyond.len() < 2 {
+        return None;
+    }
+    let mean = beyond.iter().sum::<f64>() / beyond.len() as f64;
+    Some((SPARE_GROWTH * mean).max(LEAST_SPARE * level))
+}
+
 /// What the team gets that presses and gets least, at least the level.
 ///
 /// What endpoints do beyond the published rate goes to whoever finds one nearly idle, which is more often
 /// the team that asks more and has shorter prompts. Against its share alone it got twice the level
 /// while another one got the level.
 fn least_served(level: f64, flows: &BTreeMap<u64, TeamFlow>) -> f64 {
-    let pressing = flows
-        .values()
-        .filter(|flow| flow.asked > level && flow.asked_lately > level);
-    let served = pressing.map(|flow| flow.served);
+    let served = pressing(level, flows).map(|flow| flow.served);
     let least = served.fold(f64::INFINITY, f64::min);
     least.max(level)
 }
--- a/tests/floods/mod.rs
+++ b/tests/floods/mod.rs
@@ -125,6 +125,52 @@
 /// Engines that are asked for more than they can begin refuse the rest, whoever asks. What a team
 /// asks beyond its share is refused: the engines have no room for it.
 pub fn play(fleet: FleetShape, loads: &[TeamLoad], length_ms: u64, seed: u64) -> Vec<TeamTrace> {
+    play_with(fleet, SpareRoom::None, loads, length_ms, seed)
+}
+
+/// What becomes of requests beyond their teams' shares.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SpareRoom {
+    /// They are refused.
+    None,
+    /// They go where the predicted first output lies under a part of the objective that falls with
+    /// what the team is served already, as routers decide.
+    ByQueue,
+}
+
+/// Time to a first output that is aimed at, in ms, and the part of it up to which a request beyond its
+/// team's share is sent if the team is served just its share.
+const OBJECTIVE_MS: f64 = 700.0;
+const BEYOND_PART: f64 = 0.3;
+
+/// Tokens that an engine reads in a ms, and the time to a first output beside that, in ms.
+const TOKENS_PER_MS: f64 = 61.0;
+const IDLE_MS: f64 = 12.0;
+
+/// Queue of an engine that begins nothing new, in ms.
+const FULL_QUEUE_MS: f64 = 300.0;
+
+impl SpareRoom {
+    /// Whether a request goes, where so much of the engines' room is left, from 0 to 1.
+    fn takes(self, standing: ShareStanding, room: f64, size: f64) -> bool {
+        let part = match (standing, self) {
+            (ShareStanding::Within, _) => return room > 0.0,
+            (ShareStanding::Beyond(_), Self::None) => return false,
+            (ShareStanding::Beyond(served), Self::ByQueue) => BEYOND_PART / (served * served),
+        };
+        let first_ms = IDLE_MS + size / TOKENS_PER_MS + (1.0 - room) * FULL_QUEUE_MS;
+        room > 0.0 && first_ms < part * OBJECTIVE_MS
+    }
+}
+
+/// The same, with engines that may have room beyond the published rate.
+pub fn play_with(
+    fleet: FleetShape,
+    spare: SpareRoom,
+    loads: &[TeamLoad],
+    length_ms: u64,
+    seed: u64,
+) -> Vec<TeamTrace> {
     let mut rng = StdRng::seed_from_u64(seed);
     let mut fleet_routers = routers(fleet.routers);
     let buckets = usize::try_from(length_ms / BUCKET_MS).unwrap();
@@ -138,7 +184,8 @@
     for ms in 0..length_ms {
         let now = Moment(ms * 1_000);
         let bucket = usize::try_from(ms / BUCKET_MS).unwrap();
-        room = (room + fleet.engines / 1e3).min(fleet.engines * 0.3);
+        let most_room = fleet.engines * FULL_QUEUE_MS / 1e3;
+        room = (room + fleet.engines / 1e3).min(most_room);
         tell(&mut fleet_routers, ms, fleet.published);
         for (index, load) in loads.iter().enumerate() {
             let expected = load.rate(ms) / MEAN_TOKENS / 1e3;
@@ -154,7 +201,7 @@
                 let standing = router.shares.ask(now, &team, size);
                 let trace = &mut traces[index];
                 trace.asked[bucket] += size;
-                if standing == ShareStanding::Within && room > 0.0 {
+                if spare.takes(standing, room / most_room, size) {
                     room -= size;
                     router.shares.serve(now, &team, size);
                     trace.served[bucket] += size;
--- a/tests/gateway_floods.rs
+++ b/tests/gateway_floods.rs
@@ -20,8 +20,10 @@
 mod floods;
 
 use self::floods::FleetShape;
+use self::floods::SpareRoom;
 use self::floods::TeamLoad;
 use self::floods::play;
+use self::floods::play_with;
 use self::floods::short_teams;
 
 /// Ninety routers of which each tells five others a round, and engines that can begin twice as much as
@@ -83,6 +85,31 @@
     assert!(shortages.is_empty(), "{shortages:#?}");
 }
 
+/// Guards against two teams whose service beyond their shares swings: each gets all of it by turns, and a
+/// third one that presses for a few seconds falls between.
+#[test]
+fn service_beyond_shares_is_spread_evenly_over_any_six_seconds() {
+    let fleet = FleetShape {
+        routers: 78,
+        published: 1_500_000.0,
+        engines: 3_000_000.0,
+    };
+    let all = (0, fleet.routers);
+    let mut loads: Vec<TeamLoad> = (0..12).map(|_| TeamLoad::steady(all, 60_000.0)).collect();
+    loads.push(TeamLoad::flood(all, 60_000.0, 4_000, 8_000_000.0));
+    loads.push(TeamLoad::flood((40, 1), 60_000.0, 6_000, 9_000_000.0));
+    let mut short_flood = TeamLoad::flood(all, 100_000.0, 13_000, 4_000_000.0);
+    short_flood.phases.push((18_500, 500_000.0));
+    loads.push(short_flood);
+    let mut shortages = Vec::new();
+    for seed in 0..8 {
+        let traces = play_with(fleet, SpareRoom::ByQueue, &loads, 30_000, seed);
+        let short = short_teams(&traces, 6_000);
+        shortages.extend(short.iter().map(|short| format!("seed {seed}: {short:?}")));
+    }
+    assert!(shortages.is_empty(), "{shortages:#?}");
+}
+
 /// The same where every router hears from every other one in each round: one that floods through one
 /// router of eight against one that begins through all of them.
 #[test]
