A flood that is over is known from the last moments

Cause: the team is held from its mean over four seconds, and its allowance is a part of that mean; the others' means are told later than a router's own and stand higher, so all parts add up to 0.3 of the level. Same class as a flood that begins: a measurement older than what it bounds.

The highest demand of the last moments, forgotten sooner, now counts as the team's demand once it is below its share; it is held again when that passes the level.

--- a/src/gateway/decide/surge.rs
+++ b/src/gateway/decide/surge.rs
@@ -1,10 +1,13 @@
-//! A team's demand while it rises faster than its mean over the window of shares tells.
+//! A team's demand while it rises or falls faster than its mean over the window of shares tells.
 //!
 //! The load that this answers: a team begins to press from one moment to the next, with many times
 //! what it asked before, through any number of routers. Its mean over seconds reaches its share only after
 //! one or two of them, in which it counts as within its share everywhere and takes all that the
 //! endpoints can begin: more than teams that press already get in six seconds. Counted over the last
 //! moments it is known after a quarter of a second.
+//!
+//! When a flood is over, the mean still tells of it for seconds. What the team asks then is less than
+//! its share, and it would be refused most of it.
 
 use super::shares::TeamFlow;
 
@@ -24,6 +27,17 @@
 /// 0.7 s. A single look that misses the busiest routers must not end a surge.
 const PEAK_KEPT: f64 = 0.9;
 
+/// Demand of the last moments against what a team gets at most, below which its flood is over. A team
+/// that asks its share in clumps stays above it.
+const EBB_BEGINS: f64 = 0.7;
+
+/// The same at which the team presses again.
+const EBB_ENDS: f64 = 1.0;
+
+/// What is kept of the highest demand from one look to the next when a flood's end is looked for: an
+/// eighth after a second.
+const EBB_PEAK_KEPT: f64 = 0.8;
+
 /// What counts of a team when shares are set.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct TeamDemand {
@@ -39,6 +53,9 @@
     /// The highest demand of the last moments, in tokens a second.
     peak: f64,
     is_surging: bool,
+    /// The same, forgotten sooner.
+    late_peak: f64,
+    is_ebbing: bool,
 }
 
 impl SurgeWatch {
@@ -58,6 +75,13 @@
             (SURGE_BEGINS * all.asked).max(SURGE_LEVELS * level)
         };
         self.is_surging = self.peak > bound;
+        if self.ebbs(all, level) {
+            let part = own.asked_lately / all.asked_lately.max(1.0);
+            return TeamDemand {
+                asked: self.late_peak.min(all.asked),
+                part: part.min(1.0),
+            };
+        }
         // Both of one kind: a mean that lags against one that does not would make all routers' parts
         // several times the whole.
         let (asked, here) = if self.is_surging {
@@ -68,4 +92,12 @@
         let part = if asked > 0.0 { here / asked } else { 0.0 };
         TeamDemand { asked, part }
     }
+
+    /// Whether the team asks less than it may get by now, although it pressed within the window.
+    fn ebbs(&mut self, all: TeamFlow, level: f64) -> bool {
+        self.late_peak = all.asked_lately.max(self.late_peak * EBB_PEAK_KEPT);
+        let bound = if self.is_ebbing { EBB_ENDS } else { EBB_BEGINS };
+        self.is_ebbing = self.late_peak < bound * level && all.asked > level;
+        self.is_ebbing
+    }
 }
--- a/tests/gateway_floods.rs
+++ b/tests/gateway_floods.rs
@@ -110,6 +110,31 @@
     assert!(shortages.is_empty(), "{shortages:#?}");
 }
 
+/// Guards against a team that is held for seconds after its flood: its demand over the window is still many
+/// times its share, and the parts of it that routers see add up to less than the whole as it falls.
+#[test]
+fn a_team_whose_flood_is_over_gets_what_it_asks() {
+    let fleet = FleetShape {
+        routers: 78,
+        published: 1_500_000.0,
+        engines: 3_000_000.0,
+    };
+    let all = (0, fleet.routers);
+    let mut loads: Vec<TeamLoad> = (0..12).map(|_| TeamLoad::steady(all, 60_000.0)).collect();
+    loads.push(TeamLoad::flood(all, 60_000.0, 4_000, 8_000_000.0));
+    let mut ended = TeamLoad::flood(all, 100_000.0, 5_000, 4_000_000.0);
+    ended.phases.push((10_000, 120_000.0));
+    loads.push(ended);
+    for seed in 0..4 {
+        let traces = play_with(fleet, SpareRoom::ByQueue, &loads, 16_000, seed);
+        let trace = traces.last().unwrap();
+        // From a second and a half after the flood, when its news has been everywhere.
+        let asked: f64 = trace.asked[23..].iter().sum();
+        let served: f64 = trace.served[23..].iter().sum();
+        assert!(served > 0.9 * asked, "seed {seed}: {served} of {asked}");
+    }
+}
+
 /// The same where every router hears from every other one in each round: one that floods through one
 /// router of eight against one that begins through all of them.
 #[test]
