Sight: what endpoints say of themselves in answers is read, logged and counted

Two hypotheses looked alike from the logs: that an endpoint's word in an answer is not read, or is read and forgotten.

--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -24,6 +24,7 @@
     call_seconds: Histogram<f64>,
     team_tokens: Counter<u64>,
     endpoint_connections: Counter<u64>,
+    endpoint_words: Counter<u64>,
     store_failures: Counter<u64>,
     _provider: SdkMeterProvider,
 }
@@ -68,6 +69,10 @@
                 .u64_counter("verbenaturn_gateway_endpoint_connections")
                 .with_description("Connections opened to endpoints.")
                 .build(),
+            endpoint_words: meter
+                .u64_counter("verbenaturn_gateway_endpoint_words")
+                .with_description("Answers in which endpoints say something of themselves.")
+                .build(),
             store_failures: meter
                 .u64_counter("verbenaturn_gateway_store_failures")
                 .with_description("Calls to the store that gave nothing.")
@@ -101,6 +106,11 @@
         self.endpoint_connections.add(1, &[]);
     }
 
+    /// Counts an answer in which an endpoint says something of itself.
+    pub fn endpoint_word(&self, word: &'static str) {
+        self.endpoint_words.add(1, &[KeyValue::new("word", word)]);
+    }
+
     /// Counts a failed call to the store.
     pub fn store_failure(&self) {
         self.store_failures.add(1, &[]);
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -5,6 +5,8 @@
 
 use smol_str::SmolStr;
 
+use crate::units::TimeSpan;
+
 use super::http::RequestHead;
 use super::http::ResponseHead;
 use super::routes::EndpointKey;
@@ -93,6 +95,17 @@
     pub is_proven: bool,
     /// Whether the endpoint says that it did not run the request.
     pub not_run: bool,
+    /// What the endpoint says of itself.
+    pub words: SpokenWords,
+}
+
+/// What an endpoint says of itself in an answer.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct SpokenWords {
+    /// It leaves.
+    pub is_leaving: bool,
+    /// For how long it wants no requests from this router.
+    pub pause: Option<TimeSpan>,
 }
 
 /// How callers and endpoints of one deployment write headers.
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -26,6 +26,8 @@
 use super::follow::StoreRevision;
 use super::link::LinkMeter;
 use super::metrics::GatewayMetrics;
+use super::protocol::SpokenWords;
+use super::routes::EndpointEntry;
 use super::routes::RouteTable;
 
 /// The stages of a router's end; each begins when its token is cancelled.
@@ -133,6 +135,24 @@
         self.core.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Takes over what an endpoint says of itself in an answer.
+    pub fn endpoint_said(&self, entry: &EndpointEntry, words: SpokenWords) {
+        let SpokenWords { is_leaving, pause } = words;
+        let key = &entry.key;
+        if is_leaving {
+            self.metrics.endpoint_word("leaving");
+            spdlog::info!("endpoint: key={key} born={} said=leaving", entry.born);
+        }
+        if let Some(pause) = pause {
+            self.metrics.endpoint_word("pause");
+            let pause_ms = pause.as_millis();
+            spdlog::info!(
+                "endpoint: key={key} born={} said=pause pause_ms={pause_ms}",
+                entry.born
+            );
+        }
+    }
+
     /// The routes in force; nothing before the first are known.
     pub fn routes(&self) -> Option<Arc<RouteTable>> {
         let routes = self.routes.lock().unwrap_or_else(PoisonError::into_inner);
