What an endpoint says of itself in an answer is believed: one that leaves gets nothing new

Callers' requests reached an endpoint 2.2 and 2.6 s after one of its answers had told the router that it leaves; those that come later than it waits are cut. The store was away for 12 s, and the endpoint's own answers were the only news.

Cause: no word of an endpoint was read but those on one request (not run, proof). Its state came from the store alone, whoever asked.

What a process says of itself is now kept by its life, apart from lists: a list that says ready, a lapse, a peer's list, another connection do not touch it, only a later start ends it. The word of another endpoint at its address (421) is not taken for its own.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -193,14 +193,25 @@
             });
         }
     };
-    let now = shared.clock.now();
-    if !shared.core().endpoints.takes_work(now, entry) {
-        spdlog::info!("endpoint: key={key} address={address} step=connect it left meanwhile");
-        return Err(NotRunCause::Left);
-    }
     Ok(stream.metered(&shared.link))
 }
 
+/// Whether the endpoint takes work at the moment at which the request would go out.
+fn still_takes_work<P: CallProtocol>(traffic: &Traffic<P>, ticket: &AttemptTicket) -> bool {
+    let (shared, entry) = (&traffic.shared, &ticket.entry);
+    let takes_work = shared
+        .core()
+        .endpoints
+        .takes_work(shared.clock.now(), entry);
+    if !takes_work {
+        spdlog::info!(
+            "endpoint: key={} step=send it takes no work any more",
+            entry.key
+        );
+    }
+    takes_work
+}
+
 /// Sends the call to one endpoint and passes its answer on where that can't be undone later.
 pub async fn run_attempt<P: CallProtocol>(
     traffic: &Traffic<P>,
@@ -212,6 +223,9 @@
         Ok(stream) => stream,
         Err(cause) => return AttemptOutcome::NotRun(cause),
     };
+    if !still_takes_work(traffic, ticket) {
+        return AttemptOutcome::NotRun(NotRunCause::Left);
+    }
     // A router that lags reads requests whose callers have left in the meantime; an endpoint would
     // work on them for nobody. The look comes last, since a connection takes time as well.
     if caller.has_left() {
--- a/src/gateway/decide/endpoints.rs
+++ b/src/gateway/decide/endpoints.rs
@@ -8,6 +8,7 @@
 use crate::units::Moment;
 use crate::units::TimeSpan;
 
+use super::super::protocol::SpokenWords;
 use super::super::routes::EndpointEntry;
 use super::super::routes::EndpointKey;
 use super::super::routes::EndpointState;
@@ -15,6 +16,8 @@
 use super::departures::DepartureTable;
 use super::health::EndpointHealth;
 use super::health::ToldHealth;
+use super::words::EndpointWords;
+use super::words::WordTable;
 
 /// First pause after a connection that was not made, and the longest, in ms. A restart of an
 /// endpoint takes seconds; trying every 2 s finds it soon and costs few connections.
@@ -25,6 +28,10 @@
 /// routers send take to tell it.
 const FULL_PAUSE_MS: u64 = 150;
 
+/// Processes in one message that said that they leave: 256 bytes of it. A fleet of which more leave
+/// while the store is away tells the others when the store does.
+const MOST_WORDS_TOLD: usize = 32;
+
 /// Work of other routers at one endpoint.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct PeerLoad {
@@ -64,6 +71,8 @@
     used_until: Option<Moment>,
     /// Whether another router tells that it left, in a newer list than this router's.
     is_told_left: bool,
+    /// What it said of itself.
+    words: EndpointWords,
     /// Connections in a row that were not made.
     refused: u32,
     /// When this router last sent a shared part there.
@@ -89,6 +98,7 @@
             paused_until: Moment(0),
             used_until: None,
             is_told_left: false,
+            words: EndpointWords::default(),
             refused: 0,
             parts: BTreeMap::new(),
         }
@@ -100,11 +110,22 @@
     /// registration ends here by itself, whatever becomes of the control thread or of reading.
     #[must_use]
     pub fn is_ready(&self, now: Moment) -> bool {
+        self.is_listed_ready(now) && self.words.takes_work()
+    }
+
+    /// Whether it may get new work by what is known from lists.
+    fn is_listed_ready(&self, now: Moment) -> bool {
         let is_over = self.used_until.is_some_and(|until| now >= until);
         self.is_taking_work() && !is_over && !self.is_told_left
     }
 
-    /// Whether it takes new work by its own word.
+    /// Whether it said that it leaves.
+    #[must_use]
+    pub fn said_leaving(&self) -> bool {
+        self.words.is_leaving
+    }
+
+    /// Whether it takes new work by its registration.
     fn is_taking_work(&self) -> bool {
         self.entry.state == EndpointState::Ready
     }
@@ -154,6 +175,8 @@
     services: BTreeMap<ServiceKey, Vec<usize>>,
     /// Those that left of late.
     pub departures: DepartureTable,
+    /// What processes said of themselves, also such as no list names at the moment.
+    words: WordTable,
 }
 
 impl EndpointTable {
@@ -197,14 +220,61 @@
             }
             let places = self.services.entry(entry.service.clone()).or_default();
             places.push(self.rows.len());
-            self.rows.push(row);
+            let words = self.words.of(entry.life().hash());
+            self.rows.push(EndpointRow { words, ..row });
         }
         for row in known.into_values() {
             self.departures.left(now, row.life);
         }
+        let known: BTreeSet<u64> = entries.values().map(|entry| entry.life().hash()).collect();
+        self.words.forget(now, |life| known.contains(&life));
         replaced
     }
 
+    /// Takes over what a process says of itself in an answer; whether it leaves and that is news.
+    pub fn said(&mut self, now: Moment, entry: &EndpointEntry, words: SpokenWords) -> bool {
+        let life = entry.life().hash();
+        let is_news = words.is_leaving && self.words.leaves(now, life);
+        let words = self.words.of(life);
+        if let Some(row) = self.of_attempt(entry) {
+            row.words = words;
+        }
+        is_news
+    }
+
+    /// Takes over which processes said to other routers that they leave.
+    ///
+    /// Guards against a leaving endpoint that each router has to be told of by an answer of its own:
+    /// every one of them would send it a call that it may cut.
+    pub fn take_told_leaving(&mut self, now: Moment, lives: &[u64]) {
+        for life in lives {
+            if self.words.leaves(now, *life) {
+                self.apply_words(*life);
+            }
+        }
+    }
+
+    fn apply_words(&mut self, life: u64) {
+        let words = self.words.of(life);
+        #[allow(clippy::cast_possible_truncation)]
+        let number = life as u32;
+        let rows = self.rows.iter_mut().filter(|row| row.life == number);
+        for row in rows.filter(|row| row.entry.life().hash() == life) {
+            let (key, born) = (&row.entry.key, row.entry.born);
+            spdlog::info!("endpoint: key={key} born={born} leaves, as it told another router");
+            row.words = words;
+        }
+    }
+
+    /// Processes that said that they leave and are still listed as ready, to tell the others.
+    #[must_use]
+    pub fn telling_leaving(&self, now: Moment) -> Vec<u64> {
+        let leaving = self.rows.iter().filter(|row| row.said_leaving());
+        let unknown = leaving.filter(|row| row.is_listed_ready(now));
+        let lives = unknown.map(|row| row.entry.life().hash());
+        lives.take(MOST_WORDS_TOLD).collect()
+    }
+
     /// Takes over which endpoints have left by the word of routers with a newer list.
     ///
     /// Guards against a list that can't be fetched in time, see [`super::departures`]: an endpoint
--- a/src/gateway/decide/mod.rs
+++ b/src/gateway/decide/mod.rs
@@ -16,6 +16,7 @@
 pub mod sizes;
 pub mod surge;
 pub mod window;
+pub mod words;
 
 pub use budget::RetryBudget;
 pub use core::Admission;
--- a/src/gateway/digest.rs
+++ b/src/gateway/digest.rs
@@ -236,4 +236,8 @@
     /// Endpoints that left of late by its list, see [`super::decide::departures`].
     #[prost(fixed32, repeated, tag = "13")]
     pub left: Vec<u32>,
+    /// Endpoints that said in answers that they leave, whatever list the sender has; see
+    /// [`super::decide::words`]. Hashes of their lives: what one is taken for stays so.
+    #[prost(fixed64, repeated, tag = "14")]
+    pub said_leaving: Vec<u64>,
 }
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -164,7 +164,10 @@
                 let now = self.shared.clock.now();
                 let is_new = !self.peers.knows_life(&from.ip(), digest.incarnation);
                 let suspects = digest.suspects.iter().map(told_suspect);
-                self.shared.core().quarantine.take_told(now, suspects);
+                let mut core = self.shared.core();
+                core.quarantine.take_told(now, suspects);
+                core.endpoints.take_told_leaving(now, &digest.said_leaving);
+                drop(core);
                 if self.peers.take(now, from.ip(), digest) && is_new {
                     spdlog::info!("peers: router={} found", from.ip());
                     self.newcomers.insert(from.ip());
@@ -224,6 +227,7 @@
         let turned_away = core.shares.turned_away_per_s(now);
         let flows = core.shares.flows(now);
         let left = core.endpoints.departures.telling(now);
+        let said_leaving = core.endpoints.telling_leaving(now);
         let trusts_itself = core.endpoints.is_trustworthy(now) && !core.is_disturbed();
         let loads = core.endpoints.rows();
         let loads = loads.filter_map(|row| load_entry(row, now, trusts_itself));
@@ -245,6 +249,7 @@
             suspects: suspects.into_iter().map(suspect_entry).collect(),
             turned_away_per_s: turned_away as u32,
             left,
+            said_leaving,
         }
     }
 
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -137,19 +137,21 @@
 
     /// Takes over what an endpoint says of itself in an answer.
     pub fn endpoint_said(&self, entry: &EndpointEntry, words: SpokenWords) {
-        let SpokenWords { is_leaving, pause } = words;
-        let key = &entry.key;
-        if is_leaving {
+        if words == SpokenWords::default() {
+            return;
+        }
+        let is_news = self.core().endpoints.said(self.clock.now(), entry, words);
+        let (key, born) = (&entry.key, entry.born);
+        if words.is_leaving {
             self.metrics.endpoint_word("leaving");
-            spdlog::info!("endpoint: key={key} born={} said=leaving", entry.born);
         }
-        if let Some(pause) = pause {
+        if is_news {
+            spdlog::info!("endpoint: key={key} born={born} said=leaving");
+        }
+        if let Some(pause) = words.pause {
             self.metrics.endpoint_word("pause");
             let pause_ms = pause.as_millis();
-            spdlog::info!(
-                "endpoint: key={key} born={} said=pause pause_ms={pause_ms}",
-                entry.born
-            );
+            spdlog::info!("endpoint: key={key} born={born} said=pause pause_ms={pause_ms}");
         }
     }
 
