A pause that an endpoint asks for is kept

A 503 of an endpoint may carry the seconds for which it wants nothing from that router. It was passed by: the endpoint got the next call after 150 ms, and when all were pausing, callers were told to come back at once and were sent to the same endpoints again.

The pause is a belief with an end of its own, by process and router, and not told to others: it was asked of this router alone. A shorter wish does not end a longer one. When all endpoints that are left are pausing, a call is refused at once and told to come back when the first pause is over, spread over one retry pause and no further.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -55,7 +55,7 @@
     NotReached,
     /// Nothing listens at the address.
     Gone,
-    /// The endpoint left while the connection was made.
+    /// The endpoint left, or asked for a pause, while the connection was made.
     Left,
     /// The endpoint refused it.
     Refused,
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -354,12 +354,30 @@
     }
     let status = match cause {
         RefusalCause::OverShare => OwnStatus::TooManyRequests,
-        RefusalCause::NoEndpoint | RefusalCause::Overload | RefusalCause::Quarantined => {
-            OwnStatus::Unavailable
+        RefusalCause::NoEndpoint
+        | RefusalCause::Paused
+        | RefusalCause::Overload
+        | RefusalCause::Quarantined => OwnStatus::Unavailable,
+    };
+    let wait = match cause {
+        // Callers are spread behind the pause and no further: its end is known.
+        RefusalCause::Paused => {
+            let least = Duration::from_millis(traffic.shared.config.retry_after_ms);
+            retry_after.as_duration() + least.mul_f64(rand::rng().random())
         }
+        RefusalCause::NoEndpoint
+        | RefusalCause::Overload
+        | RefusalCause::OverShare
+        | RefusalCause::Quarantined => spread(retry_after.as_duration()),
     };
-    let reply = OwnReply::later(status, spread(retry_after.as_duration()));
-    own(traffic, caller, call, reply, cause.label()).await
+    own(
+        traffic,
+        caller,
+        call,
+        OwnReply::later(status, wait),
+        cause.label(),
+    )
+    .await
 }
 
 /// Says that a request did not run and may come back after so many ms.
--- a/src/gateway/decide/core.rs
+++ b/src/gateway/decide/core.rs
@@ -79,6 +79,8 @@
 pub enum RefusalCause {
     /// No endpoint takes work.
     NoEndpoint,
+    /// All endpoints that are left asked for a pause.
+    Paused,
     /// No endpoint would answer within the objective.
     Overload,
     /// Its team is beyond its share while endpoints are busy.
@@ -93,6 +95,7 @@
     pub fn label(self) -> &'static str {
         match self {
             Self::NoEndpoint => "no_endpoint",
+            Self::Paused => "endpoints_paused",
             Self::Overload => "overload",
             Self::OverShare => "over_share",
             Self::Quarantined => "quarantined",
@@ -365,11 +368,7 @@
         }
         let engine = ask.shape.and_then(|shape| shape.engine);
         let Some(placement) = self.placed(now, ask, engine) else {
-            return Admission::Refuse {
-                cause: RefusalCause::NoEndpoint,
-                retry_after: TimeSpan::from_millis(self.config.no_endpoint_retry_ms),
-                expected_ms: 0.0,
-            };
+            return self.without_endpoint(now, ask.service);
         };
         let limit = self.limit_ms(ask, standing, placement.alone_ms);
         #[allow(clippy::cast_precision_loss)]
@@ -392,6 +391,24 @@
         self.ticket(now, ask, &placement)
     }
 
+    /// Refuses a call that no endpoint may get. A caller does best to come back when the first pause
+    /// is over: before, it would be refused again.
+    fn without_endpoint(&self, now: Moment, service: &ServiceKey) -> Admission {
+        let least = TimeSpan::from_millis(self.config.retry_after_ms);
+        let (cause, retry_after) = match self.endpoints.pause_left(now, service) {
+            Some(pause) => (RefusalCause::Paused, pause.max(least)),
+            None => (
+                RefusalCause::NoEndpoint,
+                TimeSpan::from_millis(self.config.no_endpoint_retry_ms),
+            ),
+        };
+        Admission::Refuse {
+            cause,
+            retry_after,
+            expected_ms: 0.0,
+        }
+    }
+
     fn placed(
         &self,
         now: Moment,
--- a/src/gateway/decide/endpoints.rs
+++ b/src/gateway/decide/endpoints.rs
@@ -110,7 +110,7 @@
     /// registration ends here by itself, whatever becomes of the control thread or of reading.
     #[must_use]
     pub fn is_ready(&self, now: Moment) -> bool {
-        self.is_listed_ready(now) && self.words.takes_work()
+        self.is_listed_ready(now) && self.words.takes_work(now)
     }
 
     /// Whether it may get new work by what is known from lists.
@@ -125,6 +125,12 @@
         self.words.is_leaving
     }
 
+    /// For how long it still wants nothing, if that is all that keeps work from it.
+    fn pause_left(&self, now: Moment) -> Option<TimeSpan> {
+        let is_paused = !self.words.is_leaving && now < self.words.paused_until;
+        (is_paused && self.is_listed_ready(now)).then(|| self.words.paused_until.since(now))
+    }
+
     /// Whether it takes new work by its registration.
     fn is_taking_work(&self) -> bool {
         self.entry.state == EndpointState::Ready
@@ -233,8 +239,12 @@
 
     /// Takes over what a process says of itself in an answer; whether it leaves and that is news.
     pub fn said(&mut self, now: Moment, entry: &EndpointEntry, words: SpokenWords) -> bool {
+        let SpokenWords { is_leaving, pause } = words;
         let life = entry.life().hash();
-        let is_news = words.is_leaving && self.words.leaves(now, life);
+        if let Some(pause) = pause {
+            self.words.wants_pause(now, life, pause);
+        }
+        let is_news = is_leaving && self.words.leaves(now, life);
         let words = self.words.of(life);
         if let Some(row) = self.of_attempt(entry) {
             row.words = words;
@@ -275,6 +285,14 @@
         lives.take(MOST_WORDS_TOLD).collect()
     }
 
+    /// How long until one of a service's endpoints ends the pause that it asked for; nothing if
+    /// none of them is only paused.
+    #[must_use]
+    pub fn pause_left(&self, now: Moment, service: &ServiceKey) -> Option<TimeSpan> {
+        let rows = self.of_service(service);
+        rows.filter_map(|row| row.pause_left(now)).min()
+    }
+
     /// Takes over which endpoints have left by the word of routers with a newer list.
     ///
     /// Guards against a list that can't be fetched in time, see [`super::departures`]: an endpoint
--- a/src/gateway/decide/words.rs
+++ b/src/gateway/decide/words.rs
@@ -6,11 +6,12 @@
 //! | word | holds | overruled by |
 //! |---|---|---|
 //! | it leaves | for its process, at all routers | its next start alone |
+//! | it wants a pause | for so long, at the router that it told | its next start alone |
 //! | it is full | a moment | the end of that |
 //! | another one answers at its address | a pause that grows | any later answer of its own |
 //! | it closes the connection | for the connection | nothing |
 //!
-//! The first is kept here, by process. What the store, a peer's list or a connection says of the
+//! The first two are kept here, by process. What the store, a peer's list or a connection says of the
 //! endpoint does not touch them: none of it is later than the endpoint's own word.
 
 use std::collections::BTreeMap;
@@ -27,13 +28,15 @@
 pub struct EndpointWords {
     /// It leaves.
     pub is_leaving: bool,
+    /// It wants nothing before.
+    pub paused_until: Moment,
 }
 
 impl EndpointWords {
     /// Whether it takes work by what it said.
     #[must_use]
-    pub fn takes_work(&self) -> bool {
-        !self.is_leaving
+    pub fn takes_work(&self, now: Moment) -> bool {
+        !self.is_leaving && now >= self.paused_until
     }
 }
 
@@ -64,6 +67,14 @@
         !std::mem::replace(&mut kept.words.is_leaving, true)
     }
 
+    /// A process wants nothing for so long. A shorter wish does not end a longer one.
+    pub fn wants_pause(&mut self, now: Moment, life: u64, pause: TimeSpan) {
+        let kept = self.kept.entry(life).or_default();
+        kept.heard = now;
+        let until = Moment(now.0.saturating_add(pause.0));
+        kept.words.paused_until = kept.words.paused_until.max(until);
+    }
+
     /// Forgets processes that are not `known` and said nothing for long.
     pub fn forget(&mut self, now: Moment, known: impl Fn(u64) -> bool) {
         self.kept
