A falling flood is known from the last moments while it is above its share as well

Cause: a router's allowance is its part of a mean over four seconds. Most of that lay at a router to which nobody came any more, and what others are told is older and higher still. Only floods that ended below the level were known from the last moments.

--- a/src/gateway/decide/surge.rs
+++ b/src/gateway/decide/surge.rs
@@ -6,8 +6,9 @@
 //! endpoints can begin: more than teams that press already get in six seconds. Counted over the last
 //! moments it is known after a quarter of a second.
 //!
-//! When a flood is over, the mean still tells of it for seconds. What the team asks then is less than
-//! its share, and it would be refused most of it.
+//! When a flood falls, the mean still tells of it for seconds, and those that others tell are older and
+//! higher still: all routers' parts add up to half of the share. A team that asks less than its
+//! share by then would be refused most of it.
 
 use super::shares::TeamFlow;
 
@@ -27,12 +28,12 @@
 /// 0.7 s. A single look that misses the busiest routers must not end a surge.
 const PEAK_KEPT: f64 = 0.9;
 
-/// Demand of the last moments against what a team gets at most, below which its flood is over. A team
-/// that asks its share in clumps stays above it.
-const EBB_BEGINS: f64 = 0.7;
+/// Demand of the last moments against the mean, below which a flood is over or nearly so. Of a steady
+/// team the last moments show two thirds at least, since long requests count less in them.
+const EBB_BEGINS: f64 = 0.5;
 
-/// The same at which the team presses again.
-const EBB_ENDS: f64 = 1.0;
+/// The same at which the mean is right again.
+const EBB_ENDS: f64 = 0.75;
 
 /// What is kept of the highest demand from one look to the next when a flood's end is looked for: an
 /// eighth after a second.
@@ -75,7 +76,7 @@
             (SURGE_BEGINS * all.asked).max(SURGE_LEVELS * level)
         };
         self.is_surging = self.peak > bound;
-        if self.ebbs(all, level) {
+        if self.ebbs(all) && all.asked > level {
             let part = own.asked_lately / all.asked_lately.max(1.0);
             return TeamDemand {
                 asked: self.late_peak.min(all.asked),
@@ -93,11 +94,11 @@
         TeamDemand { asked, part }
     }
 
-    /// Whether the team asks less than it may get by now, although it pressed within the window.
-    fn ebbs(&mut self, all: TeamFlow, level: f64) -> bool {
+    /// Whether the team asks much less by now than its mean over the window.
+    fn ebbs(&mut self, all: TeamFlow) -> bool {
         self.late_peak = all.asked_lately.max(self.late_peak * EBB_PEAK_KEPT);
         let bound = if self.is_ebbing { EBB_ENDS } else { EBB_BEGINS };
-        self.is_ebbing = self.late_peak < bound * level && all.asked > level;
+        self.is_ebbing = self.late_peak < bound * all.asked;
         self.is_ebbing
     }
 }
--- a/tests/floods/mod.rs
+++ b/tests/floods/mod.rs
@@ -39,6 +39,8 @@
     pub routers: (usize, usize),
     /// Tokens a second that it asks, each from a moment on, in ms.
     pub phases: Vec<(u64, f64)>,
+    /// When its callers move to other routers, in ms, and to which.
+    pub moves: Option<(u64, (usize, usize))>,
 }
 
 impl TeamLoad {
@@ -47,6 +49,7 @@
         Self {
             routers,
             phases: vec![(0, tokens_per_s)],
+            moves: None,
         }
     }
 
@@ -55,9 +58,15 @@
         Self {
             routers,
             phases: vec![(0, before), (from_ms, tokens_per_s)],
+            moves: None,
         }
     }
 
+    fn routers_at(&self, ms: u64) -> (usize, usize) {
+        let moved = self.moves.filter(|(from, _)| *from <= ms);
+        moved.map_or(self.routers, |(_, routers)| routers)
+    }
+
     fn rate(&self, ms: u64) -> f64 {
         let begun = self.phases.iter().rev().find(|(from, _)| *from <= ms);
         begun.map_or(0.0, |(_, rate)| *rate)
@@ -193,7 +202,7 @@
             while left > 0.0 && rng.random::<f64>() < left.min(1.0) {
                 left -= 1.0;
                 let size = tokens(&mut rng);
-                let (first, count) = load.routers;
+                let (first, count) = load.routers_at(ms);
                 let taker = (first + rng.random_range(0..count)) % fleet.routers;
                 let router = &mut fleet_routers[taker];
                 let team = team_key(index);
--- a/tests/gateway_floods.rs
+++ b/tests/gateway_floods.rs
@@ -135,6 +135,31 @@
     }
 }
 
+/// Guards against a team whose share stays where its callers were: they move to another router while its
+/// flood falls, and the part of its demand that this one sees is small against the mean.
+#[test]
+fn a_team_that_moves_to_another_router_takes_its_share_along() {
+    let fleet = FleetShape {
+        routers: 78,
+        published: 1_500_000.0,
+        engines: 1_600_000.0,
+    };
+    let all = (0, fleet.routers);
+    let mut loads: Vec<TeamLoad> = (0..12).map(|_| TeamLoad::steady(all, 60_000.0)).collect();
+    loads.push(TeamLoad::flood(all, 60_000.0, 4_000, 8_000_000.0));
+    let mut moving = TeamLoad::flood((3, 1), 100_000.0, 5_000, 6_000_000.0);
+    moving.phases.push((12_000, 1_500_000.0));
+    moving.moves = Some((12_000, (50, 1)));
+    loads.push(moving);
+    for seed in 0..4 {
+        let traces = play(fleet, &loads, 16_000, seed);
+        // Three seconds, from one after the move; usual teams leave the rest to two.
+        let served: f64 = traces.last().unwrap().served[26..].iter().sum();
+        let owed = 3.0 * (fleet.published - 12.0 * 60_000.0) / 2.0;
+        assert!(served > 0.75 * owed, "seed {seed}: {served} of {owed}");
+    }
+}
+
 /// The same where every router hears from every other one in each round: one that floods through one
 /// router of eight against one that begins through all of them.
 #[test]
