--- /dev/null
+++ b/tests/gateway_words.rs
@@ -0,0 +1,121 @@
+//! What endpoints say of themselves, at routers without a network.
+
+use std::collections::BTreeMap;
+
+use verbenaturn::gateway::config::GatewayConfig;
+use verbenaturn::gateway::decide::GatewayCore;
+use verbenaturn::gateway::protocol::SpokenWords;
+use verbenaturn::gateway::routes::EndpointBirth;
+use verbenaturn::gateway::routes::EndpointEntry;
+use verbenaturn::gateway::routes::EndpointKey;
+use verbenaturn::units::Moment;
+use verbenaturn::units::TimeSpan;
+
+mod engines;
+
+use self::engines::endpoints;
+
+type Entries = BTreeMap<EndpointKey, EndpointEntry>;
+
+const LEAVING: SpokenWords = SpokenWords {
+    is_leaving: true,
+    pause: None,
+};
+
+fn ms(millis: u64) -> Moment {
+    Moment(millis * 1_000)
+}
+
+fn router(entries: &Entries) -> GatewayCore {
+    let mut core = GatewayCore::new(GatewayConfig::default(), "suva-a".into());
+    core.set_endpoints(ms(0), entries);
+    core
+}
+
+fn ready(core: &GatewayCore, now: Moment) -> usize {
+    let rows = core.endpoints.rows();
+    rows.filter(|row| row.is_ready(now)).count()
+}
+
+fn pause(millis: u64) -> SpokenWords {
+    SpokenWords {
+        is_leaving: false,
+        pause: Some(TimeSpan::from_millis(millis)),
+    }
+}
+
+/// Guards against a word that is lost with its row: the entry lapses with the store for minutes and is
+/// back as ready.
+#[test]
+fn a_word_outlives_a_list_without_its_endpoint() {
+    let all = endpoints("engine", 3);
+    let mut core = router(&all);
+    let leaving = all.values().next().unwrap();
+    assert!(core.endpoints.said(ms(100), leaving, LEAVING));
+    assert!(!core.endpoints.said(ms(200), leaving, LEAVING), "no news");
+    core.set_endpoints(ms(300), &BTreeMap::new());
+    core.set_endpoints(ms(300_000), &all);
+    assert_eq!(ready(&core, ms(300_000)), 2);
+}
+
+/// Guards against a word that goes with the address or the key: the next start takes work.
+#[test]
+fn a_word_ends_with_its_process() {
+    let mut all = endpoints("engine", 3);
+    let mut core = router(&all);
+    let first = all.values_mut().next().unwrap();
+    core.endpoints.said(ms(100), first, LEAVING);
+    core.endpoints.said(ms(100), first, pause(60_000));
+    first.born = EndpointBirth(first.born.0 + 1);
+    core.set_endpoints(ms(200), &all);
+    assert_eq!(ready(&core, ms(200)), 3);
+}
+
+/// Guards against a router that believes its own list more than the endpoint: all have the same revision, and
+/// the word was told before the endpoint was listed here.
+#[test]
+fn what_others_were_told_holds_whatever_the_list_says() {
+    let all = endpoints("engine", 3);
+    let (mut told, mut other) = (router(&all), router(&BTreeMap::new()));
+    told.endpoints
+        .said(ms(100), all.values().next().unwrap(), LEAVING);
+    let lives = told.endpoints.telling_leaving(ms(200));
+    assert_eq!(lives.len(), 1);
+    other.endpoints.take_told_leaving(ms(200), &lives);
+    other.set_endpoints(ms(300), &all);
+    assert_eq!(ready(&other, ms(300)), 2);
+    // It tells others in its turn, since they may not hear from the first one.
+    assert_eq!(other.endpoints.telling_leaving(ms(400)), lives);
+}
+
+/// Guards against messages that grow with the fleet: hundreds of endpoints leave at once.
+#[test]
+fn words_take_little_of_a_message() {
+    let all = endpoints("engine", 300);
+    let mut core = router(&all);
+    for entry in all.values() {
+        core.endpoints.said(ms(100), entry, LEAVING);
+    }
+    assert_eq!(core.endpoints.telling_leaving(ms(200)).len(), 32);
+    // What the store knows as well need not be told.
+    core.set_endpoints(ms(300), &BTreeMap::new());
+    assert!(core.endpoints.telling_leaving(ms(300)).is_empty());
+}
+
+/// Guards against a shorter wish that ends a longer one.
+#[test]
+fn the_longest_pause_holds() {
+    let all = endpoints("engine", 2);
+    let mut core = router(&all);
+    let first = all.values().next().unwrap();
+    core.endpoints.said(ms(0), first, pause(3_000));
+    core.endpoints.said(ms(500), first, pause(1_000));
+    assert_eq!(ready(&core, ms(2_900)), 1);
+    assert_eq!(ready(&core, ms(3_000)), 2);
+    let service = &first.service;
+    assert_eq!(
+        core.endpoints.pause_left(ms(1_000), service),
+        Some(TimeSpan::from_millis(2_000))
+    );
+    assert_eq!(core.endpoints.pause_left(ms(3_000), service), None);
+}
