--- a/src/gateway/decide/mod.rs
+++ b/src/gateway/decide/mod.rs
@@ -10,6 +10,7 @@
 pub mod departures;
 pub mod endpoints;
 pub mod health;
+pub mod levels;
 pub mod placement;
 pub mod quarantine;
 pub mod shares;
--- a/tests/gateway_floods.rs
+++ b/tests/gateway_floods.rs
@@ -85,17 +85,23 @@
     assert!(shortages.is_empty(), "{shortages:#?}");
 }
 
-/// Guards against two teams whose service beyond their shares swings: each gets all of it by turns, and a
-/// third one that presses for a few seconds falls between.
-#[test]
-fn service_beyond_shares_is_spread_evenly_over_any_six_seconds() {
+/// A fleet of 78 routers before engines that can begin so many tokens a second, and twelve usual teams.
+fn smaller_fleet(engines: f64) -> (FleetShape, Vec<TeamLoad>) {
     let fleet = FleetShape {
         routers: 78,
         published: 1_500_000.0,
-        engines: 3_000_000.0,
+        engines,
     };
+    let usual = (0..12).map(|_| TeamLoad::steady((0, fleet.routers), 60_000.0));
+    (fleet, usual.collect())
+}
+
+/// Guards against two teams whose service beyond their shares swings: each gets all of it by turns, and a
+/// third one that presses for a few seconds falls between.
+#[test]
+fn service_beyond_shares_is_spread_evenly_over_any_six_seconds() {
+    let (fleet, mut loads) = smaller_fleet(3_000_000.0);
     let all = (0, fleet.routers);
-    let mut loads: Vec<TeamLoad> = (0..12).map(|_| TeamLoad::steady(all, 60_000.0)).collect();
     loads.push(TeamLoad::flood(all, 60_000.0, 4_000, 8_000_000.0));
     loads.push(TeamLoad::flood((40, 1), 60_000.0, 6_000, 9_000_000.0));
     let mut short_flood = TeamLoad::flood(all, 100_000.0, 13_000, 4_000_000.0);
@@ -114,13 +120,8 @@
 /// times its share, and the parts of it that routers see add up to less than the whole as it falls.
 #[test]
 fn a_team_whose_flood_is_over_gets_what_it_asks() {
-    let fleet = FleetShape {
-        routers: 78,
-        published: 1_500_000.0,
-        engines: 3_000_000.0,
-    };
+    let (fleet, mut loads) = smaller_fleet(3_000_000.0);
     let all = (0, fleet.routers);
-    let mut loads: Vec<TeamLoad> = (0..12).map(|_| TeamLoad::steady(all, 60_000.0)).collect();
     loads.push(TeamLoad::flood(all, 60_000.0, 4_000, 8_000_000.0));
     let mut ended = TeamLoad::flood(all, 100_000.0, 5_000, 4_000_000.0);
     ended.phases.push((10_000, 120_000.0));
@@ -139,13 +140,8 @@
 /// flood falls, and the part of its demand that this one sees is small against the mean.
 #[test]
 fn a_team_that_moves_to_another_router_takes_its_share_along() {
-    let fleet = FleetShape {
-        routers: 78,
-        published: 1_500_000.0,
-        engines: 1_600_000.0,
-    };
+    let (fleet, mut loads) = smaller_fleet(1_600_000.0);
     let all = (0, fleet.routers);
-    let mut loads: Vec<TeamLoad> = (0..12).map(|_| TeamLoad::steady(all, 60_000.0)).collect();
     loads.push(TeamLoad::flood(all, 60_000.0, 4_000, 8_000_000.0));
     let mut moving = TeamLoad::flood((3, 1), 100_000.0, 5_000, 6_000_000.0);
     moving.phases.push((12_000, 1_500_000.0));
