A steady team of long requests is no falling flood

The test a_flood_is_beyond_its_share_of_what_is_left failed: a team that asks two thousand long prompts' worth steadily was taken for one whose flood falls, and got all it asked.

Cause: the last moments count a long request as twice the usual one, the mean counts it whole. A router now compares them by what both count, from its own requests of the window.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -370,14 +370,8 @@
         | RefusalCause::OverShare
         | RefusalCause::Quarantined => spread(retry_after.as_duration()),
     };
-    own(
-        traffic,
-        caller,
-        call,
-        OwnReply::later(status, wait),
-        cause.label(),
-    )
-    .await
+    let reply = OwnReply::later(status, wait);
+    own(traffic, caller, call, reply, cause.label()).await
 }
 
 /// Says that a request did not run and may come back after so many ms.
--- a/src/gateway/decide/shares.rs
+++ b/src/gateway/decide/shares.rs
@@ -96,6 +96,8 @@
 struct TeamCounts {
     asked: WindowCount,
     asked_lately: WindowCount,
+    /// As the last moments count it, over the window.
+    asked_short: WindowCount,
     served: WindowCount,
     surge: SurgeWatch,
     /// Tokens that may be used within the share.
@@ -174,6 +176,15 @@
         }
     }
 
+    /// Part of what it asked here over the window that the last moments don't count, from 0 to 1.
+    fn long_part(&mut self, now: Moment) -> f64 {
+        let asked = self.asked.sum(now);
+        if asked <= 0.0 {
+            return 0.0;
+        }
+        1.0 - self.asked_short.sum(now) / asked
+    }
+
     /// Begins to hold the team to its share.
     ///
     /// What it was served before is forgotten. Guards against a team that pays for the first
@@ -224,6 +235,7 @@
             .or_insert_with(|| TeamCounts {
                 asked: WindowCount::new(window),
                 asked_lately: WindowCount::new(LATELY),
+                asked_short: WindowCount::new(window),
                 served: WindowCount::new(window),
                 surge: SurgeWatch::default(),
                 credit: 0.0,
@@ -248,7 +260,9 @@
         let most_tokens = MOST_SIZE * self.mean_tokens;
         let counts = self.counts(team);
         counts.asked.add(now, tokens);
-        counts.asked_lately.add(now, tokens.min(most_tokens));
+        let short = tokens.min(most_tokens);
+        counts.asked_lately.add(now, short);
+        counts.asked_short.add(now, short);
         if counts.allowed.is_none() {
             return ShareStanding::Within;
         }
@@ -355,7 +369,7 @@
         for (team, flow) in &own {
             *flows.entry(team.hash()).or_default() += *flow;
         }
-        let demands = self.demands(&own, &flows);
+        let demands = self.demands(now, &own, &flows);
         let level = max_min_level(rate, demands.values().map(|demand| demand.asked));
         let terms = ShareTerms {
             level: if rate > 0.0 { level } else { f64::INFINITY },
@@ -379,6 +393,7 @@
     /// What counts of each team's demand, by the team's number.
     fn demands(
         &mut self,
+        now: Moment,
         own: &BTreeMap<TeamKey, TeamFlow>,
         flows: &BTreeMap<u64, TeamFlow>,
     ) -> BTreeMap<u64, TeamDemand> {
@@ -395,6 +410,8 @@
         for (team, counts) in &mut self.teams {
             let own = own.get(team).copied().unwrap_or_default();
             let all = flows.get(&team.hash()).copied().unwrap_or_default();
+            let long_part = counts.long_part(now);
+            counts.surge.set_long_part(long_part);
             let demand = counts.surge.demand(own, all, self.level);
             demands.insert(team.hash(), demand);
         }
--- a/src/gateway/decide/surge.rs
+++ b/src/gateway/decide/surge.rs
@@ -28,8 +28,7 @@
 /// 0.7 s. A single look that misses the busiest routers must not end a surge.
 const PEAK_KEPT: f64 = 0.9;
 
-/// Demand of the last moments against the mean, below which a flood is over or nearly so. Of a steady
-/// team the last moments show two thirds at least, since long requests count less in them.
+/// Demand of the last moments against the mean, below which a flood is over or nearly so.
 const EBB_BEGINS: f64 = 0.5;
 
 /// The same at which the mean is right again.
@@ -39,6 +38,9 @@
 /// eighth after a second.
 const EBB_PEAK_KEPT: f64 = 0.8;
 
+/// Most that is believed of a long part. A team of nothing but the longest requests shows a twentieth.
+const MOST_LONG_PART: f64 = 0.95;
+
 /// What counts of a team when shares are set.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct TeamDemand {
@@ -57,6 +59,8 @@
     /// The same, forgotten sooner.
     late_peak: f64,
     is_ebbing: bool,
+    /// Part of the mean that the last moments don't show, from 0 to 1: what is long of long requests.
+    long_part: f64,
 }
 
 impl SurgeWatch {
@@ -66,6 +70,11 @@
         self.is_surging
     }
 
+    /// Takes over which part of the team's demand the last moments don't show, from 0 to 1.
+    pub fn set_long_part(&mut self, long_part: f64) {
+        self.long_part = long_part.clamp(0.0, MOST_LONG_PART);
+    }
+
     /// The team's demand, from what this router and all together are asked and the most that a team
     /// got by now.
     pub fn demand(&mut self, own: TeamFlow, all: TeamFlow, level: f64) -> TeamDemand {
@@ -79,7 +88,7 @@
         if self.ebbs(all) && all.asked > level {
             let part = own.asked_lately / all.asked_lately.max(1.0);
             return TeamDemand {
-                asked: self.late_peak.min(all.asked),
+                asked: (self.late_peak / (1.0 - self.long_part)).min(all.asked),
                 part: part.min(1.0),
             };
         }
@@ -98,7 +107,8 @@
     fn ebbs(&mut self, all: TeamFlow) -> bool {
         self.late_peak = all.asked_lately.max(self.late_peak * EBB_PEAK_KEPT);
         let bound = if self.is_ebbing { EBB_ENDS } else { EBB_BEGINS };
-        self.is_ebbing = self.late_peak < bound * all.asked;
+        let steady = all.asked * (1.0 - self.long_part);
+        self.is_ebbing = self.late_peak < bound * steady;
         self.is_ebbing
     }
 }
