Taken back: allowances towards the mean of teams that press

Cause: such a host serves nothing beyond shares while it is late, and the others' lowered allowances were what kept its team near them.

--- a/src/gateway/decide/levels.rs
+++ b/src/gateway/decide/levels.rs
@@ -33,18 +33,6 @@
     flows.filter(move |flow| flow.asked > level && flow.asked_lately > level)
 }
 
-/// What teams that press get on the mean, at least the level.
-///
-/// Guards against a team that pays for what endpoints had to spare: it was served twice its share as
-/// the others were, then endpoints end, and with a lowered allowance it gets half of its share.
-#[must_use]
-#[allow(clippy::cast_precision_loss)]
-pub fn usually_served(level: f64, flows: &BTreeMap<u64, TeamFlow>) -> f64 {
-    let served: Vec<f64> = pressing(level, flows).map(|flow| flow.served).collect();
-    let mean = served.iter().sum::<f64>() / served.len().max(1) as f64;
-    mean.max(level)
-}
-
 /// What each team that presses may get beyond the level; nothing if fewer than two press.
 ///
 /// Guards against service that swings. Whether a request beyond its share finds an endpoint empty
@@ -77,16 +65,16 @@
     least.max(level)
 }
 
-/// By how much a team's allowance is raised or lowered, from what teams usually get and what all
-/// routers together serve it.
+/// By how much a team's allowance is raised or lowered, from its share and what all routers
+/// together serve it.
 ///
 /// The load that this answers: two teams that flood, one through many routers and one through a
 /// few small ones. An allowance that is not asked for in time at one router is not used at another,
 /// and demand counted from messages is late, so that equal shares gave one team twice what the
 /// other got. What they were served is known; it steers the allowances until it is equal.
 #[must_use]
-pub fn correction(usual: f64, served: f64) -> f64 {
-    let ratio = usual / served.max(1.0);
+pub fn correction(level: f64, served: f64) -> f64 {
+    let ratio = level / served.max(1.0);
     ratio
         .powf(CORRECTION_POWER)
         .clamp(LEAST_CORRECTION, MOST_CORRECTION)
--- a/src/gateway/decide/shares.rs
+++ b/src/gateway/decide/shares.rs
@@ -19,7 +19,6 @@
 use super::levels::least_served;
 use super::levels::max_min_level;
 use super::levels::spare_level;
-use super::levels::usually_served;
 use super::surge::SurgeWatch;
 use super::surge::TeamDemand;
 use super::window::WindowCount;
@@ -128,8 +127,6 @@
     level: f64,
     /// What the team gets that presses and gets least, in tokens a second.
     least: f64,
-    /// What teams that press get on the mean, in tokens a second, at least the level.
-    usual: f64,
     /// What each team that presses may get beyond its share, in tokens a second; nothing if none
     /// competes with another.
     spare: Option<f64>,
@@ -166,7 +163,7 @@
             self.hold(now, terms.window);
         }
         let served = self.flow.served;
-        self.allowed = Some(terms.level * demand.part * correction(terms.usual, served));
+        self.allowed = Some(terms.level * demand.part * correction(terms.level, served));
         self.spare = terms.spare.map(|spare| spare * demand.part);
         let served_part = served / terms.level.max(1.0);
         let ahead = (served / terms.least.max(1.0)).max(1.0);
@@ -374,7 +371,6 @@
         let terms = ShareTerms {
             level: if rate > 0.0 { level } else { f64::INFINITY },
             least: least_served(level, &flows),
-            usual: usually_served(level, &flows),
             spare: spare_level(level, &flows),
             settled: self.settled_part(now),
             window: self.window,
