--- a/src/ctl/logs.rs
+++ b/src/ctl/logs.rs
@@ -129,12 +129,12 @@
         table.row(vec![
             row.team.as_str().into(),
             row.against.as_str().into(),
-            clock_text(row.from_s).as_str().into(),
-            format!("{:.0}", row.asked).as_str().into(),
-            format!("{:.0}", row.got).as_str().into(),
-            format!("{:.0}", row.other_got).as_str().into(),
-            format!("{:.0}", row.owed).as_str().into(),
-            format!("{:.2}", row.margin).as_str().into(),
+            clock_text(row.from_s).into(),
+            format!("{:.0}", row.asked).into(),
+            format!("{:.0}", row.got).into(),
+            format!("{:.0}", row.other_got).into(),
+            format!("{:.0}", row.owed).into(),
+            format!("{:.2}", row.margin).into(),
         ]);
     }
     table.text(format)
--- a/src/gateway/decide/core.rs
+++ b/src/gateway/decide/core.rs
@@ -271,8 +271,9 @@
         }
         match (ask.team, ask.prompt) {
             (Some(team), Some(prompt)) => {
-                self.accounts.ask(team, prompt.share_tokens());
-                self.shares.ask(now, team, prompt.share_tokens())
+                let tokens = prompt.share_tokens();
+                self.accounts.ask(team, tokens);
+                self.shares.ask(now, team, tokens)
             }
             _ => ShareStanding::Within,
         }
@@ -491,8 +492,9 @@
             let tokens = f64::from(prompt.prompt_tokens);
             self.sizes.served(&ask.route.name, tokens);
             if let Some(team) = ask.team {
-                self.accounts.send(team, prompt.share_tokens());
-                self.shares.serve(now, team, prompt.share_tokens());
+                let tokens = prompt.share_tokens();
+                self.accounts.send(team, tokens);
+                self.shares.serve(now, team, tokens);
             }
             for part in placement::shared_parts(prompt) {
                 row.parts.insert(part.id, now);
--- a/src/gateway/decide/endpoints.rs
+++ b/src/gateway/decide/endpoints.rs
@@ -52,8 +52,10 @@
     /// Its number in the order of rendezvous hashing. A restart keeps it, so that the parts whose
     /// home it is stay where all routers look for them.
     pub hash: u64,
-    /// Its process's number between routers: the low half of the hash of its life. Two processes
-    /// with one number would be believed to have each other's load, once in hundreds of fleets.
+    /// The hash of its process's life.
+    life_hash: u64,
+    /// Its process's number between routers: the low half of that hash. Two processes with one
+    /// number would be believed to have each other's load, once in hundreds of fleets.
     pub life: u32,
     /// Cancelled when another process has taken its place.
     pub replaced: CancellationToken,
@@ -79,16 +81,14 @@
     pub parts: BTreeMap<u64, Moment>,
 }
 
-#[allow(clippy::cast_possible_truncation)]
-fn life_number(entry: &EndpointEntry) -> u32 {
-    entry.life().hash() as u32
-}
-
 impl EndpointRow {
+    #[allow(clippy::cast_possible_truncation)]
     fn new(entry: EndpointEntry) -> Self {
+        let life_hash = entry.life().hash();
         Self {
             hash: entry.key.hash(),
-            life: life_number(&entry),
+            life_hash,
+            life: life_hash as u32,
             replaced: CancellationToken::new(),
             entry,
             active: 0,
@@ -226,13 +226,13 @@
             }
             let places = self.services.entry(entry.service.clone()).or_default();
             places.push(self.rows.len());
-            let words = self.words.of(entry.life().hash());
+            let words = self.words.of(row.life_hash);
             self.rows.push(EndpointRow { words, ..row });
         }
         for row in known.into_values() {
             self.departures.left(now, row.life);
         }
-        let known: BTreeSet<u64> = entries.values().map(|entry| entry.life().hash()).collect();
+        let known: BTreeSet<u64> = self.rows.iter().map(|row| row.life_hash).collect();
         self.words.forget(now, |life| known.contains(&life));
         replaced
     }
@@ -266,10 +266,7 @@
 
     fn apply_words(&mut self, life: u64) {
         let words = self.words.of(life);
-        #[allow(clippy::cast_possible_truncation)]
-        let number = life as u32;
-        let rows = self.rows.iter_mut().filter(|row| row.life == number);
-        for row in rows.filter(|row| row.entry.life().hash() == life) {
+        for row in self.rows.iter_mut().filter(|row| row.life_hash == life) {
             let (key, born) = (&row.entry.key, row.entry.born);
             spdlog::info!("endpoint: key={key} born={born} leaves, as it told another router");
             row.words = words;
@@ -281,7 +278,7 @@
     pub fn telling_leaving(&self, now: Moment) -> Vec<u64> {
         let leaving = self.rows.iter().filter(|row| row.said_leaving());
         let unknown = leaving.filter(|row| row.is_listed_ready(now));
-        let lives = unknown.map(|row| row.entry.life().hash());
+        let lives = unknown.map(|row| row.life_hash);
         lives.take(MOST_WORDS_TOLD).collect()
     }
 
--- a/src/gateway/decide/shares.rs
+++ b/src/gateway/decide/shares.rs
@@ -145,11 +145,9 @@
         let Some(allowed) = self.allowed else {
             return;
         };
-        let most = (allowed * BURST_S).max(self.credit);
-        self.credit = (self.credit + allowed * passed_s).min(most);
+        self.credit = refilled(self.credit, allowed, passed_s);
         if let Some(spare) = self.spare {
-            let most = (spare * BURST_S).max(self.spare_credit);
-            self.spare_credit = (self.spare_credit + spare * passed_s).min(most);
+            self.spare_credit = refilled(self.spare_credit, spare, passed_s);
         }
     }
 
@@ -415,6 +413,12 @@
     }
 }
 
+/// Tokens that may be used after so many seconds at a rate, where unused ones are kept for a while.
+fn refilled(credit: f64, rate: f64, passed_s: f64) -> f64 {
+    let most = (rate * BURST_S).max(credit);
+    (credit + rate * passed_s).min(most)
+}
+
 /// Seconds over which a count goes: the window, or the shorter time since it began.
 ///
 /// Guards against a fleet that has just started and shares nothing out: over the whole window
--- a/tests/engines/mod.rs
+++ b/tests/engines/mod.rs
@@ -371,3 +371,16 @@
 fn as_float(value: u64) -> f64 {
     value as f64
 }
+
+/// A router that has this list of endpoints and knows nothing else.
+pub fn router_with(entries: &BTreeMap<EndpointKey, EndpointEntry>) -> GatewayCore {
+    let mut core = GatewayCore::new(GatewayConfig::default(), "suva-a".into());
+    core.set_endpoints(Moment(0), entries);
+    core
+}
+
+/// Endpoints that a router may send work to.
+pub fn ready(core: &GatewayCore, now: Moment) -> usize {
+    let rows = core.endpoints.rows();
+    rows.filter(|row| row.is_ready(now)).count()
+}
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -509,17 +509,12 @@
 /// demand, when all routers together are known to serve it this much.
 fn used_within(served_elsewhere: f64) -> f64 {
     let (team, mut shares) = (nadi(), ShareTable::new(TimeSpan::from_millis(4_000)));
-    let elsewhere = TeamFlow {
+    let steady = |served| TeamFlow {
         asked: 900_000.0,
         asked_lately: 900_000.0,
-        served: served_elsewhere,
+        served,
     };
-    let other = TeamFlow {
-        asked: 900_000.0,
-        asked_lately: 900_000.0,
-        served: 0.0,
-    };
-    let others = BTreeMap::from([(team.hash(), elsewhere), (1, other)]);
+    let others = BTreeMap::from([(team.hash(), steady(served_elsewhere)), (1, steady(0.0))]);
     let mut used = 0.0;
     for tick in 0..100 {
         let now = ms(tick * 100);
--- a/tests/gateway_departures.rs
+++ b/tests/gateway_departures.rs
@@ -4,13 +4,10 @@
 use std::collections::BTreeSet;
 use std::net::IpAddr;
 
-use verbenaturn::gateway::config::GatewayConfig;
 use verbenaturn::gateway::decide::GatewayCore;
 use verbenaturn::gateway::digest::RouterDigest;
 use verbenaturn::gateway::peer_table::PeerTable;
 use verbenaturn::gateway::routes::EndpointBirth;
-use verbenaturn::gateway::routes::EndpointEntry;
-use verbenaturn::gateway::routes::EndpointKey;
 use verbenaturn::gateway::routes::EndpointState;
 use verbenaturn::units::Moment;
 use verbenaturn::units::TimeSpan;
@@ -18,27 +15,16 @@
 mod engines;
 
 use self::engines::endpoints;
+use self::engines::ready;
+use self::engines::router_with;
 
 /// Silence after which a router is taken for gone.
 const TIMEOUT: TimeSpan = TimeSpan::from_millis(1_500);
 
-type Entries = BTreeMap<EndpointKey, EndpointEntry>;
-
 fn ms(millis: u64) -> Moment {
     Moment(millis * 1_000)
 }
 
-fn router(entries: &Entries) -> GatewayCore {
-    let mut core = GatewayCore::new(GatewayConfig::default(), "suva-a".into());
-    core.set_endpoints(ms(0), entries);
-    core
-}
-
-fn ready(core: &GatewayCore, now: Moment) -> usize {
-    let rows = core.endpoints.rows();
-    rows.filter(|row| row.is_ready(now)).count()
-}
-
 fn told(core: &mut GatewayCore, now: Moment) -> BTreeSet<u32> {
     core.endpoints.departures.telling(now).into_iter().collect()
 }
@@ -48,7 +34,7 @@
 #[test]
 fn what_left_is_told_however_it_left() {
     let all = endpoints("engine", 5);
-    let (mut reading, mut other) = (router(&all), router(&all));
+    let (mut reading, mut other) = (router_with(&all), router_with(&all));
     let mut newer = all.clone();
     newer.pop_first();
     let mut entries = newer.values_mut();
@@ -69,7 +55,7 @@
 #[test]
 fn what_came_back_is_told_no_longer() {
     let all = endpoints("engine", 2);
-    let mut core = router(&all);
+    let mut core = router_with(&all);
     core.set_endpoints(ms(100), &BTreeMap::new());
     assert_eq!(told(&mut core, ms(100)).len(), 2);
     core.set_endpoints(ms(200), &all);
@@ -80,7 +66,7 @@
 /// they tell nothing.
 #[test]
 fn departures_take_little_of_a_message() {
-    let mut core = router(&endpoints("engine", 300));
+    let mut core = router_with(&endpoints("engine", 300));
     core.set_endpoints(ms(100), &BTreeMap::new());
     assert_eq!(told(&mut core, ms(200)).len(), 32);
     assert!(told(&mut core, ms(10_100)).is_empty());
@@ -110,7 +96,7 @@
 #[test]
 fn a_placement_is_void_once_its_endpoint_left() {
     let all = endpoints("engine", 3);
-    let mut core = router(&all);
+    let mut core = router_with(&all);
     let mut entries = all.values();
     let (leaving, gone, told_gone) = (
         entries.next().unwrap(),
--- a/tests/gateway_words.rs
+++ b/tests/gateway_words.rs
@@ -2,20 +2,16 @@
 
 use std::collections::BTreeMap;
 
-use verbenaturn::gateway::config::GatewayConfig;
-use verbenaturn::gateway::decide::GatewayCore;
 use verbenaturn::gateway::protocol::SpokenWords;
 use verbenaturn::gateway::routes::EndpointBirth;
-use verbenaturn::gateway::routes::EndpointEntry;
-use verbenaturn::gateway::routes::EndpointKey;
 use verbenaturn::units::Moment;
 use verbenaturn::units::TimeSpan;
 
 mod engines;
 
 use self::engines::endpoints;
-
-type Entries = BTreeMap<EndpointKey, EndpointEntry>;
+use self::engines::ready;
+use self::engines::router_with;
 
 const LEAVING: SpokenWords = SpokenWords {
     is_leaving: true,
@@ -26,17 +22,6 @@
     Moment(millis * 1_000)
 }
 
-fn router(entries: &Entries) -> GatewayCore {
-    let mut core = GatewayCore::new(GatewayConfig::default(), "suva-a".into());
-    core.set_endpoints(ms(0), entries);
-    core
-}
-
-fn ready(core: &GatewayCore, now: Moment) -> usize {
-    let rows = core.endpoints.rows();
-    rows.filter(|row| row.is_ready(now)).count()
-}
-
 fn pause(millis: u64) -> SpokenWords {
     SpokenWords {
         is_leaving: false,
@@ -49,7 +34,7 @@
 #[test]
 fn a_word_outlives_a_list_without_its_endpoint() {
     let all = endpoints("engine", 3);
-    let mut core = router(&all);
+    let mut core = router_with(&all);
     let leaving = all.values().next().unwrap();
     assert!(core.endpoints.said(ms(100), leaving, LEAVING));
     assert!(!core.endpoints.said(ms(200), leaving, LEAVING), "no news");
@@ -62,7 +47,7 @@
 #[test]
 fn a_word_ends_with_its_process() {
     let mut all = endpoints("engine", 3);
-    let mut core = router(&all);
+    let mut core = router_with(&all);
     let first = all.values_mut().next().unwrap();
     core.endpoints.said(ms(100), first, LEAVING);
     core.endpoints.said(ms(100), first, pause(60_000));
@@ -76,7 +61,7 @@
 #[test]
 fn what_others_were_told_holds_whatever_the_list_says() {
     let all = endpoints("engine", 3);
-    let (mut told, mut other) = (router(&all), router(&BTreeMap::new()));
+    let (mut told, mut other) = (router_with(&all), router_with(&BTreeMap::new()));
     told.endpoints
         .said(ms(100), all.values().next().unwrap(), LEAVING);
     let lives = told.endpoints.telling_leaving(ms(200));
@@ -92,7 +77,7 @@
 #[test]
 fn words_take_little_of_a_message() {
     let all = endpoints("engine", 300);
-    let mut core = router(&all);
+    let mut core = router_with(&all);
     for entry in all.values() {
         core.endpoints.said(ms(100), entry, LEAVING);
     }
@@ -106,7 +91,7 @@
 #[test]
 fn the_longest_pause_holds() {
     let all = endpoints("engine", 2);
-    let mut core = router(&all);
+    let mut core = router_with(&all);
     let first = all.values().next().unwrap();
     core.endpoints.said(ms(0), first, pause(3_000));
     core.endpoints.said(ms(500), first, pause(1_000));
