The stand-in store tells a watch of its own section only

The logs show why: a read or watch of routes got the endpoints' entries and removals too, so that the follower of routes put an empty list in force, before or after the right one. A store answers by prefix; the stand-in now does.

--- a/tests/stores/mod.rs
+++ b/tests/stores/mod.rs
@@ -91,6 +91,10 @@
         let Holding {
             entries, revision, ..
         } = self.held(section)?;
+        let entries = match section {
+            StateSection::Endpoints => entries,
+            StateSection::Routes => BTreeMap::new(),
+        };
         Ok(StateSnapshot {
             items: entries.into_values().map(StateItem::Endpoint).collect(),
             as_of: StoreRevision(revision),
@@ -112,7 +116,8 @@
             let Holding {
                 revision, removed, ..
             } = self.held(section)?;
-            let is_new = revision > after.0;
+            // A watch tells of its own section only.
+            let is_new = section == StateSection::Endpoints && revision > after.0;
             if is_new || begun.elapsed() >= wait {
                 let changes = removed.filter(|_| is_new).map(StateChange::Removed);
                 if is_new && changes.is_none() {
