Logs: lines on the router's state go out before those on calls

What an operator saw: a host that ran out of descriptors wrote no line overloaded=true, though overloaded=false came 7 times.

State and calls are separate writes now, state first. The new test failed before (the first line was one of a call). Ruled out: left out by the bound a part (no left_out of gateway), never written (the line stands in batches that are short enough).

--- a/src/daemon/log_sink.rs
+++ b/src/daemon/log_sink.rs
@@ -4,7 +4,8 @@
 //! would be one of four system calls of a refused call; a reader that stops reading would stop the
 //! router; and one part's flood would hide the others' lines. Lines are kept in memory and written
 //! together five times a second by a thread of its own. What is left out is counted, and a later
-//! line tells the count.
+//! line tells the count. Lines on the router's state go out before those on calls and in a write of
+//! their own: a collector that takes only the first kilobytes of a long write loses lines of calls.
 
 use std::collections::BTreeMap;
 use std::io;
@@ -42,6 +43,9 @@
 /// The part with one line for each call.
 const CALLS_PART: &str = "calls";
 
+/// The part that tells of lines left out.
+const LOGS_PART: &str = "logs";
+
 #[derive(Debug, Default)]
 struct PartBudget {
     /// Lines in the present second.
@@ -50,10 +54,46 @@
     left_out: u64,
 }
 
+/// Lines in the order in which they go out.
+#[derive(Debug, Default)]
+struct LineBatch {
+    /// All but those on calls.
+    state: Vec<u8>,
+    calls: Vec<u8>,
+}
+
+impl LineBatch {
+    fn len(&self) -> usize {
+        self.state.len() + self.calls.len()
+    }
+
+    fn is_empty(&self) -> bool {
+        self.state.is_empty() && self.calls.is_empty()
+    }
+
+    fn push(&mut self, part: &str, line: &[u8]) {
+        let lines = if part == CALLS_PART {
+            &mut self.calls
+        } else {
+            &mut self.state
+        };
+        lines.extend_from_slice(line);
+    }
+
+    fn write(&self, output: &mut dyn Write) -> io::Result<()> {
+        for lines in [&self.state, &self.calls] {
+            if !lines.is_empty() {
+                output.write_all(lines)?;
+            }
+        }
+        output.flush()
+    }
+}
+
 /// Lines that wait, and what each part may still log.
 #[derive(Debug)]
 struct WaitingLines {
-    bytes: Vec<u8>,
+    batch: LineBatch,
     parts: BTreeMap<SmolStr, PartBudget>,
     second: Instant,
 }
@@ -61,7 +101,7 @@
 impl WaitingLines {
     fn new() -> Self {
         Self {
-            bytes: Vec::new(),
+            batch: LineBatch::default(),
             parts: BTreeMap::new(),
             second: Instant::now(),
         }
@@ -78,7 +118,7 @@
         if !self.parts.contains_key(part) {
             self.parts.insert(SmolStr::new(part), PartBudget::default());
         }
-        let is_full = self.bytes.len() >= MOST_WAITING_BYTES;
+        let is_full = self.batch.len() >= MOST_WAITING_BYTES;
         let Some(budget) = self.parts.get_mut(part) else {
             return false;
         };
@@ -91,16 +131,16 @@
     }
 
     /// Takes what waits, with a line for each part that lines were left out of.
-    fn take(&mut self) -> Vec<u8> {
-        let mut bytes = std::mem::take(&mut self.bytes);
+    fn take(&mut self) -> LineBatch {
+        let mut batch = std::mem::take(&mut self.batch);
         for (part, budget) in &mut self.parts {
             let left_out = std::mem::take(&mut budget.left_out);
             if left_out > 0 {
-                let line = format!("logs: part={part} left_out={left_out}\n");
-                bytes.extend_from_slice(line.as_bytes());
+                let line = format!("{LOGS_PART}: part={part} left_out={left_out}\n");
+                batch.push(LOGS_PART, line.as_bytes());
             }
         }
-        bytes
+        batch
     }
 }
 
@@ -166,7 +206,7 @@
         let waiting = queue.waiting();
         let waiting = queue
             .has_lines
-            .wait_while(waiting, |lines| lines.bytes.is_empty());
+            .wait_while(waiting, |lines| lines.batch.is_empty());
         drop(waiting);
         thread::sleep(WRITE_PAUSE);
         write_waiting(queue, output);
@@ -177,9 +217,9 @@
 /// never the time of a call.
 fn write_waiting(queue: &LineQueue, output: &Mutex<Box<dyn Write + Send>>) {
     let mut output = output.lock().unwrap_or_else(PoisonError::into_inner);
-    let bytes = queue.waiting().take();
+    let batch = queue.waiting().take();
     // Without standard output there is nobody to tell of it.
-    let _ = output.write_all(&bytes).and_then(|()| output.flush());
+    let _ = batch.write(&mut *output);
 }
 
 impl GetSinkProp for BatchSink {
@@ -199,8 +239,8 @@
         let formatter = self.prop.formatter();
         formatter.format(record, &mut line, &mut context)?;
         let mut waiting = self.queue.waiting();
-        let is_first = waiting.bytes.is_empty();
-        waiting.bytes.extend_from_slice(line.as_bytes());
+        let is_first = waiting.batch.is_empty();
+        waiting.batch.push(part, line.as_bytes());
         drop(waiting);
         if is_first {
             self.queue.has_lines.notify_one();
--- a/tests/logs.rs
+++ b/tests/logs.rs
@@ -116,3 +116,18 @@
     assert_eq!(kept.text().lines().count(), 500);
     assert!(*kept.writes.lock().unwrap() <= 3);
 }
+
+/// A host refuses hundreds of calls, and a collector keeps the first kilobytes of each write: the
+/// line that says why stood behind the lines of the calls and was lost.
+#[test]
+fn a_change_of_state_is_not_lost_behind_lines_of_calls() {
+    let kept = KeptOutput::default();
+    let (sink, logger) = logger(Box::new(kept.clone()));
+    for index in 0..500 {
+        spdlog::info!(logger: logger, "calls: id={index}");
+    }
+    spdlog::warn!(logger: logger, "gateway: overloaded=true");
+    sink.flush().unwrap();
+    let first_line = kept.text().lines().next().map(str::to_owned);
+    assert!(first_line.is_some_and(|line| line.ends_with("gateway: overloaded=true")));
+}
