A flood of new callers is accepted in turn with the calls, and refused on the spot by a late router

Cause: the thread that serves calls accepted up to 128 connections for each 61 turns of tasks, and a new connection takes two of them until its request is read. A host that gets more new connections than it can serve so held thousands that nobody had read, until its descriptors were gone: then nothing was accepted for 20 ms at a time, endpoints could not be connected to, and callers' ends were read as late as their requests.

Why this works: accepting is a task like the others, in turns of 64, so that at most two turns' connections are unread. What can't be kept up with waits in the listener's queue; a queue that stands counts as lateness, by which the router refuses and asks the balancer for fewer callers, since its timers are in time now.

Ruled out: the lag of timers alone (it is what hides the queue once accepting takes turns), idle callers (descriptors 48% in use).

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -27,7 +27,7 @@
 use super::http::RequestHead;
 use super::http::WireStream;
 use super::load::LagLevel;
-use super::load::is_full;
+use super::load::is_too_late;
 use super::protocol::CallFacts;
 use super::protocol::CallProtocol;
 use super::relay::BufferedAnswer;
@@ -82,7 +82,7 @@
         let reply = unavailable(traffic.shared.config.no_endpoint_retry_ms);
         return refuse(traffic, caller, &id, reply, "no routes yet", keep).await;
     };
-    if is_full(traffic) || traffic.callers.lag() == LagLevel::TooLate {
+    if is_too_late(traffic, arrived) {
         let reply = unavailable(traffic.shared.config.elsewhere_retry_ms);
         return refuse(traffic, caller, &id, reply, "router is full", false).await;
     }
@@ -173,7 +173,7 @@
             .arrived(traffic.shared.clock.now(), &ask)
     };
     call.decided.is_beyond = standing != ShareStanding::Within;
-    if standing != ShareStanding::Within && traffic.callers.lag() >= LagLevel::Late {
+    if standing != ShareStanding::Within && traffic.callers.lag(call.arrived) >= LagLevel::Late {
         let wait = TimeSpan::from_millis(traffic.shared.config.retry_after_ms);
         return refused(traffic, caller, call, RefusalCause::OverShare, wait).await;
     }
@@ -407,12 +407,7 @@
     cause: &'static str,
     keep: bool,
 ) -> AfterCall {
-    let (status, _) = reply.status.line();
-    traffic
-        .shared
-        .metrics
-        .call("none", status, cause, Duration::ZERO);
-    spdlog::info!("calls: id={call_id} status={status} cause=\"{cause}\"");
+    tell_refused(traffic, call_id, &reply, cause);
     let bytes = reply.bytes(&traffic.protocol, call_id, keep);
     match caller.send_watching(&bytes).await {
         Ok(()) if keep => AfterCall::Keep,
@@ -420,6 +415,19 @@
     }
 }
 
+/// Logs and counts the answer to a call for which nothing was decided.
+pub fn tell_refused<P: CallProtocol>(
+    traffic: &Traffic<P>,
+    call_id: &str,
+    reply: &OwnReply,
+    cause: &'static str,
+) {
+    let (status, _) = reply.status.line();
+    let metrics = &traffic.shared.metrics;
+    metrics.call("none", status, cause, Duration::ZERO);
+    spdlog::info!("calls: id={call_id} status={status} cause=\"{cause}\"");
+}
+
 /// Rejects a call that can't be served whenever it comes.
 pub async fn reject<P: CallProtocol>(
     traffic: &Traffic<P>,
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -6,13 +6,14 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
-use tokio::net::TcpListener;
-use tokio::net::TcpStream;
+use mio::net::TcpListener;
+use tokio::io::unix::AsyncFd;
 use tokio::task::spawn_local;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::timeout_at;
 
+use super::accept::accept_callers;
 use super::call::AfterCall;
 use super::call::refuse;
 use super::call::serve_call;
@@ -33,9 +34,6 @@
 use super::shared::MemoryGuard;
 use super::shared::SharedState;
 
-/// Pause after a connection could not be accepted, in ms: descriptors free up within that time.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-
 /// Pause between two sweeps of idle connections to endpoints.
 const SWEEP_PAUSE: Duration = Duration::from_secs(1);
 
@@ -52,26 +50,16 @@
     pub callers: CallerTable,
 }
 
-/// Accepts callers until the router ends.
-pub async fn serve_callers<P: CallProtocol>(traffic: Rc<Traffic<P>>, listener: TcpListener) {
+/// Serves callers until the router ends.
+pub async fn serve_callers<P: CallProtocol>(
+    traffic: Rc<Traffic<P>>,
+    listener: AsyncFd<TcpListener>,
+) {
     let ended = traffic.shared.life.ended.clone();
     spawn_local(sweep_pool(Rc::clone(&traffic)));
     spawn_local(watch_load(Rc::clone(&traffic)));
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = ended.cancelled() => return,
-        };
-        match accepted {
-            Ok((stream, _)) => {
-                spawn_local(serve_connection(Rc::clone(&traffic), stream));
-            }
-            Err(fault) => {
-                spdlog::warn!("gateway: step=accept fault=\"{fault}\"");
-                sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
+    spawn_local(accept_callers(traffic, listener));
+    ended.cancelled().await;
 }
 
 async fn sweep_pool<P: CallProtocol>(traffic: Rc<Traffic<P>>) {
@@ -108,8 +96,9 @@
     }
 }
 
-async fn serve_connection<P: CallProtocol>(traffic: Rc<Traffic<P>>, stream: TcpStream) {
-    let mut caller = WireStream::new(stream).metered(&traffic.shared.link);
+/// Serves the calls of one connection; of the first one, a part may have been read already.
+pub async fn serve_connection<P: CallProtocol>(traffic: Rc<Traffic<P>>, caller: WireStream) {
+    let mut caller = caller.metered(&traffic.shared.link);
     let _open = traffic.callers.open();
     loop {
         let request = match read_request(&traffic, &mut caller).await {
--- a/src/gateway/load.rs
+++ b/src/gateway/load.rs
@@ -14,6 +14,7 @@
 use tokio::time::Instant;
 use tokio::time::sleep;
 
+use super::accept_queue::AcceptQueue;
 use super::front::Traffic;
 use super::link::LinkUse;
 
@@ -39,15 +40,19 @@
 /// are at work send again sooner.
 const SCARCE_IDLE: Duration = Duration::from_millis(500);
 
-/// Lateness of timers beyond which calls of teams beyond their shares are refused without a look at
+/// Lateness beyond which calls of teams beyond their shares are refused without a look at
 /// the endpoints, in ms. They are most of what makes a router lag, and each costs a placement.
 const BEYOND_LAG_MS: f64 = 60.0;
 
-/// Lateness of timers beyond which all calls are refused, in ms. A caller that gives up on a router
+/// Lateness beyond which all calls are refused, in ms. A caller that gives up on a router
 /// that lags is seen to leave as late, and endpoints work on for nobody; a refusal sends it to
 /// another router at once. A part of the half second in which such work has to end.
 const ALL_LAG_MS: f64 = 150.0;
 
+/// Most lateness that a standing queue counts for, in ms. It stands for seconds where connections
+/// wait for a part of one, and a long mean would refuse callers after it has gone.
+const MOST_STANDING_MS: f64 = 2.0 * ALL_LAG_MS;
+
 /// Use of the link, in percent, beyond which what this router measures is its own delay: a queue
 /// as long as a prompt's reading builds up on a link that is half full and gets its calls in clumps.
 const DISTURBED_LINK_PERCENT: usize = 50;
@@ -82,9 +87,14 @@
     }
 }
 
-/// Whether there are no descriptors for another call.
+/// Whether this router can take no further call now: it has no descriptors for it, or is too late.
 #[must_use]
-pub fn is_full<P>(traffic: &Traffic<P>) -> bool {
+pub fn is_too_late<P>(traffic: &Traffic<P>, now: Instant) -> bool {
+    is_full(traffic) || traffic.callers.lag(now) == LagLevel::TooLate
+}
+
+/// Whether there are no descriptors for another call.
+fn is_full<P>(traffic: &Traffic<P>) -> bool {
     let descriptors = traffic.shared.config.descriptors;
     descriptor_use(traffic).percent(descriptors) > REFUSE_PERCENT
 }
@@ -101,8 +111,9 @@
 #[derive(Debug, Default)]
 pub struct CallerTable {
     count: Cell<usize>,
-    /// How late timers were at the last look.
-    lag: Cell<LagLevel>,
+    /// How late timers were at the last look, in ms.
+    timers_late_ms: Cell<f64>,
+    queue: Cell<AcceptQueue>,
     scarce: Notify,
 }
 
@@ -115,8 +126,28 @@
 
     /// How late this router is.
     #[must_use]
-    pub fn lag(&self) -> LagLevel {
-        self.lag.get()
+    pub fn lag(&self, now: Instant) -> LagLevel {
+        LagLevel::of(self.late_ms(now))
+    }
+
+    /// How late timers come, or connections are accepted, in ms: whichever is later.
+    fn late_ms(&self, now: Instant) -> f64 {
+        let standing_ms = self.queue.get().standing(now).as_secs_f64() * 1e3;
+        self.timers_late_ms
+            .get()
+            .max(standing_ms.min(MOST_STANDING_MS))
+    }
+
+    /// A connection was accepted.
+    pub fn queue_took(&self, now: Instant) {
+        let mut queue = self.queue.get();
+        queue.took(now);
+        self.queue.set(queue);
+    }
+
+    /// No connection waited to be accepted.
+    pub fn queue_emptied(&self) {
+        self.queue.set(AcceptQueue::default());
     }
 
     /// Open connections.
@@ -159,8 +190,9 @@
         let due = Instant::now() + LOOK_PAUSE;
         sleep(LOOK_PAUSE).await;
         let late = Instant::now().saturating_duration_since(due).as_secs_f64() * 1e3;
+        traffic.callers.timers_late_ms.set(late);
+        let late = traffic.callers.late_ms(Instant::now());
         lag_ms += LAG_WEIGHT * (late - lag_ms);
-        traffic.callers.lag.set(LagLevel::of(late));
         let was = shared.is_overloaded();
         let used = descriptor_use(&traffic);
         let passed = Instant::now().saturating_duration_since(looked);
@@ -201,7 +233,7 @@
 }
 
 impl LagLevel {
-    /// The level at this lateness of timers.
+    /// The level at this lateness.
     #[must_use]
     pub fn of(late_ms: f64) -> Self {
         if late_ms > ALL_LAG_MS {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -9,6 +9,8 @@
 //! decisions are in [`decide`]. What a deployment's headers and store look like is behind
 //! [`protocol::CallProtocol`] and [`follow::StateStore`].
 
+pub mod accept;
+pub mod accept_queue;
 pub mod attempt;
 pub mod call;
 pub mod call_record;
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -15,6 +15,8 @@
 use socket2::Domain;
 use socket2::Socket;
 use socket2::Type;
+use tokio::io::Interest;
+use tokio::io::unix::AsyncFd;
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
 use tokio::runtime::Builder;
@@ -53,9 +55,9 @@
 /// Pause between two looks whether the last call has ended.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
 
-/// Connections that may wait to be accepted. The library's 128 are less than a busy host gets in a
-/// tenth of a second; what finds the queue full comes again after a second or gives up.
-const LISTEN_BACKLOG: i32 = 1_024;
+/// Connections that may wait to be accepted: what the smallest host refuses in half a second. What
+/// finds the queue full comes again after a second or gives up.
+const LISTEN_BACKLOG: i32 = 2_048;
 
 /// A gateway that could not start.
 #[derive(Debug)]
@@ -212,7 +214,12 @@
     }
 
     async fn serve(self) -> io::Result<()> {
-        let listener = TcpListener::from_std(self.callers)?;
+        let listener = mio::net::TcpListener::from_std(self.callers);
+        #[expect(
+            deprecated,
+            reason = "the replacement is an unsafe function; a listener keeps its descriptor"
+        )]
+        let listener = AsyncFd::with_interest(listener, Interest::READABLE)?;
         let idle = self.shared.config.descriptors / IDLE_DIVISOR;
         let traffic = Rc::new(Traffic {
             shared: self.shared,
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -110,6 +110,9 @@
 
 /// How callers and endpoints of one deployment write headers.
 pub trait CallProtocol: Send + Sync + 'static {
+    /// The id that the caller gave the call, if it gave one.
+    fn call_id<'a>(&self, head: &'a RequestHead) -> Option<&'a str>;
+
     /// Decodes a call's head.
     ///
     /// # Errors
--- a/tests/gateway_load.rs
+++ b/tests/gateway_load.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use prost::Message;
+use tokio::time::Instant;
 
+use verbenaturn::gateway::accept_queue::AcceptQueue;
 use verbenaturn::gateway::digest::DemandColumns;
 use verbenaturn::gateway::digest::DemandEntry;
 use verbenaturn::gateway::digest::LoadColumns;
@@ -33,6 +35,41 @@
     assert!(LagLevel::TooLate > LagLevel::Late);
 }
 
+/// For how long the queue has stood at most, over two seconds in which so many connections come in
+/// each millisecond and `taken` of them can be accepted.
+fn longest_standing(arriving: impl Fn(u64) -> u64, taken: u64) -> Duration {
+    let begun = Instant::now();
+    let mut queue = AcceptQueue::default();
+    let mut waiting = 0;
+    let mut longest = Duration::ZERO;
+    for millisecond in 0..2_000 {
+        let now = begun + Duration::from_millis(millisecond);
+        waiting += arriving(millisecond);
+        let accepted = waiting.min(taken);
+        waiting -= accepted;
+        if accepted > 0 {
+            queue.took(now);
+        }
+        longest = longest.max(queue.standing(now));
+        if waiting == 0 {
+            queue = AcceptQueue::default();
+        }
+    }
+    longest
+}
+
+/// A small host gets more new connections than it can refuse. Since accepting takes turns with the
+/// calls, timers stay in time: without a look at the queue it would serve on while callers wait to
+/// be accepted until they give up. Bursts that it keeps up with must not count.
+#[test]
+fn a_queue_that_stands_makes_a_router_late_and_bursts_do_not() {
+    let late = |standing: Duration| LagLevel::of(standing.as_secs_f64() * 1e3);
+    let flood = longest_standing(|_| 8, 4);
+    assert_eq!(late(flood), LagLevel::TooLate);
+    let bursts = longest_standing(|at| if at % 100 == 0 { 160 } else { 0 }, 4);
+    assert_eq!(late(bursts), LagLevel::InTime);
+}
+
 /// Thousands of callers keep connections open and send nothing; the calls in flight are few. The
 /// router must see that its descriptors run out.
 #[test]
