A router reads the life of an endpoint that it begins to use

Cause: a router read loads, and with them lives, only after its first loss at an endpoint. What it read then was the life after the crash, so the crash counted as a lost link and made nobody suspect; the request went on to the next endpoint.

--- a/src/core/systems/dispatch.rs
+++ b/src/core/systems/dispatch.rs
@@ -6,6 +6,7 @@
 use crate::core::state::CoreState;
 use crate::core::systems::admission;
 use crate::core::systems::attempts;
+use crate::core::systems::quarantine;
 use crate::core::systems::reporting;
 use crate::core::tables::entry_pool::EntryPool;
 use crate::core::tables::entry_pool::NextRequest;
@@ -217,6 +218,7 @@
         pool.remember_prefix(prefix, endpoint, most);
     }
     rank_team(state, pool_id, team);
+    quarantine::learn_life(state, endpoint);
     let not_after = attempts::write_limit(state, deadline);
     state.act(CoreAction::Dispatch {
         request,
--- a/src/core/systems/quarantine.rs
+++ b/src/core/systems/quarantine.rs
@@ -100,15 +100,30 @@
 
 fn endpoint_refused(state: &mut CoreState, endpoint: EndpointId) {
     let (now, window) = (state.now, evidence_window(state));
-    let life = state.endpoints.get(endpoint).map_or(0, |row| row.life);
+    let life = life_of(state, endpoint);
     let known = state.crashes.find_record(endpoint, life, now, window);
     if known.is_some() || state.crashes.has_losses(endpoint) {
         crashed(state, endpoint, life);
     }
 }
 
+/// Reads the life of an endpoint that is about to be used for the first time.
+///
+/// Guards against a crash that can't be told from a lost link: a router that reads the first life
+/// only after a loss there finds the life that follows the crash.
+pub fn learn_life(state: &mut CoreState, endpoint: EndpointId) {
+    if life_of(state, endpoint) == 0 {
+        limits::watch_load(state, endpoint, LoadWatcher::FirstLife, true);
+    }
+}
+
+fn life_of(state: &CoreState, endpoint: EndpointId) -> u64 {
+    state.endpoints.get(endpoint).map_or(0, |row| row.life)
+}
+
 fn life_seen(state: &mut CoreState, endpoint: EndpointId, life: u64) {
-    let before = state.endpoints.get(endpoint).map_or(0, |row| row.life);
+    let before = life_of(state, endpoint);
+    limits::watch_load(state, endpoint, LoadWatcher::FirstLife, false);
     if before != 0 && before != life {
         crashed(state, endpoint, before);
     } else if before == life {
--- a/src/core/tables/endpoints.rs
+++ b/src/core/tables/endpoints.rs
@@ -14,6 +14,8 @@
     Owner,
     /// A router that lost an attempt there and wants to know whether the endpoint crashed.
     CrashCheck,
+    /// A router that uses the endpoint and does not know yet which life of it.
+    FirstLife,
 }
 
 /// One endpoint.
--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -9,6 +9,7 @@
 use verbenaturn::core::action::RefusalReason;
 use verbenaturn::core::event::AttemptOutcome;
 use verbenaturn::core::event::CoreEvent;
+use verbenaturn::core::tables::endpoints::LoadWatcher;
 use verbenaturn::units::EndpointId;
 use verbenaturn::units::RequestFingerprint;
 use verbenaturn::units::RequestId;
@@ -288,6 +289,34 @@
     }));
 }
 
+/// Guards against a crash that is taken for a lost link: a router that reads an endpoint's first
+/// life only after a loss there finds the next one, and the request goes on to crash others.
+#[test]
+fn a_router_reads_the_life_of_an_endpoint_that_it_begins_to_use() {
+    let mut fleet = CoreFleet::new(1, catalog(1, 4));
+    let reads_life = |fleet: &CoreFleet| {
+        let row = fleet.core(0).state().endpoints.get(endpoint(1));
+        row.is_some_and(|row| row.watchers.contains(&LoadWatcher::FirstLife))
+    };
+    assert!(!reads_life(&fleet));
+    fleet.tell(0, CoreEvent::Arrived(facts(1)));
+    assert!(next_dispatch(&mut fleet).is_some());
+    assert!(reads_life(&fleet));
+    let report = |life| CoreEvent::EndpointLoad {
+        endpoint: endpoint(1),
+        running: 1,
+        waiting: 0,
+        active: pool(),
+        life,
+        fence: 0,
+    };
+    fleet.tell(0, report(1));
+    assert!(!reads_life(&fleet));
+    fleet.tell(0, ended(1, 1, AttemptOutcome::LostBeforeAnswer));
+    fleet.tell(0, report(2));
+    assert_eq!(fleet.core(0).state().crashes.suspect_count(), 1);
+}
+
 #[test]
 fn memory_of_suspects_is_bounded() {
     let mut config = verbenaturn::configs::CoreConfig::default();
