--- a/tests/engines/mod.rs
+++ b/tests/engines/mod.rs
@@ -17,6 +17,7 @@
 use verbenaturn::gateway::decide::CallAsk;
 use verbenaturn::gateway::decide::GatewayCore;
 use verbenaturn::gateway::decide::endpoints::PeerLoad;
+use verbenaturn::gateway::decide::shares::TeamFlow;
 use verbenaturn::gateway::protocol::PromptPart;
 use verbenaturn::gateway::protocol::PromptShape;
 use verbenaturn::gateway::routes::EndpointBirth;
@@ -384,3 +385,61 @@
     let rows = core.endpoints.rows();
     rows.filter(|row| row.is_ready(now)).count()
 }
+
+/// That many ms after the start.
+pub fn ms(millis: u64) -> Moment {
+    Moment(millis * 1_000)
+}
+
+/// A core that knows three engines.
+pub fn three_engines() -> GatewayCore {
+    let mut core = GatewayCore::new(GatewayConfig::default(), SmolStr::new("suva-a"));
+    core.set_endpoints(Moment(0), &endpoints("engine", 3));
+    core
+}
+
+/// A prompt of a part that others share and one of its own.
+pub fn prompt(part: u64, shared: u32, own: u32) -> PromptShape {
+    PromptShape {
+        prompt_tokens: shared + own,
+        output_limit: 100,
+        output_hint: None,
+        parts: vec![
+            PromptPart {
+                id: part,
+                tokens: shared,
+            },
+            PromptPart { id: 0, tokens: own },
+        ],
+    }
+}
+
+/// What other routers say of a team that asks so much.
+pub fn asked(tokens_per_s: f64) -> TeamFlow {
+    TeamFlow {
+        asked: tokens_per_s,
+        served: 0.0,
+        ..TeamFlow::default()
+    }
+}
+
+/// The engines' service.
+pub fn service() -> ServiceKey {
+    ServiceKey(SmolStr::new("engine"))
+}
+
+/// The team of most tests.
+pub fn nadi() -> TeamKey {
+    TeamKey(SmolStr::new("nadi"))
+}
+
+/// Where a core sends a prompt; nothing if it refuses it.
+pub fn place_of(core: &mut GatewayCore, now: Moment, prompt: &PromptShape) -> Option<EndpointKey> {
+    let (route, service, shape, team) = (route("r", 800), service(), engine_service(), nadi());
+    let call = ask(&route, &service, &shape, &team, prompt);
+    let standing = core.arrived(now, &call);
+    match core.admit(now, &call, standing) {
+        Admission::Send(ticket) => Some(ticket.entry.key),
+        Admission::Refuse { .. } => None,
+    }
+}
