The first moments of traffic do not set the rate that is shared out

Cause: one long request is turned away 0.2 s after traffic begins, while 45,000 tokens a second have been served. That is more than 3% of what was asked, the fleet counts as saturated, and a router took what was served so far for the fleet's rate at once (45,290 of 1,500,000 published), from where it grew by a quarter a second.

Why this works: the first look weighs no more than each other one, as the mean was meant to see to; and a fleet that turns nothing away is not limited to less than it serves. The new test failed before (45,000 after the first look).

--- a/src/gateway/decide/capacity.rs
+++ b/src/gateway/decide/capacity.rs
@@ -48,9 +48,15 @@
         let is_saturated = flow.turned_away > SATURATED_PART * flow.asked;
         self.limit = match (self.limit, is_saturated) {
             (None, false) => None,
-            (None, true) => Some(flow.served),
-            (Some(limit), true) => Some(limit + LOOK_WEIGHT * (flow.served - limit)),
-            (Some(limit), false) => Some(limit * (1.0 + GROWTH_PER_S * passed_s.min(1.0))),
+            (limit, true) => {
+                let limit = limit.unwrap_or(published);
+                Some(limit + LOOK_WEIGHT * (flow.served - limit))
+            }
+            // A fleet that serves more than its limit and turns nothing away is not limited to it.
+            (Some(limit), false) => {
+                let grown = limit * (1.0 + GROWTH_PER_S * passed_s.min(1.0));
+                Some(grown.max(flow.served))
+            }
         };
         self.limit = self.limit.filter(|limit| *limit < published);
         self.limit.unwrap_or(published)
--- a/tests/gateway_capacity.rs
+++ b/tests/gateway_capacity.rs
@@ -47,6 +47,28 @@
     assert!((8e5..1e6).contains(&rate), "{rate}");
 }
 
+/// Guards against a rate of a first moment: as traffic begins, one long request is turned away
+/// while next to nothing has been served yet, and a team is held to a tenth of its share for
+/// seconds.
+#[test]
+fn the_first_moments_of_traffic_do_not_set_the_rate() {
+    let mut capacity = CapacityEstimate::default();
+    let first = capacity.rate(ms(200), PUBLISHED, flow(1.2e5, 4.5e4, 7.9e4));
+    assert!(first > 0.5 * PUBLISHED, "{first}");
+    let mut rate = first;
+    for look in 1..10_u32 {
+        let part = f64::from(look) / 10.0;
+        let served = part * PUBLISHED;
+        let asked = 2.0 * served;
+        rate = capacity.rate(
+            ms(200 + 100 * u64::from(look)),
+            PUBLISHED,
+            flow(asked, served, 7.9e4),
+        );
+    }
+    assert!(rate > 0.8 * PUBLISHED, "{rate}");
+}
+
 /// The engines are back. The estimate must not hold the fleet to what it could do before.
 #[test]
 fn a_fleet_that_has_recovered_shares_the_published_rate_again() {
