Each pool of an owner has a part of the budget of allotments for itself

The portal is then shared out every 400 ms only, and its slots, which go back after each short call, lie vacant in between.

Why this works: a pool that uses less than its even part is shared out when that is due, whatever others use.

--- a/src/configs/ownership.rs
+++ b/src/configs/ownership.rs
@@ -21,7 +21,7 @@
     /// Service units of lead that a team keeps at most: remembered debt is clamped here.
     pub debt_units: u64,
     /// Bytes a second that allotments may use on average, per owner. Beyond that a pool is shared
-    /// out only every `refresh_ms`.
+    /// out only every `refresh_ms`, unless it used less than its even part.
     pub bytes_per_s: u64,
     /// Milliseconds of silence after which an entry router's slots are granted to others.
     pub claim_ms: u64,
--- a/src/core/systems/ownership.rs
+++ b/src/core/systems/ownership.rs
@@ -49,8 +49,7 @@
             }
         }
         CoreEvent::Tick => {
-            let rate = state.config.ownership.bytes_per_s;
-            state.allotment_budget.fill(state.now, rate);
+            fill_budgets(state);
             drop_gone_members(state);
             let pools: Vec<PoolId> = state.owned.keys().copied().collect();
             for pool in pools {
@@ -61,6 +60,19 @@
     }
 }
 
+/// Fills the budget of all allotments, and each pool's own part of it.
+///
+/// The part guards against a pool of short calls whose slots lie idle: out of the common budget a pool
+/// with many routers and long queues takes all, and the other one is shared out a few times a second.
+fn fill_budgets(state: &mut CoreState) {
+    let rate = state.config.ownership.bytes_per_s;
+    state.allotment_budget.fill(state.now, rate);
+    let pools = u64::try_from(state.owned.len()).unwrap_or(u64::MAX);
+    for pool in state.owned.values_mut() {
+        pool.budget.fill(state.now, rate / pools.max(1));
+    }
+}
+
 fn take_report(
     state: &mut CoreState,
     from: &HostName,
@@ -238,7 +250,8 @@
     };
     // Short calls near the number of slots make routers ask and give back many times a second.
     // The budget bounds what that may cost; meanwhile each router goes on with what it holds.
-    let wait = match (state.allotment_budget.is_open(), pool.urgent) {
+    let is_open = state.allotment_budget.is_open() || pool.budget.is_open();
+    let wait = match (is_open, pool.urgent) {
         (true, true) => config.share_gap_ms,
         (true, false) => config.share_out_ms,
         (false, _) => config.refresh_ms,
--- a/src/core/systems/ownership/telling.rs
+++ b/src/core/systems/ownership/telling.rs
@@ -39,6 +39,9 @@
             accounts.get(&team).map_or(clock, |row| row.time)
         });
         if host != state.identity.host {
+            if !state.allotment_budget.is_open() {
+                pool.budget.spend(allotment.encoded_len());
+            }
             state.allotment_budget.spend(allotment.encoded_len());
         }
         state.send(&host, PeerBody::Allotment(allotment));
--- a/src/core/tables/byte_budget.rs
+++ b/src/core/tables/byte_budget.rs
@@ -7,8 +7,10 @@
 
 /// Bytes that may still be sent; filled up at a fixed rate, to one second's worth at most.
 ///
-/// A message may overdraw the budget; the debt is paid off before the next one. Without the debt
-/// a budget that is filled by a few bytes a tick would let a whole message through every tick.
+/// A message may overdraw the budget; the debt is paid off before the next one, but for what is
+/// beyond one second's worth. Without the debt a budget that is filled by a few bytes a tick would let
+/// a whole message through every tick; with all of it, messages that go out whatever the budget says
+/// would close it for good.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct ByteBudget {
     left: i64,
@@ -24,7 +26,7 @@
         }
         let most = i64::try_from(bytes_per_s).unwrap_or(i64::MAX);
         let earned = i64::try_from(earned).unwrap_or(i64::MAX);
-        self.left = self.left.saturating_add(earned).min(most);
+        self.left = self.left.max(-most).saturating_add(earned).min(most);
         self.filled_at = now;
     }
 
--- a/src/core/tables/owned_pool.rs
+++ b/src/core/tables/owned_pool.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use crate::core::tables::byte_budget::ByteBudget;
 use crate::units::EndpointId;
 use crate::units::HostName;
 use crate::units::Moment;
@@ -164,6 +165,8 @@
     pub shared_at: Moment,
     /// When slots that nobody waits for were last spread over the entry routers.
     pub spread_at: Moment,
+    /// Bytes that its allotments may still use out of its own part.
+    pub budget: ByteBudget,
     /// True if slots should be shared out soon.
     pub urgent: bool,
     /// True while requests wait for lack of slots.
@@ -186,6 +189,7 @@
             vacant: BTreeSet::new(),
             shared_at: Moment(0),
             spread_at: Moment(0),
+            budget: ByteBudget::default(),
             urgent: false,
             scarce: false,
         }
--- a/tests/differential.rs
+++ b/tests/differential.rs
@@ -106,6 +106,15 @@
     }
 }
 
+/// Guards against a pool of short calls that is shared out a few times a second only, as its owner's
+/// other pool uses up the budget of messages.
+#[test]
+fn short_calls_do_not_wait_beside_another_pool_s_long_queues() {
+    for seed in [38, 114] {
+        run_seed("leaving", REGISTRY, seed);
+    }
+}
+
 /// Guards against a request that crashes one endpoint after the other, sent again through any router.
 #[test]
 fn a_crashing_request_takes_down_two_endpoints_at_most() {
