What a late router refuses counts as asked of its team

The team seems to ask nothing then, others are not held back for it, and its allowance is 0 at both hosts.

Why this works: counted, it presses like the other one, and what is served beyond shares yields to it. Ruled out as the only cause: what the hosts can serve at all, which is the same in both.

The reply "router is full" is built in one place for both paths.

--- a/src/gateway/accept.rs
+++ b/src/gateway/accept.rs
@@ -22,10 +22,11 @@
 use super::http::BodyFraming;
 use super::http::RequestHead;
 use super::http::WireStream;
+use super::late::ROUTER_FULL;
+use super::late::refusal_when_late;
 use super::load::is_too_late;
+use super::protocol::CallFacts;
 use super::protocol::CallProtocol;
-use super::reply::OwnReply;
-use super::reply::OwnStatus;
 
 /// Pause after a connection could not be accepted, in ms: descriptors free up within that time.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -102,14 +103,14 @@
     mut stream: &TcpStream,
     arrived: &BytesMut,
 ) -> bool {
-    let Some(call_id) = whole_request(traffic, arrived) else {
+    let Some(facts) = whole_request(traffic, arrived) else {
         return false;
     };
     traffic.shared.link.received(arrived.len());
-    let wait = Duration::from_millis(traffic.shared.config.elsewhere_retry_ms);
-    let reply = OwnReply::later(OwnStatus::Unavailable, wait);
-    tell_refused(traffic, &call_id, &reply, "router is full");
-    let bytes = reply.bytes(&traffic.protocol, &call_id, false);
+    let call_id = &facts.call_id;
+    let reply = refusal_when_late(traffic, &facts);
+    tell_refused(traffic, call_id, &reply, ROUTER_FULL);
+    let bytes = reply.bytes(&traffic.protocol, call_id, false);
     traffic.shared.link.sent(bytes.len());
     if let Err(fault) = stream.write_all(&bytes) {
         spdlog::debug!("gateway: step=refuse call={call_id} fault=\"{fault}\"");
@@ -117,8 +118,8 @@
     true
 }
 
-/// The id of the one request that these bytes are, if they are just that.
-fn whole_request<P: CallProtocol>(traffic: &Traffic<P>, arrived: &BytesMut) -> Option<String> {
+/// What the one request says that these bytes are, if they are just that.
+fn whole_request<P: CallProtocol>(traffic: &Traffic<P>, arrived: &BytesMut) -> Option<CallFacts> {
     if arrived.len() == MOST_REFUSED_BYTES {
         return None;
     }
@@ -130,5 +131,5 @@
     if u64::try_from(rest.len()) != Ok(length) {
         return None;
     }
-    traffic.protocol.call_id(&head).map(str::to_owned)
+    traffic.protocol.call_facts(&head).ok()
 }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -26,6 +26,8 @@
 use super::http::EventSplitter;
 use super::http::RequestHead;
 use super::http::WireStream;
+use super::late::ROUTER_FULL;
+use super::late::refusal_when_late;
 use super::load::LagLevel;
 use super::load::is_too_late;
 use super::protocol::CallFacts;
@@ -83,8 +85,8 @@
         return refuse(traffic, caller, &id, reply, "no routes yet", keep).await;
     };
     if is_too_late(traffic, arrived) {
-        let reply = unavailable(traffic.shared.config.elsewhere_retry_ms);
-        return refuse(traffic, caller, &id, reply, "router is full", false).await;
+        let reply = refusal_when_late(traffic, &facts);
+        return refuse(traffic, caller, &id, reply, ROUTER_FULL, false).await;
     }
     if traffic.shared.life.closing.is_cancelled() {
         let reply = unavailable(traffic.shared.config.retry_after_ms);
--- a/src/gateway/decide/core.rs
+++ b/src/gateway/decide/core.rs
@@ -270,15 +270,23 @@
             self.sizes.asked(now, &ask.route.name, tokens);
         }
         match (ask.team, ask.prompt) {
-            (Some(team), Some(prompt)) => {
-                let tokens = prompt.share_tokens();
-                self.accounts.ask(team, tokens);
-                self.shares.ask(now, team, tokens)
-            }
+            (Some(team), Some(prompt)) => self.count_ask(now, team, prompt),
             _ => ShareStanding::Within,
         }
     }
 
+    fn count_ask(&mut self, now: Moment, team: &TeamKey, prompt: &PromptShape) -> ShareStanding {
+        let tokens = prompt.share_tokens();
+        self.accounts.ask(team, tokens);
+        self.shares.ask(now, team, tokens)
+    }
+
+    /// Counts a generation that this router was too late to look at.
+    pub fn refused_late(&mut self, now: Moment, team: &TeamKey, prompt: &PromptShape) {
+        self.count_ask(now, team, prompt);
+        self.accounts.fall_short(team);
+    }
+
     /// Takes a repeat of a request out of the fleet's budget; whether there was one.
     pub fn take_repeat(&mut self, now: Moment, service: &ServiceKey) -> bool {
         self.budget.take(now, service, self.routers)
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -26,6 +26,7 @@
 pub mod gossip;
 pub mod handover;
 pub mod http;
+pub mod late;
 pub mod link;
 pub mod load;
 pub mod metrics;
