--- a/src/core/tables/crashes.rs
+++ b/src/core/tables/crashes.rs
@@ -13,7 +13,7 @@
 use crate::units::TimeSpan;
 
 /// What says that an endpoint crashed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CrashProof {
     /// Attempts were lost there before any router had read a life of it: a crash, or a lost link.
     Lacking,
@@ -77,7 +77,6 @@
     pub fn note_loss(&mut self, endpoint: EndpointId, fingerprint: RequestFingerprint, at: Moment) {
         let losses = self.losses.entry(endpoint).or_default();
         losses.push(LostAttempt { at, fingerprint });
-        self.untold_losses.insert(fingerprint);
     }
 
     /// Remembers that another router lost a copy of a request.
