--- a/src/gateway/decide/core.rs
+++ b/src/gateway/decide/core.rs
@@ -270,20 +270,19 @@
             self.sizes.asked(now, &ask.route.name, tokens);
         }
         match (ask.team, ask.prompt) {
-            (Some(team), Some(prompt)) => self.count_ask(now, team, prompt),
+            (Some(team), Some(prompt)) => {
+                let tokens = prompt.share_tokens();
+                self.accounts.ask(team, tokens);
+                self.shares.ask(now, team, tokens)
+            }
             _ => ShareStanding::Within,
         }
     }
 
-    fn count_ask(&mut self, now: Moment, team: &TeamKey, prompt: &PromptShape) -> ShareStanding {
-        let tokens = prompt.share_tokens();
-        self.accounts.ask(team, tokens);
-        self.shares.ask(now, team, tokens)
-    }
-
-    /// Counts a generation that this router was too late to look at.
-    pub fn refused_late(&mut self, now: Moment, team: &TeamKey, prompt: &PromptShape) {
-        self.count_ask(now, team, prompt);
+    /// Accounts for a generation that this router was too late to look at. Shares go by what routers
+    /// can look at: a part of a share that lies at a late router is lost.
+    pub fn refused_late(&mut self, team: &TeamKey, prompt: &PromptShape) {
+        self.accounts.ask(team, prompt.share_tokens());
         self.accounts.fall_short(team);
     }
 
--- a/src/gateway/late.rs
+++ b/src/gateway/late.rs
@@ -1,7 +1,7 @@
 //! Refusing the calls of a router that is late.
 //!
 //! The load that this answers: a team sends many times its usual through one small host, which is late
-//! for seconds and refuses all that comes. What it refuses is asked all the same.
+//! for seconds and refuses all that comes. Its account tells what was asked all the same.
 
 use std::time::Duration;
 
@@ -14,10 +14,9 @@
 /// Cause of the refusal, as logs and metrics tell it.
 pub const ROUTER_FULL: &str = "router is full";
 
-/// Counts a call that this router is too late for as asked of its team; the refusal.
+/// Accounts for a call that this router is too late for; the refusal.
 ///
-/// Guards against a team that seems to ask nothing while its router is late: the others would
-/// not be held back for it, and it would get a part of what they get.
+/// Guards against a team that, as logs tell it, asks nothing while its router is late.
 pub fn refusal_when_late<P: CallProtocol>(traffic: &Traffic<P>, facts: &CallFacts) -> OwnReply {
     let shared = &traffic.shared;
     let table = shared.routes();
@@ -26,8 +25,7 @@
         .as_ref()
         .and_then(|table| key.and_then(|key| table.team(key)));
     if let (Some(team), Some(prompt)) = (team, &facts.prompt) {
-        let now = shared.clock.now();
-        shared.core().refused_late(now, team, prompt);
+        shared.core().refused_late(team, prompt);
     }
     let wait = Duration::from_millis(shared.config.elsewhere_retry_ms);
     OwnReply::later(OwnStatus::Unavailable, wait)
