Quarantine: log losses, signs of an end, and where a suspect came from

The logs held the final refusal only. Whether a loss was recorded, whether a sign explained it, at which router, and whether it expired could not be told, so the hypotheses on a request that ends nine engines could not be told apart. Calls without an endpoint's answer now carry the fingerprint that their resends share. What the quarantine reports to other routers is one type. No decision changes.

--- a/src/core/tables/crashes.rs
+++ b/src/core/tables/crashes.rs
@@ -347,11 +347,15 @@
 
     /// Removes expired rows. Above the configured bounds, removes the crashes that were recorded
     /// first, the suspects that expire first, and losses at other routers by lowest fingerprint.
-    pub fn shrink(&mut self, now: Moment, config: &QuarantineConfig) {
+    /// Returns the number of losses of this router that expired unexplained.
+    pub fn shrink(&mut self, now: Moment, config: &QuarantineConfig) -> usize {
+        let mut unexplained = 0;
         let evidence = TimeSpan::from_millis(config.evidence_ms);
         let suspicion = TimeSpan::from_millis(config.suspect_ms);
         self.losses.retain(|_, losses| {
+            let before = losses.len();
             losses.retain(|loss| now.since(loss.at) <= evidence);
+            unexplained += before - losses.len();
             !losses.is_empty()
         });
         let check = TimeSpan::from_millis(config.check_ms);
@@ -372,6 +376,14 @@
             };
             self.suspects.remove(&fingerprint);
         }
+        unexplained
+    }
+
+    /// Number of crashes in which a request was running, as far as known.
+    #[must_use]
+    pub fn crash_count(&self, fingerprint: RequestFingerprint) -> usize {
+        let row = self.suspects.get(&fingerprint);
+        row.map_or(0, |row| row.crashes.len())
     }
 
     /// Number of known suspects.
--- a/src/gateway/call_record.rs
+++ b/src/gateway/call_record.rs
@@ -2,6 +2,9 @@
 
 use std::time::Duration;
 
+use smol_str::SmolStr;
+use smol_str::format_smolstr;
+
 use super::call_state::CallEnd;
 use super::call_state::CallState;
 use super::decide::AttemptTicket;
@@ -74,6 +77,12 @@
     {
         traffic.shared.core().record_unserved(team);
     }
+    let fingerprint = match end {
+        CallEnd::Answered(_) => SmolStr::new_static("-"),
+        CallEnd::Own(..) | CallEnd::Cut(_) | CallEnd::CallerLeft => {
+            format_smolstr!("{}", call.fingerprint)
+        }
+    };
     let DecisionFacts {
         predicted_ms,
         queued,
@@ -85,7 +94,7 @@
         "calls: id={} route={} team={team} version={version} endpoint={endpoint} sends={} \
          tries={} status={status} cause=\"{cause}\" first_ms={first} total_ms={} \
          objective_ms={} standing={standing} predicted_ms={predicted_ms:.0} queued={queued:.0} \
-         prompt={} uncached={uncached:.0} reread={reread:.0}",
+         prompt={} uncached={uncached:.0} reread={reread:.0} fingerprint={fingerprint}",
         call.facts.call_id,
         call.route.name,
         call.sends,
--- a/src/gateway/decide/quarantine.rs
+++ b/src/gateway/decide/quarantine.rs
@@ -32,6 +32,27 @@
 /// run this code, and a message could list any number.
 const MAX_RECEIVED_SUSPECTS: usize = 64;
 
+/// Crashes from which on a suspect's count is logged. Most suspects are in one crash only.
+const LOGGED_CRASHES: usize = 2;
+
+/// Who attributed a lost request to a crash.
+#[derive(Debug, Clone, Copy)]
+enum SuspectSource {
+    /// This router.
+    Own,
+    /// Another router, in a message.
+    Peer,
+}
+
+impl SuspectSource {
+    fn label(self) -> &'static str {
+        match self {
+            Self::Own => "own",
+            Self::Peer => "peer",
+        }
+    }
+}
+
 /// A request that was running in a crash, as exchanged between routers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct CrashSuspect {
@@ -43,6 +64,13 @@
     pub fingerprint: RequestFingerprint,
 }
 
+/// What a router reports to the others about crashes and the requests that may have caused them.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct CrashReport {
+    /// Requests that were running in recent crashes.
+    pub suspects: Vec<CrashSuspect>,
+}
+
 /// Crashes, their suspects and the requests refused because of them.
 #[derive(Debug)]
 pub struct CrashQuarantine {
@@ -84,8 +112,14 @@
         let endpoint = endpoint_id(entry);
         let window = TimeSpan::from_millis(self.config.evidence_ms);
         let life = entry.life().hash();
-        match self.table.find_record(endpoint, life, now, window) {
-            Some(record) => self.suspect(now, record, fingerprint),
+        let record = self.table.find_record(endpoint, life, now, window);
+        let ended = if record.is_some() { "known" } else { "unknown" };
+        spdlog::info!(
+            "quarantine: endpoint={} fingerprint={fingerprint} lost end={ended}",
+            entry.key
+        );
+        match record {
+            Some(record) => self.suspect(now, record, fingerprint, SuspectSource::Own),
             None => self.table.note_loss(endpoint, fingerprint, now),
         }
     }
@@ -95,13 +129,19 @@
     pub fn record_process_end(&mut self, now: Moment, entry: &EndpointEntry) {
         let endpoint = endpoint_id(entry);
         if !self.table.has_losses(endpoint) {
+            spdlog::info!("quarantine: endpoint={} ended losses=0", entry.key);
             return;
         }
         let oldest = Moment(now.0.saturating_sub(self.config.evidence_ms * 1_000));
         let losses = self.table.take_losses(endpoint, oldest);
+        spdlog::info!(
+            "quarantine: endpoint={} ended losses={}",
+            entry.key,
+            losses.len()
+        );
         let record = self.find_or_add_record(now, endpoint, entry.life().hash());
         for fingerprint in losses {
-            self.suspect(now, record, fingerprint);
+            self.suspect(now, record, fingerprint, SuspectSource::Own);
         }
     }
 
@@ -115,12 +155,28 @@
         })
     }
 
-    fn suspect(&mut self, now: Moment, record: u64, fingerprint: RequestFingerprint) {
-        if self
+    fn suspect(
+        &mut self,
+        now: Moment,
+        record: u64,
+        fingerprint: RequestFingerprint,
+        source: SuspectSource,
+    ) {
+        let before = self.table.crash_count(fingerprint);
+        let was_refused = self.table.quarantined_until(fingerprint, now).is_some();
+        let is_refused = self
             .table
-            .add_suspect(record, fingerprint, now, &self.config)
-        {
-            spdlog::warn!("quarantine: fingerprint={fingerprint} refused crashes={CRASH_LIMIT}");
+            .add_suspect(record, fingerprint, now, &self.config);
+        let crashes = self.table.crash_count(fingerprint);
+        let source = source.label();
+        if is_refused {
+            spdlog::warn!(
+                "quarantine: fingerprint={fingerprint} refused crashes={crashes} source={source}"
+            );
+        } else if crashes > before && crashes >= LOGGED_CRASHES && !was_refused {
+            spdlog::info!(
+                "quarantine: fingerprint={fingerprint} suspect crashes={crashes} source={source}"
+            );
         }
     }
 
@@ -136,17 +192,32 @@
         self.table.clear(fingerprint);
     }
 
+    /// Returns the report for the next message to other routers, and drops old records.
+    pub fn report(&mut self, now: Moment) -> CrashReport {
+        CrashReport {
+            suspects: self.suspects_to_send(now),
+        }
+    }
+
+    /// Applies another router's report.
+    pub fn apply_report(&mut self, now: Moment, report: CrashReport) {
+        self.merge_suspects(now, report.suspects.into_iter());
+    }
+
     /// Merges suspects from another router's message.
     pub fn merge_suspects(&mut self, now: Moment, received: impl Iterator<Item = CrashSuspect>) {
         for suspect in received.take(MAX_RECEIVED_SUSPECTS) {
             let record = self.find_or_add_record(now, suspect.endpoint, suspect.life);
-            self.suspect(now, record, suspect.fingerprint);
+            self.suspect(now, record, suspect.fingerprint, SuspectSource::Peer);
         }
     }
 
     /// Returns suspects of recent crashes for the next message, in rotation, and drops old records.
     pub fn suspects_to_send(&mut self, now: Moment) -> Vec<CrashSuspect> {
-        self.table.shrink(now, &self.config);
+        let unexplained = self.table.shrink(now, &self.config);
+        if unexplained > 0 {
+            spdlog::info!("quarantine: losses={unexplained} expired without a sign of an end");
+        }
         let recent = self.table.records_mut();
         let recent = recent.filter(|record| now.since(record.seen_at) < SUSPECT_REPORT_TIME);
         let suspects: Vec<CrashSuspect> = recent
--- a/src/gateway/digest.rs
+++ b/src/gateway/digest.rs
@@ -16,6 +16,11 @@
 
 use prost::Message;
 
+use crate::units::EndpointId;
+use crate::units::RequestFingerprint;
+
+use super::decide::quarantine::CrashReport;
+use super::decide::quarantine::CrashSuspect;
 use super::decide::shares::TeamFlow;
 use super::routes::TeamKey;
 
@@ -204,6 +209,26 @@
     pub fingerprint: u64,
 }
 
+impl SuspectEntry {
+    /// Encodes a suspect.
+    #[must_use]
+    pub fn of(suspect: &CrashSuspect) -> Self {
+        Self {
+            endpoint: suspect.endpoint.0,
+            process_hash: suspect.life,
+            fingerprint: suspect.fingerprint.0,
+        }
+    }
+
+    fn decode(&self) -> CrashSuspect {
+        CrashSuspect {
+            endpoint: EndpointId(self.endpoint),
+            life: self.process_hash,
+            fingerprint: RequestFingerprint(self.fingerprint),
+        }
+    }
+}
+
 /// The content of one gossip datagram.
 #[derive(Clone, PartialEq, Message)]
 pub struct RouterDigest {
@@ -256,3 +281,13 @@
     #[prost(fixed64, repeated, tag = "14")]
     pub announced_leaving: Vec<u64>,
 }
+
+impl RouterDigest {
+    /// Returns the sender's report on crashes.
+    #[must_use]
+    pub fn crash_report(&self) -> CrashReport {
+        CrashReport {
+            suspects: self.suspects.iter().map(SuspectEntry::decode).collect(),
+        }
+    }
+}
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -19,13 +19,10 @@
 use tokio::net::UdpSocket;
 use tokio::time::interval;
 
-use crate::units::EndpointId;
 use crate::units::Moment;
-use crate::units::RequestFingerprint;
 use crate::units::TimeSpan;
 
 use super::decide::endpoints::EndpointRow;
-use super::decide::quarantine::CrashSuspect;
 use super::digest::DemandColumns;
 use super::digest::LoadEntry;
 use super::digest::RouterDigest;
@@ -183,9 +180,8 @@
             Ok(digest) => {
                 let now = self.shared.clock.now();
                 let is_new = !self.peers.knows_incarnation(&from.ip(), digest.incarnation);
-                let suspects = digest.suspects.iter().map(decode_suspect);
                 let mut core = self.shared.core();
-                core.quarantine.merge_suspects(now, suspects);
+                core.quarantine.apply_report(now, digest.crash_report());
                 core.endpoints
                     .apply_reported_leaving(now, &digest.announced_leaving);
                 drop(core);
@@ -244,7 +240,7 @@
             || !self.new_peers.is_empty()
             || self.round.is_multiple_of(ADDRESS_ROUNDS);
         let mut core = self.shared.core();
-        let suspects = core.quarantine.suspects_to_send(now);
+        let crashes = core.quarantine.report(now);
         let turned_away = core.shares.turned_away_per_s(now);
         let flows = core.shares.flows(now);
         let left = core.endpoints.departures.departures_to_report(now);
@@ -267,7 +263,7 @@
             },
             in_touch: self.shared.is_in_touch(),
             store_failing: self.shared.store_contact().is_failing,
-            suspects: suspects.into_iter().map(suspect_entry).collect(),
+            suspects: crashes.suspects.iter().map(SuspectEntry::of).collect(),
             turned_away_per_s: turned_away as u32,
             left,
             announced_leaving,
@@ -447,22 +443,6 @@
     })
 }
 
-fn suspect_entry(suspect: CrashSuspect) -> SuspectEntry {
-    SuspectEntry {
-        endpoint: suspect.endpoint.0,
-        process_hash: suspect.life,
-        fingerprint: suspect.fingerprint.0,
-    }
-}
-
-fn decode_suspect(entry: &SuspectEntry) -> CrashSuspect {
-    CrashSuspect {
-        endpoint: EndpointId(entry.endpoint),
-        life: entry.process_hash,
-        fingerprint: RequestFingerprint(entry.fingerprint),
-    }
-}
-
 /// Parses the IP address of a seed, given with or without a port.
 fn seed_ip(seed: &str) -> Option<IpAddr> {
     let address = seed.parse::<SocketAddr>().map(|address| address.ip());
