--- /dev/null
+++ b/tests/gateway_crash_signs.rs
@@ -0,0 +1,503 @@
+//! Recognition of requests that crash endpoints, by what several routers see of each crash: some
+//! lose the request, others see that the endpoint's process ended. Without a network.
+
+use std::collections::BTreeMap;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use verbenaturn::gateway::decide::Admission;
+use verbenaturn::gateway::decide::AdmissionRequest;
+use verbenaturn::gateway::decide::AttemptEnd;
+use verbenaturn::gateway::decide::AttemptTicket;
+use verbenaturn::gateway::decide::GatewayCore;
+use verbenaturn::gateway::decide::RefusalCause;
+use verbenaturn::gateway::routes::EndpointEntry;
+use verbenaturn::gateway::routes::EndpointKey;
+use verbenaturn::gateway::routes::EndpointState;
+use verbenaturn::gateway::routes::ProcessStartTime;
+use verbenaturn::units::RequestFingerprint;
+
+mod engines;
+
+use self::engines::ask;
+use self::engines::endpoints;
+use self::engines::engine_service;
+use self::engines::ms;
+use self::engines::nadi;
+use self::engines::prompt;
+use self::engines::route;
+use self::engines::router_with;
+use self::engines::service;
+
+const ROUTERS: usize = 8;
+const ENGINES: usize = 18;
+
+/// Pause between two messages of a router to the others, in ms.
+const ROUND_MS: u64 = 100;
+
+/// Time from the end of an engine to the end of its registration, in ms: three heartbeats of 1.2 s
+/// and the delay of the list.
+const LAPSE_MS: u64 = 3_900;
+
+/// Engines that a request may crash before every router refuses it.
+const CRASHES_ALLOWED: usize = 3;
+
+/// Sends that may still reach engines later than `SETTLED_MS` after the last allowed crash.
+const LATE_SENDS_ALLOWED: usize = 3;
+
+/// Time after the last allowed crash from which sends are counted as late, in ms.
+const SETTLED_MS: u64 = 3_000;
+
+/// Requests that one router loses beside the crashing one.
+const BESIDE: usize = 30;
+
+/// Sorts behind all others, so that messages which list requests in order list it last.
+const CRASHING: RequestFingerprint = RequestFingerprint(u64::MAX);
+
+/// What the routers see of an engine that a request crashed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CrashSign {
+    /// The connection of another router is refused, soon after the loss.
+    RefusedElsewhere,
+    /// The connection of the router that lost the request is refused, soon after the loss.
+    RefusedHere,
+    /// Its registration lapses, and nothing else is seen.
+    Lapses,
+    /// It registers with a later start under its key, after the loss.
+    StartsAgain,
+    /// The same, but its new start is read before the router hears of its own loss.
+    StartsAgainBeforeLoss,
+    /// Another engine registers at its address, and its own registration lapses.
+    AddressReused,
+}
+
+const ALL_SIGNS: [CrashSign; 6] = [
+    CrashSign::RefusedElsewhere,
+    CrashSign::RefusedHere,
+    CrashSign::Lapses,
+    CrashSign::StartsAgain,
+    CrashSign::StartsAgainBeforeLoss,
+    CrashSign::AddressReused,
+];
+
+/// Something that happens to the fleet at a set time.
+#[derive(Debug)]
+enum FleetEvent {
+    /// A router loses these requests at an engine.
+    Lose(usize, Vec<(AttemptTicket, RequestFingerprint)>),
+    /// A router's connection to this engine is refused.
+    Refuse(usize, EndpointEntry),
+    /// The list changes: an entry is removed and another one added.
+    List(Option<EndpointKey>, Option<EndpointEntry>),
+}
+
+/// Routers that exchange messages each round, and the engines that they use.
+struct RouterFleet {
+    now: u64,
+    routers: Vec<GatewayCore>,
+    listed: BTreeMap<EndpointKey, EndpointEntry>,
+    events: Vec<(u64, FleetEvent)>,
+    next_key: usize,
+    next_fingerprint: u64,
+}
+
+impl RouterFleet {
+    fn new() -> Self {
+        let mut listed = endpoints("engine", ENGINES);
+        for (index, entry) in listed.values_mut().enumerate() {
+            entry.address.set_port(u16::try_from(index + 1).unwrap());
+        }
+        Self {
+            now: 0,
+            routers: (0..ROUTERS).map(|_| router_with(&listed)).collect(),
+            listed,
+            events: Vec::new(),
+            next_key: 0,
+            next_fingerprint: 1_000,
+        }
+    }
+
+    /// Lets time pass: events happen when they are due, and routers exchange messages each round.
+    fn run_until(&mut self, until: u64) {
+        while self.now < until {
+            let next_round = (self.now / ROUND_MS + 1) * ROUND_MS;
+            let next_event = self.events.iter().map(|(at, _)| *at).min();
+            let due = next_event.unwrap_or(u64::MAX).max(self.now);
+            if due <= next_round.min(until) {
+                self.now = due;
+                let index = self.events.iter().position(|(at, _)| *at <= due);
+                let (_, event) = self.events.remove(index.unwrap());
+                self.happen(event);
+            } else {
+                self.now = next_round.min(until);
+                if self.now == next_round {
+                    self.exchange();
+                }
+            }
+        }
+    }
+
+    fn happen(&mut self, event: FleetEvent) {
+        let now = ms(self.now);
+        match event {
+            FleetEvent::Lose(router, lost) => {
+                for (ticket, fingerprint) in lost {
+                    self.routers[router].ended(now, ticket, AttemptEnd::Lost(fingerprint));
+                }
+            }
+            FleetEvent::Refuse(router, engine) => {
+                let fingerprint = self.fresh();
+                if let Some(ticket) = self.send_to(router, &engine.key, fingerprint) {
+                    self.routers[router].ended(now, ticket, AttemptEnd::Gone);
+                }
+            }
+            FleetEvent::List(removed, added) => {
+                if let Some(key) = removed {
+                    self.listed.remove(&key);
+                }
+                if let Some(entry) = added {
+                    self.listed.insert(entry.key.clone(), entry);
+                }
+                for core in &mut self.routers {
+                    core.set_endpoints(now, &self.listed);
+                }
+            }
+        }
+    }
+
+    /// Each router sends its report to all others.
+    fn exchange(&mut self) {
+        let now = ms(self.now);
+        let reports: Vec<_> = self
+            .routers
+            .iter_mut()
+            .map(|core| core.quarantine.report(now))
+            .collect();
+        for (from, report) in reports.iter().enumerate() {
+            for (to, core) in self.routers.iter_mut().enumerate() {
+                if from != to {
+                    core.quarantine.apply_report(now, report.clone());
+                }
+            }
+        }
+    }
+
+    /// A fingerprint that no other request has.
+    fn fresh(&mut self) -> RequestFingerprint {
+        self.next_fingerprint += 1;
+        RequestFingerprint(self.next_fingerprint)
+    }
+
+    fn admit(
+        &mut self,
+        router: usize,
+        fingerprint: RequestFingerprint,
+        tried: &[EndpointKey],
+    ) -> Admission {
+        let (route, service, shape, team) = (route("r", 800), service(), engine_service(), nadi());
+        let prompt = prompt(fingerprint.0, 100, 10);
+        let call = AdmissionRequest {
+            fingerprint,
+            tried,
+            ..ask(&route, &service, &shape, &team, &prompt)
+        };
+        let core = &mut self.routers[router];
+        let standing = core.arrived(ms(self.now), &call);
+        core.admit(ms(self.now), &call, standing)
+    }
+
+    /// Sends a request through a router; `None` if it is refused as one that crashes endpoints.
+    fn send(&mut self, router: usize, fingerprint: RequestFingerprint) -> Option<AttemptTicket> {
+        match self.admit(router, fingerprint, &[]) {
+            Admission::Send(ticket) => Some(ticket),
+            Admission::Refuse {
+                cause: RefusalCause::Quarantined,
+                ..
+            } => None,
+            refusal @ Admission::Refuse { .. } => panic!("{refusal:?}"),
+        }
+    }
+
+    /// Sends a request through a router to this engine; `None` if the router does not use it.
+    fn send_to(
+        &mut self,
+        router: usize,
+        engine: &EndpointKey,
+        fingerprint: RequestFingerprint,
+    ) -> Option<AttemptTicket> {
+        let others = self.listed.keys().filter(|key| *key != engine);
+        let others: Vec<_> = others.cloned().collect();
+        match self.admit(router, fingerprint, &others) {
+            Admission::Send(ticket) if ticket.entry.key == *engine => Some(ticket),
+            Admission::Send(_) | Admission::Refuse { .. } => None,
+        }
+    }
+
+    /// Runs a request that is answered whole.
+    fn answer(&mut self, router: usize, fingerprint: RequestFingerprint) -> bool {
+        let Some(ticket) = self.send(router, fingerprint) else {
+            return false;
+        };
+        self.answered(router, ticket, fingerprint);
+        true
+    }
+
+    fn answered(&mut self, router: usize, ticket: AttemptTicket, fingerprint: RequestFingerprint) {
+        let now = ms(self.now);
+        let core = &mut self.routers[router];
+        core.ended(now, ticket, AttemptEnd::Answered);
+        core.quarantine.record_answer(fingerprint);
+    }
+
+    /// An engine to take the place of one that ended, under a new key.
+    fn successor(&mut self, of: &EndpointEntry) -> EndpointEntry {
+        self.next_key += 1;
+        EndpointEntry {
+            key: EndpointKey(format!("engine-next-{}", self.next_key).into()),
+            ..of.clone()
+        }
+    }
+
+    /// The engine of an attempt crashes 50 ms from now. The requests in `beside` run there as well
+    /// and are lost with it, by the routers that sent them.
+    fn crash(
+        &mut self,
+        router: usize,
+        ticket: AttemptTicket,
+        sign: CrashSign,
+        beside: Vec<(usize, AttemptTicket, RequestFingerprint)>,
+    ) {
+        let engine = ticket.entry.clone();
+        let (ended, key) = (self.now + 50, engine.key.clone());
+        let heard = match sign {
+            CrashSign::StartsAgainBeforeLoss => ended + 1_010,
+            _ => ended,
+        };
+        let mut lost: BTreeMap<usize, Vec<_>> = BTreeMap::new();
+        lost.entry(router).or_default().push((ticket, CRASHING));
+        for (other, ticket, fingerprint) in beside {
+            lost.entry(other).or_default().push((ticket, fingerprint));
+        }
+        for (other, lost) in lost {
+            self.events.push((heard, FleetEvent::Lose(other, lost)));
+        }
+        let next = self.successor(&engine);
+        let reborn = EndpointEntry {
+            born: ProcessStartTime(engine.born.0 + ended),
+            ..engine.clone()
+        };
+        let other = (router + 3) % ROUTERS;
+        let events = match sign {
+            CrashSign::RefusedElsewhere => vec![
+                (ended + 50, FleetEvent::Refuse(other, engine)),
+                (ended + LAPSE_MS, FleetEvent::List(Some(key), Some(next))),
+            ],
+            CrashSign::RefusedHere => vec![
+                (ended + 50, FleetEvent::Refuse(router, engine)),
+                (ended + LAPSE_MS, FleetEvent::List(Some(key), Some(next))),
+            ],
+            CrashSign::Lapses => vec![(ended + LAPSE_MS, FleetEvent::List(Some(key), Some(next)))],
+            CrashSign::StartsAgain | CrashSign::StartsAgainBeforeLoss => {
+                vec![(ended + 1_000, FleetEvent::List(None, Some(reborn)))]
+            }
+            CrashSign::AddressReused => vec![
+                (ended + 1_000, FleetEvent::List(None, Some(next))),
+                (ended + LAPSE_MS, FleetEvent::List(Some(key), None)),
+            ],
+        };
+        self.events.extend(events);
+    }
+
+    /// Sends the crashing request through each router in turn, `pause_ms` apart, and returns when
+    /// engines ended.
+    fn crash_one_by_one(&mut self, sign: CrashSign, sends: usize, pause_ms: u64) -> Vec<u64> {
+        let mut ends = Vec::new();
+        for turn in 0..sends {
+            let at = 1_000 + turn as u64 * pause_ms;
+            self.run_until(at);
+            let router = turn % ROUTERS;
+            if let Some(ticket) = self.send(router, CRASHING) {
+                ends.push(at + 50);
+                self.crash(router, ticket, sign, Vec::new());
+            }
+        }
+        ends
+    }
+}
+
+/// Sends later than the settled time after the last allowed crash, given when engines ended.
+fn late_sends(ends: &[u64]) -> usize {
+    let Some(last) = ends.get(CRASHES_ALLOWED - 1) else {
+        return 0;
+    };
+    let late = ends.iter().filter(|end| **end > last + SETTLED_MS);
+    late.count()
+}
+
+/// Guards against a crash that counts nowhere: one router loses the request, and only another one
+/// has its connection refused by the engine that ended.
+#[test]
+fn a_loss_and_a_refused_connection_at_two_routers_make_a_crash() {
+    let ends = RouterFleet::new().crash_one_by_one(CrashSign::RefusedElsewhere, 14, 6_000);
+    assert_eq!(ends.len(), CRASHES_ALLOWED, "{ends:?}");
+}
+
+/// Guards against a crash that counts nowhere: no router connects to the engine that ended, and only
+/// its registration lapses, seconds later.
+#[test]
+fn a_loss_and_a_lapsed_registration_make_a_crash() {
+    let ends = RouterFleet::new().crash_one_by_one(CrashSign::Lapses, 14, 6_000);
+    assert_eq!(ends.len(), CRASHES_ALLOWED, "{ends:?}");
+}
+
+/// Guards against a crash that counts nowhere: the engine comes back at its address under a new key,
+/// while its former registration lapses only seconds later.
+#[test]
+fn a_loss_and_a_reused_address_make_a_crash() {
+    let ends = RouterFleet::new().crash_one_by_one(CrashSign::AddressReused, 14, 6_000);
+    assert_eq!(ends.len(), CRASHES_ALLOWED, "{ends:?}");
+}
+
+/// Guards against a loss that is dropped: the list already has the engine's new start when the
+/// router hears that the connection to the former process broke.
+#[test]
+fn a_loss_heard_after_the_new_start_makes_a_crash() {
+    let ends = RouterFleet::new().crash_one_by_one(CrashSign::StartsAgainBeforeLoss, 14, 6_000);
+    assert_eq!(ends.len(), CRASHES_ALLOWED, "{ends:?}");
+}
+
+/// Guards against a request that ends engine after engine while each crash is seen in another way,
+/// with sends a second or less apart, from any router.
+#[test]
+fn crashes_seen_in_different_ways_add_up() {
+    for seed in 0..200 {
+        let mut draw = StdRng::seed_from_u64(seed);
+        let mut fleet = RouterFleet::new();
+        let (mut at, mut ends) = (1_000, Vec::new());
+        for _ in 0..30 {
+            at += draw.random_range(300..1_300);
+            fleet.run_until(at);
+            let router = draw.random_range(0..ROUTERS);
+            if let Some(ticket) = fleet.send(router, CRASHING) {
+                ends.push(at + 50);
+                let sign = ALL_SIGNS[draw.random_range(0..ALL_SIGNS.len())];
+                fleet.crash(router, ticket, sign, Vec::new());
+            }
+        }
+        assert!(
+            late_sends(&ends) <= LATE_SENDS_ALLOWED,
+            "seed {seed}: {ends:?}"
+        );
+    }
+}
+
+/// Guards against a router that starts after the refusal, knows nothing of it and sends the request
+/// to one more engine.
+#[test]
+fn a_router_that_starts_after_the_refusal_refuses_as_well() {
+    let mut fleet = RouterFleet::new();
+    let ends = fleet.crash_one_by_one(CrashSign::RefusedHere, 3, 2_000);
+    assert_eq!(ends.len(), CRASHES_ALLOWED);
+    fleet.run_until(20_000);
+    fleet.routers[5] = router_with(&fleet.listed);
+    fleet.run_until(21_000);
+    assert!(fleet.send(5, CRASHING).is_none());
+}
+
+/// Guards against a refusal that stays at one router for seconds: the requests that were lost beside
+/// the crashing one fill the messages.
+#[test]
+fn a_refusal_is_in_the_next_message_however_many_requests_were_lost_beside_it() {
+    let mut fleet = RouterFleet::new();
+    for turn in 0..CRASHES_ALLOWED {
+        fleet.run_until(2_000 + turn as u64 * 6_000);
+        let ticket = fleet.send(turn, CRASHING).unwrap();
+        let engine = ticket.entry.key.clone();
+        let beside = (0..BESIDE).map(|_| {
+            let fingerprint = fleet.fresh();
+            let ticket = fleet.send_to(turn, &engine, fingerprint).unwrap();
+            (turn, ticket, fingerprint)
+        });
+        let beside = beside.collect();
+        fleet.crash(turn, ticket, CrashSign::RefusedHere, beside);
+    }
+    let seen = fleet.now + 100;
+    fleet.run_until(seen + 2 * ROUND_MS);
+    let refusing = (0..ROUTERS).filter(|router| fleet.send(*router, CRASHING).is_none());
+    let refusing: Vec<_> = refusing.collect();
+    assert_eq!(refusing.len(), ROUTERS, "{refusing:?}");
+}
+
+/// Guards against a harmless request that is refused for minutes: callers of all routers send it all
+/// the time, so that it runs in crash after crash, and it is answered whole in between.
+#[test]
+fn a_request_that_is_answered_between_crashes_is_never_refused() {
+    let popular = RequestFingerprint(99);
+    let mut fleet = RouterFleet::new();
+    let mut refused = 0;
+    for turn in 0..10 {
+        for step in 0..27 {
+            fleet.run_until(1_000 + turn * 2_000 + step * 70);
+            let answers = (0..ROUTERS).map(|router| fleet.answer(router, popular));
+            refused += answers.filter(|answered| !answered).count();
+        }
+        let (router, fingerprint) = (usize::try_from(turn).unwrap() % ROUTERS, fleet.fresh());
+        let ticket = fleet.send(router, fingerprint).unwrap();
+        let engine = ticket.entry.key.clone();
+        let beside = (0..ROUTERS).filter_map(|other| {
+            let ticket = fleet.send_to(other, &engine, popular)?;
+            Some((other, ticket, popular))
+        });
+        let beside = beside.collect();
+        fleet.crash(router, ticket, CrashSign::RefusedHere, beside);
+    }
+    assert_eq!(refused, 0);
+}
+
+/// Guards against harmless requests that count as the cause of a crash: an engine leaves as planned,
+/// cuts what still runs when its process ends, and its address refuses connections.
+#[test]
+fn requests_cut_by_an_engine_that_leaves_as_planned_are_no_suspects() {
+    let mut fleet = RouterFleet::new();
+    for turn in 0..5 {
+        fleet.run_until(1_000 + turn * 8_000);
+        let ticket = fleet.send(0, CRASHING).unwrap();
+        let engine = ticket.entry.clone();
+        let leaving = EndpointEntry {
+            state: EndpointState::Leaving,
+            ..engine.clone()
+        };
+        let next = fleet.successor(&engine);
+        let (now, key) = (fleet.now, engine.key.clone());
+        fleet.events.extend([
+            (now + 500, FleetEvent::List(None, Some(leaving))),
+            (now + 4_000, FleetEvent::Lose(0, vec![(ticket, CRASHING)])),
+            (now + 4_050, FleetEvent::Refuse(2, engine)),
+            (now + 4_500, FleetEvent::List(Some(key), Some(next))),
+        ]);
+    }
+    fleet.run_until(60_000);
+    assert!(fleet.send(1, CRASHING).is_some());
+}
+
+/// Guards against harmless requests that count as the cause of a crash: an engine's registration is
+/// removed, as on some planned departures, and seconds later its process ends under what still runs.
+#[test]
+fn requests_cut_by_an_engine_that_was_unregistered_before_are_no_suspects() {
+    let mut fleet = RouterFleet::new();
+    for turn in 0..5 {
+        fleet.run_until(1_000 + turn * 8_000);
+        let ticket = fleet.send(0, CRASHING).unwrap();
+        let engine = ticket.entry.clone();
+        let next = fleet.successor(&engine);
+        let now = fleet.now;
+        fleet.events.extend([
+            (now + 500, FleetEvent::List(Some(engine.key), Some(next))),
+            (now + 4_000, FleetEvent::Lose(0, vec![(ticket, CRASHING)])),
+        ]);
+    }
+    fleet.run_until(60_000);
+    assert!(fleet.send(1, CRASHING).is_some());
+}
