A loss and the sign of an end count at whichever routers they were seen

Callers saw a request end nine engines before it was refused; with each one went the answers of others. Cause: a loss became a crash only if the router that lost the request was also the one whose connection was refused. Ends of processes are now sent to all routers for ten seconds, eight bytes each, and each router joins them with its own losses; losses stay where they are. Losses and signs of an endpoint that is known to leave are left out.

--- a/src/core/tables/crashes.rs
+++ b/src/core/tables/crashes.rs
@@ -347,15 +347,11 @@
 
     /// Removes expired rows. Above the configured bounds, removes the crashes that were recorded
     /// first, the suspects that expire first, and losses at other routers by lowest fingerprint.
-    /// Returns the number of losses of this router that expired unexplained.
-    pub fn shrink(&mut self, now: Moment, config: &QuarantineConfig) -> usize {
-        let mut unexplained = 0;
+    pub fn shrink(&mut self, now: Moment, config: &QuarantineConfig) {
         let evidence = TimeSpan::from_millis(config.evidence_ms);
         let suspicion = TimeSpan::from_millis(config.suspect_ms);
         self.losses.retain(|_, losses| {
-            let before = losses.len();
             losses.retain(|loss| now.since(loss.at) <= evidence);
-            unexplained += before - losses.len();
             !losses.is_empty()
         });
         let check = TimeSpan::from_millis(config.check_ms);
@@ -376,7 +372,6 @@
             };
             self.suspects.remove(&fingerprint);
         }
-        unexplained
     }
 
     /// Number of crashes in which a request was running, as far as known.
--- a/src/gateway/decide/core.rs
+++ b/src/gateway/decide/core.rs
@@ -31,6 +31,7 @@
 use super::placement::EngineModel;
 use super::placement::Placement;
 use super::placement::PlacementRequest;
+use super::process_ends::EndSign;
 use super::quarantine::CrashQuarantine;
 use super::shares::LimitedTeam;
 use super::shares::ShareStanding;
@@ -243,7 +244,7 @@
     /// still used for a while, since an outage of the store may be the cause.
     pub fn set_endpoints(&mut self, now: Moment, entries: &BTreeMap<EndpointKey, EndpointEntry>) {
         for former in self.endpoints.replace(now, entries) {
-            self.quarantine.record_process_end(now, &former);
+            self.quarantine.record_sign(now, &former, EndSign::Replaced);
         }
     }
 
@@ -623,14 +624,19 @@
             AttemptEnd::Failed => row.health.count(now, true),
             AttemptEnd::Lost(fingerprint) => {
                 row.health.count(now, true);
-                self.quarantine
-                    .record_lost_attempt(now, &ticket.entry, fingerprint);
+                if self.endpoints.is_in_service(&ticket.entry) {
+                    self.quarantine
+                        .record_lost_attempt(now, &ticket.entry, fingerprint);
+                }
             }
             AttemptEnd::NotReached if self.is_disturbed => row.record_link_failure(now),
             AttemptEnd::NotReached => row.record_failed_connection(now),
             AttemptEnd::Gone => {
                 row.record_failed_connection(now);
-                self.quarantine.record_process_end(now, &ticket.entry);
+                if self.endpoints.is_in_service(&ticket.entry) {
+                    self.quarantine
+                        .record_sign(now, &ticket.entry, EndSign::Refused);
+                }
             }
             AttemptEnd::Full => row.pause_when_full(now),
             // If the route does not allow the request to run at a second endpoint, callers that
--- a/src/gateway/decide/endpoints.rs
+++ b/src/gateway/decide/endpoints.rs
@@ -145,6 +145,11 @@
         self.entry.state == EndpointState::Ready
     }
 
+    /// Returns true if neither the endpoint lists nor the endpoint itself say that it leaves.
+    fn is_in_service(&self) -> bool {
+        self.is_registered_ready() && !self.is_reported_departed && !self.notices.is_leaving
+    }
+
     /// Requests of all routers at the endpoint, as far as known.
     #[must_use]
     pub fn total_active(&self) -> u32 {
@@ -201,7 +206,7 @@
     /// Guards against an endpoint that restarts under its key: the queue, cache and failures of the
     /// former process are gone, and calls waiting for that process would wait in vain. The new
     /// process gets a fresh row, and attempts at the former one are notified. Returns the former
-    /// processes that were replaced.
+    /// processes that were replaced while they were in service.
     pub fn replace(
         &mut self,
         now: Moment,
@@ -224,7 +229,9 @@
                     spdlog::info!("endpoint: key={key} born={} started again", entry.born);
                     former.replaced.cancel();
                     self.departures.mark_departed(now, former.life);
-                    replaced.push(former.entry);
+                    if former.is_in_service() {
+                        replaced.push(former.entry);
+                    }
                     EndpointRow::new(entry.clone())
                 }
                 None => EndpointRow::new(entry.clone()),
@@ -355,6 +362,14 @@
         row.is_some_and(|row| row.entry.born == entry.born && row.is_ready(now))
     }
 
+    /// Returns true if a process is listed and nobody knows that it leaves. If such a process ends
+    /// under its requests, it crashed; one that leaves may cut what it did not finish in time.
+    #[must_use]
+    pub fn is_in_service(&self, entry: &EndpointEntry) -> bool {
+        let row = self.get(&entry.key);
+        row.is_some_and(|row| row.entry.born == entry.born && row.is_in_service())
+    }
+
     /// Returns the row of an endpoint for modification.
     pub fn get_mut(&mut self, key: &EndpointKey) -> Option<&mut EndpointRow> {
         self.index(key).map(|index| &mut self.rows[index])
--- a/src/gateway/decide/mod.rs
+++ b/src/gateway/decide/mod.rs
@@ -21,6 +21,7 @@
 pub mod levels;
 pub mod notices;
 pub mod placement;
+pub mod process_ends;
 pub mod quarantine;
 pub mod shares;
 pub mod sizes;
--- /dev/null
+++ b/src/gateway/decide/process_ends.rs
@@ -0,0 +1,162 @@
+//! Lost requests and signs that endpoint processes ended, and which of them belong together.
+//!
+//! Load pattern: a request ends the process of each endpoint that runs it, and its caller sends it
+//! again through any router. The router that loses the request is seldom the one that sees why. A
+//! loss is therefore kept until a sign from any router explains it, and the signs are sent to all
+//! routers; the losses themselves, which are many, stay where they are.
+//!
+//! | sign | seen by | after the end |
+//! |---|---|---|
+//! | a connection is refused | any router that connects | milliseconds |
+//! | a later start under the same key | all, in the endpoint list | a second |
+//!
+//! The caller of this module leaves out signs and losses of endpoints that are known to be leaving.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use crate::units::EndpointId;
+use crate::units::Moment;
+use crate::units::RequestFingerprint;
+use crate::units::TimeSpan;
+
+/// Time for which a loss waits for a sign.
+const LOSS_RETENTION: TimeSpan = TimeSpan::from_millis(3_000);
+
+/// Time for which an end is remembered and sent to other routers: longer than a router takes to hear
+/// of a broken connection, and than a full link delays messages.
+const END_RETENTION: TimeSpan = TimeSpan::from_millis(10_000);
+
+/// Maximum number of ends in one message: 128 bytes of it. If more processes end within
+/// `END_RETENTION`, the latest ones are sent.
+const MAX_SENT_ENDS: usize = 16;
+
+/// Maximum number of ends that are remembered. A foreign sender could report any number.
+const MAX_ENDS: usize = 512;
+
+/// A sign that an endpoint's process ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EndSign {
+    /// Nothing listens at its address.
+    Refused,
+    /// A process with a later start registered under its key.
+    Replaced,
+}
+
+impl EndSign {
+    /// Returns the sign's label in logs.
+    #[must_use]
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Refused => "refused",
+            Self::Replaced => "replaced",
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct ProcessLosses {
+    endpoint: EndpointId,
+    lost: BTreeMap<RequestFingerprint, Moment>,
+}
+
+/// Losses of this router that no sign explained yet, and processes known to have ended. Processes
+/// are identified by their hashes.
+#[derive(Debug, Default)]
+pub struct ProcessEnds {
+    losses: BTreeMap<u64, ProcessLosses>,
+    ends: BTreeMap<u64, Moment>,
+}
+
+impl ProcessEnds {
+    /// Returns true if a process is known to have ended.
+    #[must_use]
+    pub fn has_ended(&self, process: u64) -> bool {
+        self.ends.contains_key(&process)
+    }
+
+    /// Keeps a loss until a sign explains it.
+    pub fn keep_loss(
+        &mut self,
+        now: Moment,
+        process: u64,
+        endpoint: EndpointId,
+        fingerprint: RequestFingerprint,
+    ) {
+        let losses = self.losses.entry(process).or_default();
+        losses.endpoint = endpoint;
+        losses.lost.insert(fingerprint, now);
+    }
+
+    /// Records a sign that a process ended. Returns the requests that were lost there.
+    pub fn record_sign(&mut self, now: Moment, process: u64) -> BTreeSet<RequestFingerprint> {
+        self.record_end(now, process);
+        self.take_losses(now, process).1
+    }
+
+    /// Records an end that another router reports. Returns the requests that were lost there and
+    /// their endpoint; none if the end was known before.
+    pub fn record_reported_end(
+        &mut self,
+        now: Moment,
+        process: u64,
+    ) -> (EndpointId, BTreeSet<RequestFingerprint>) {
+        if !self.record_end(now, process) {
+            return Default::default();
+        }
+        self.take_losses(now, process)
+    }
+
+    /// Returns false if the end was known before.
+    fn record_end(&mut self, now: Moment, process: u64) -> bool {
+        if self.ends.contains_key(&process) {
+            return false;
+        }
+        self.ends.insert(process, now);
+        while self.ends.len() > MAX_ENDS {
+            let oldest = self.ends.iter().min_by_key(|(_, at)| **at);
+            let Some(oldest) = oldest.map(|(process, _)| *process) else {
+                break;
+            };
+            self.ends.remove(&oldest);
+        }
+        true
+    }
+
+    fn take_losses(
+        &mut self,
+        now: Moment,
+        process: u64,
+    ) -> (EndpointId, BTreeSet<RequestFingerprint>) {
+        let ProcessLosses { endpoint, lost } = self.losses.remove(&process).unwrap_or_default();
+        let recent = lost.into_iter();
+        let recent = recent.filter(|(_, at)| now.since(*at) <= LOSS_RETENTION);
+        (
+            endpoint,
+            recent.map(|(fingerprint, _)| fingerprint).collect(),
+        )
+    }
+
+    /// Drops old losses and ends. Returns the number of losses that no sign explained.
+    pub fn shrink(&mut self, now: Moment) -> usize {
+        let mut unexplained = 0;
+        self.losses.retain(|_, losses| {
+            let before = losses.lost.len();
+            losses.lost.retain(|_, at| now.since(*at) <= LOSS_RETENTION);
+            unexplained += before - losses.lost.len();
+            !losses.lost.is_empty()
+        });
+        self.ends.retain(|_, at| now.since(*at) <= END_RETENTION);
+        unexplained
+    }
+
+    /// Returns the ends for the next message to other routers, latest first.
+    #[must_use]
+    pub fn ends_to_send(&self) -> Vec<u64> {
+        let ends = self.ends.iter().map(|(process, at)| (*at, *process));
+        let mut latest: Vec<(Moment, u64)> = ends.collect();
+        latest.sort_unstable_by(|left, right| right.cmp(left));
+        latest.truncate(MAX_SENT_ENDS);
+        latest.into_iter().map(|(_, process)| process).collect()
+    }
+}
--- a/src/gateway/decide/quarantine.rs
+++ b/src/gateway/decide/quarantine.rs
@@ -3,11 +3,14 @@
 //! Load pattern: a request crashes each engine that starts to run it, and its caller retries it at
 //! any router. A lost attempt alone proves little, since links break too. Together with a sign that
 //! the endpoint's process ended, it makes the request a suspect of that crash. Routers exchange
-//! suspects, and all of them refuse a request that was running in three crashes. The limit is three
+//! suspects and signs, see [`super::process_ends`], and all of them refuse a request that was
+//! running in three crashes. The limit is three
 //! because other requests run beside the one that causes the crash: of 64 requests that were
 //! running at one crash, few are running at a second one and hardly any at a third, while each
 //! further engine lost costs the work of all its requests.
 
+use std::collections::BTreeSet;
+
 use crate::configs::quarantine::QuarantineConfig;
 use crate::core::tables::crashes::CrashEvidence;
 use crate::core::tables::crashes::CrashTable;
@@ -17,6 +20,8 @@
 use crate::units::TimeSpan;
 
 use super::super::routes::EndpointEntry;
+use super::process_ends::EndSign;
+use super::process_ends::ProcessEnds;
 
 /// Crashes after which a request is refused.
 const CRASH_LIMIT: u32 = 3;
@@ -32,6 +37,9 @@
 /// run this code, and a message could list any number.
 const MAX_RECEIVED_SUSPECTS: usize = 64;
 
+/// Maximum number of ended processes accepted from one message, for the same reason.
+const MAX_RECEIVED_ENDS: usize = 64;
+
 /// Crashes from which on a suspect's count is logged. Most suspects are in one crash only.
 const LOGGED_CRASHES: usize = 2;
 
@@ -69,6 +77,8 @@
 pub struct CrashReport {
     /// Requests that were running in recent crashes.
     pub suspects: Vec<CrashSuspect>,
+    /// Hashes of endpoint processes that ended recently.
+    pub ended: Vec<u64>,
 }
 
 /// Crashes, their suspects and the requests refused because of them.
@@ -76,6 +86,7 @@
 pub struct CrashQuarantine {
     config: QuarantineConfig,
     table: CrashTable,
+    ends: ProcessEnds,
     /// Position of the next suspect to send.
     next: usize,
 }
@@ -89,6 +100,7 @@
         Self {
             config,
             table: CrashTable::default(),
+            ends: ProcessEnds::default(),
             next: 0,
         }
     }
@@ -109,37 +121,46 @@
         entry: &EndpointEntry,
         fingerprint: RequestFingerprint,
     ) {
-        let endpoint = endpoint_id(entry);
-        let window = TimeSpan::from_millis(self.config.evidence_ms);
-        let life = entry.life().hash();
-        let record = self.table.find_record(endpoint, life, now, window);
-        let ended = if record.is_some() { "known" } else { "unknown" };
+        let (endpoint, process) = (endpoint_id(entry), entry.life().hash());
+        let has_ended = self.ends.has_ended(process);
+        let end = if has_ended { "known" } else { "unknown" };
         spdlog::info!(
-            "quarantine: endpoint={} fingerprint={fingerprint} lost end={ended}",
+            "quarantine: endpoint={} fingerprint={fingerprint} lost end={end}",
             entry.key
         );
-        match record {
-            Some(record) => self.suspect(now, record, fingerprint, SuspectSource::Own),
-            None => self.table.note_loss(endpoint, fingerprint, now),
+        if has_ended {
+            let record = self.find_or_add_record(now, endpoint, process);
+            self.suspect(now, record, fingerprint, SuspectSource::Own);
+        } else {
+            self.ends.keep_loss(now, process, endpoint, fingerprint);
         }
     }
 
-    /// Records a sign that an endpoint's process ended: nothing listens at its address, or a new
-    /// process registered. Attempts recently lost there become suspects.
-    pub fn record_process_end(&mut self, now: Moment, entry: &EndpointEntry) {
-        let endpoint = endpoint_id(entry);
-        if !self.table.has_losses(endpoint) {
-            spdlog::info!("quarantine: endpoint={} ended losses=0", entry.key);
-            return;
-        }
-        let oldest = Moment(now.0.saturating_sub(self.config.evidence_ms * 1_000));
-        let losses = self.table.take_losses(endpoint, oldest);
+    /// Records a sign that an endpoint's process ended. Attempts recently lost there become
+    /// suspects.
+    pub fn record_sign(&mut self, now: Moment, entry: &EndpointEntry, sign: EndSign) {
+        let (endpoint, process) = (endpoint_id(entry), entry.life().hash());
+        let losses = self.ends.record_sign(now, process);
         spdlog::info!(
-            "quarantine: endpoint={} ended losses={}",
+            "quarantine: endpoint={} ended sign={} losses={}",
             entry.key,
+            sign.label(),
             losses.len()
         );
-        let record = self.find_or_add_record(now, endpoint, entry.life().hash());
+        self.suspect_all(now, endpoint, process, losses);
+    }
+
+    fn suspect_all(
+        &mut self,
+        now: Moment,
+        endpoint: EndpointId,
+        process: u64,
+        losses: BTreeSet<RequestFingerprint>,
+    ) {
+        if losses.is_empty() {
+            return;
+        }
+        let record = self.find_or_add_record(now, endpoint, process);
         for fingerprint in losses {
             self.suspect(now, record, fingerprint, SuspectSource::Own);
         }
@@ -194,13 +215,26 @@
 
     /// Returns the report for the next message to other routers, and drops old records.
     pub fn report(&mut self, now: Moment) -> CrashReport {
+        let unexplained = self.ends.shrink(now);
+        if unexplained > 0 {
+            spdlog::info!("quarantine: losses={unexplained} expired without a sign of an end");
+        }
         CrashReport {
             suspects: self.suspects_to_send(now),
+            ended: self.ends.ends_to_send(),
         }
     }
 
     /// Applies another router's report.
     pub fn apply_report(&mut self, now: Moment, report: CrashReport) {
+        for process in report.ended.into_iter().take(MAX_RECEIVED_ENDS) {
+            let (endpoint, losses) = self.ends.record_reported_end(now, process);
+            if !losses.is_empty() {
+                let count = losses.len();
+                spdlog::info!("quarantine: process={process:x} ended sign=reported losses={count}");
+            }
+            self.suspect_all(now, endpoint, process, losses);
+        }
         self.merge_suspects(now, report.suspects.into_iter());
     }
 
@@ -214,10 +248,7 @@
 
     /// Returns suspects of recent crashes for the next message, in rotation, and drops old records.
     pub fn suspects_to_send(&mut self, now: Moment) -> Vec<CrashSuspect> {
-        let unexplained = self.table.shrink(now, &self.config);
-        if unexplained > 0 {
-            spdlog::info!("quarantine: losses={unexplained} expired without a sign of an end");
-        }
+        self.table.shrink(now, &self.config);
         let recent = self.table.records_mut();
         let recent = recent.filter(|record| now.since(record.seen_at) < SUSPECT_REPORT_TIME);
         let suspects: Vec<CrashSuspect> = recent
--- a/src/gateway/digest.rs
+++ b/src/gateway/digest.rs
@@ -280,6 +280,10 @@
     /// becomes available again.
     #[prost(fixed64, repeated, tag = "14")]
     pub announced_leaving: Vec<u64>,
+    /// Process hashes of endpoints whose process ended recently without leaving, see
+    /// [`super::decide::process_ends`].
+    #[prost(fixed64, repeated, tag = "15")]
+    pub ended: Vec<u64>,
 }
 
 impl RouterDigest {
@@ -288,6 +292,7 @@
     pub fn crash_report(&self) -> CrashReport {
         CrashReport {
             suspects: self.suspects.iter().map(SuspectEntry::decode).collect(),
+            ended: self.ended.clone(),
         }
     }
 }
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -267,6 +267,7 @@
             turned_away_per_s: turned_away as u32,
             left,
             announced_leaving,
+            ended: crashes.ended,
         }
     }
 
--- a/tests/gateway_crash_signs.rs
+++ b/tests/gateway_crash_signs.rs
@@ -87,8 +87,8 @@
 enum FleetEvent {
     /// A router loses these requests at an engine.
     Lose(usize, Vec<(AttemptTicket, RequestFingerprint)>),
-    /// A router's connection to this engine is refused.
-    Refuse(usize, EndpointEntry),
+    /// A router's connection for this attempt is refused.
+    Refuse(usize, AttemptTicket),
     /// The list changes: an entry is removed and another one added.
     List(Option<EndpointKey>, Option<EndpointEntry>),
 }
@@ -147,11 +147,8 @@
                     self.routers[router].ended(now, ticket, AttemptEnd::Lost(fingerprint));
                 }
             }
-            FleetEvent::Refuse(router, engine) => {
-                let fingerprint = self.fresh();
-                if let Some(ticket) = self.send_to(router, &engine.key, fingerprint) {
-                    self.routers[router].ended(now, ticket, AttemptEnd::Gone);
-                }
+            FleetEvent::Refuse(router, ticket) => {
+                self.routers[router].ended(now, ticket, AttemptEnd::Gone);
             }
             FleetEvent::List(removed, added) => {
                 if let Some(key) = removed {
@@ -288,14 +285,18 @@
             born: ProcessStartTime(engine.born.0 + ended),
             ..engine.clone()
         };
-        let other = (router + 3) % ROUTERS;
+        let connecting = match sign {
+            CrashSign::RefusedElsewhere => (router + 3) % ROUTERS,
+            _ => router,
+        };
+        let fingerprint = self.fresh();
+        let connection = self.send_to(connecting, &key, fingerprint);
         let events = match sign {
-            CrashSign::RefusedElsewhere => vec![
-                (ended + 50, FleetEvent::Refuse(other, engine)),
-                (ended + LAPSE_MS, FleetEvent::List(Some(key), Some(next))),
-            ],
-            CrashSign::RefusedHere => vec![
-                (ended + 50, FleetEvent::Refuse(router, engine)),
+            CrashSign::RefusedElsewhere | CrashSign::RefusedHere => vec![
+                (
+                    ended + 50,
+                    FleetEvent::Refuse(connecting, connection.unwrap()),
+                ),
                 (ended + LAPSE_MS, FleetEvent::List(Some(key), Some(next))),
             ],
             CrashSign::Lapses => vec![(ended + LAPSE_MS, FleetEvent::List(Some(key), Some(next)))],
@@ -471,10 +472,12 @@
         };
         let next = fleet.successor(&engine);
         let (now, key) = (fleet.now, engine.key.clone());
+        let fingerprint = fleet.fresh();
+        let connection = fleet.send_to(2, &engine.key, fingerprint).unwrap();
         fleet.events.extend([
             (now + 500, FleetEvent::List(None, Some(leaving))),
             (now + 4_000, FleetEvent::Lose(0, vec![(ticket, CRASHING)])),
-            (now + 4_050, FleetEvent::Refuse(2, engine)),
+            (now + 4_050, FleetEvent::Refuse(2, connection)),
             (now + 4_500, FleetEvent::List(Some(key), Some(next))),
         ]);
     }
