A registration that lapses explains the losses before it

Callers saw a request end nine engines before it was refused. An endpoint that leaves the list while in service is now a sign. It explains losses heard before it only: planned departures without notice look the same, and cut what still runs seconds later. Losses wait 8 s.

--- a/src/gateway/decide/core.rs
+++ b/src/gateway/decide/core.rs
@@ -243,8 +243,8 @@
     /// Sets the endpoints in use: registered ones, and those whose registration lapsed but that are
     /// still used for a while, since an outage of the store may be the cause.
     pub fn set_endpoints(&mut self, now: Moment, entries: &BTreeMap<EndpointKey, EndpointEntry>) {
-        for former in self.endpoints.replace(now, entries) {
-            self.quarantine.record_sign(now, &former, EndSign::Replaced);
+        for (former, sign) in self.endpoints.replace(now, entries) {
+            self.quarantine.record_sign(now, &former, sign);
         }
     }
 
--- a/src/gateway/decide/endpoints.rs
+++ b/src/gateway/decide/endpoints.rs
@@ -18,6 +18,7 @@
 use super::health::PeerHealth;
 use super::notices::EndpointNotices;
 use super::notices::NoticeTable;
+use super::process_ends::EndSign;
 
 /// First and longest pause after a failed connection, in ms. An endpoint restarts within seconds; a
 /// retry every 2 s notices it soon and costs few connections.
@@ -145,9 +146,9 @@
         self.entry.state == EndpointState::Ready
     }
 
-    /// Returns true if neither the endpoint lists nor the endpoint itself say that it leaves.
+    /// Returns true if neither its last registration nor the endpoint itself says that it leaves.
     fn is_in_service(&self) -> bool {
-        self.is_registered_ready() && !self.is_reported_departed && !self.notices.is_leaving
+        self.is_registered_ready() && !self.notices.is_leaving
     }
 
     /// Requests of all routers at the endpoint, as far as known.
@@ -205,14 +206,16 @@
     ///
     /// Guards against an endpoint that restarts under its key: the queue, cache and failures of the
     /// former process are gone, and calls waiting for that process would wait in vain. The new
-    /// process gets a fresh row, and attempts at the former one are notified. Returns the former
-    /// processes that were replaced while they were in service.
+    /// process gets a fresh row, and attempts at the former one are notified.
+    ///
+    /// Returns the processes that are no longer listed although they were in service, with the sign
+    /// of an end that this is.
     pub fn replace(
         &mut self,
         now: Moment,
         entries: &BTreeMap<EndpointKey, EndpointEntry>,
-    ) -> Vec<EndpointEntry> {
-        let mut replaced = Vec::new();
+    ) -> Vec<(EndpointEntry, EndSign)> {
+        let mut ended = Vec::new();
         let before = std::mem::take(&mut self.rows).into_iter();
         let mut known: BTreeMap<EndpointKey, EndpointRow> =
             before.map(|row| (row.entry.key.clone(), row)).collect();
@@ -230,7 +233,7 @@
                     former.replaced.cancel();
                     self.departures.mark_departed(now, former.life);
                     if former.is_in_service() {
-                        replaced.push(former.entry);
+                        ended.push((former.entry, EndSign::Replaced));
                     }
                     EndpointRow::new(entry.clone())
                 }
@@ -248,10 +251,13 @@
         }
         for row in known.into_values() {
             self.departures.mark_departed(now, row.life);
+            if row.is_in_service() {
+                ended.push((row.entry, EndSign::Unregistered));
+            }
         }
         let known: BTreeSet<u64> = self.rows.iter().map(|row| row.process_hash).collect();
         self.notices.forget(now, |life| known.contains(&life));
-        replaced
+        ended
     }
 
     /// Applies the notices that a process gave in an answer. Returns true if it is the first notice
@@ -362,12 +368,14 @@
         row.is_some_and(|row| row.entry.born == entry.born && row.is_ready(now))
     }
 
-    /// Returns true if a process is listed and nobody knows that it leaves. If such a process ends
+    /// Returns true if a process is listed and no router knows that it left. If such a process ends
     /// under its requests, it crashed; one that leaves may cut what it did not finish in time.
     #[must_use]
     pub fn is_in_service(&self, entry: &EndpointEntry) -> bool {
         let row = self.get(&entry.key);
-        row.is_some_and(|row| row.entry.born == entry.born && row.is_in_service())
+        row.is_some_and(|row| {
+            row.entry.born == entry.born && row.is_in_service() && !row.is_reported_departed
+        })
     }
 
     /// Returns the row of an endpoint for modification.
--- a/src/gateway/decide/process_ends.rs
+++ b/src/gateway/decide/process_ends.rs
@@ -5,11 +5,14 @@
 //! loss is therefore kept until a sign from any router explains it, and the signs are sent to all
 //! routers; the losses themselves, which are many, stay where they are.
 //!
-//! | sign | seen by | after the end |
-//! |---|---|---|
-//! | a connection is refused | any router that connects | milliseconds |
-//! | a later start under the same key | all, in the endpoint list | a second |
+//! | sign | seen by | after the end | explains losses heard |
+//! |---|---|---|---|
+//! | a connection is refused | any router that connects | milliseconds | before it and after |
+//! | a later start under the same key | all, in the endpoint list | a second | before it and after |
+//! | the registration ended | all, in the endpoint list | three heartbeats | before it only |
 //!
+//! The last one also happens on planned departures, some of which are not announced: an endpoint
+//! goes on serving for seconds and then cuts what still runs, so losses heard later prove nothing.
 //! The caller of this module leaves out signs and losses of endpoints that are known to be leaving.
 
 use std::collections::BTreeMap;
@@ -20,8 +23,9 @@
 use crate::units::RequestFingerprint;
 use crate::units::TimeSpan;
 
-/// Time for which a loss waits for a sign.
-const LOSS_RETENTION: TimeSpan = TimeSpan::from_millis(3_000);
+/// Time for which a loss waits for a sign: the registration of a silent process ends after three
+/// heartbeats, and the list that shows it arrives within seconds of that.
+const LOSS_RETENTION: TimeSpan = TimeSpan::from_millis(8_000);
 
 /// Time for which an end is remembered and sent to other routers: longer than a router takes to hear
 /// of a broken connection, and than a full link delays messages.
@@ -41,6 +45,8 @@
     Refused,
     /// A process with a later start registered under its key.
     Replaced,
+    /// Its registration ended.
+    Unregistered,
 }
 
 impl EndSign {
@@ -50,6 +56,15 @@
         match self {
             Self::Refused => "refused",
             Self::Replaced => "replaced",
+            Self::Unregistered => "unregistered",
+        }
+    }
+
+    /// Returns true if the sign also explains losses that are heard after it.
+    fn proves_end(self) -> bool {
+        match self {
+            Self::Refused | Self::Replaced => true,
+            Self::Unregistered => false,
         }
     }
 }
@@ -89,8 +104,15 @@
     }
 
     /// Records a sign that a process ended. Returns the requests that were lost there.
-    pub fn record_sign(&mut self, now: Moment, process: u64) -> BTreeSet<RequestFingerprint> {
-        self.record_end(now, process);
+    pub fn record_sign(
+        &mut self,
+        now: Moment,
+        process: u64,
+        sign: EndSign,
+    ) -> BTreeSet<RequestFingerprint> {
+        if sign.proves_end() {
+            self.record_end(now, process);
+        }
         self.take_losses(now, process).1
     }
 
--- a/src/gateway/decide/quarantine.rs
+++ b/src/gateway/decide/quarantine.rs
@@ -140,7 +140,7 @@
     /// suspects.
     pub fn record_sign(&mut self, now: Moment, entry: &EndpointEntry, sign: EndSign) {
         let (endpoint, process) = (endpoint_id(entry), entry.life().hash());
-        let losses = self.ends.record_sign(now, process);
+        let losses = self.ends.record_sign(now, process, sign);
         spdlog::info!(
             "quarantine: endpoint={} ended sign={} losses={}",
             entry.key,
--- a/tests/gateway_crash_signs.rs
+++ b/tests/gateway_crash_signs.rs
@@ -504,3 +504,23 @@
     fleet.run_until(60_000);
     assert!(fleet.send(1, CRASHING).is_some());
 }
+
+/// Guards against a crash that counts nowhere: another router, whose endpoint list is newer, reports
+/// that the endpoint left before this router's own list shows that its registration lapsed.
+#[test]
+fn a_lapse_that_another_router_reports_first_makes_a_crash() {
+    let mut fleet = RouterFleet::new();
+    for turn in 0..CRASHES_ALLOWED as u64 {
+        fleet.run_until(1_000 + turn * 6_000);
+        let ticket = fleet.send(0, CRASHING).unwrap();
+        let process = fleet.routers[0].endpoints.get(&ticket.entry.key).unwrap();
+        let reported = [process.life].into();
+        fleet.crash(0, ticket, CrashSign::Lapses, Vec::new());
+        fleet.run_until(fleet.now + LAPSE_MS);
+        fleet.routers[0]
+            .endpoints
+            .set_reported_departures(&reported);
+    }
+    fleet.run_until(30_000);
+    assert!(fleet.send(0, CRASHING).is_none());
+}
