A loss that is heard after the endpoint's new start is counted

Callers saw a request end engine after engine. Cause: GatewayCore::ended looked the attempt's row up first and returned when the list already had a later start or no entry, before the loss was recorded. The loss now goes to the quarantine first: it counts if the process is known to have ended, or is still in service.

--- a/src/gateway/decide/core.rs
+++ b/src/gateway/decide/core.rs
@@ -603,6 +603,10 @@
     pub fn ended(&mut self, now: Moment, mut ticket: AttemptTicket, end: AttemptEnd) {
         let had_output = !ticket.is_prefilling;
         self.finish_prefill(&mut ticket);
+        // Before the row is looked up: the list may no longer have the process of a lost attempt.
+        if let AttemptEnd::Lost(fingerprint) = end {
+            self.record_lost_attempt(now, &ticket.entry, fingerprint);
+        }
         let Some(row) = self.endpoints.of_attempt(&ticket.entry) else {
             return;
         };
@@ -621,14 +625,7 @@
                     .or_insert(measured_hold_ms);
                 *mean += LEARNING_WEIGHT * (measured_hold_ms - *mean);
             }
-            AttemptEnd::Failed => row.health.count(now, true),
-            AttemptEnd::Lost(fingerprint) => {
-                row.health.count(now, true);
-                if self.endpoints.is_in_service(&ticket.entry) {
-                    self.quarantine
-                        .record_lost_attempt(now, &ticket.entry, fingerprint);
-                }
-            }
+            AttemptEnd::Failed | AttemptEnd::Lost(_) => row.health.count(now, true),
             AttemptEnd::NotReached if self.is_disturbed => row.record_link_failure(now),
             AttemptEnd::NotReached => row.record_failed_connection(now),
             AttemptEnd::Gone => {
@@ -646,6 +643,18 @@
         }
     }
 
+    /// Records an attempt that broke off for the quarantine, unless its endpoint was leaving.
+    fn record_lost_attempt(
+        &mut self,
+        now: Moment,
+        entry: &EndpointEntry,
+        fingerprint: RequestFingerprint,
+    ) {
+        if self.endpoints.is_in_service(entry) || self.quarantine.has_ended(entry) {
+            self.quarantine.record_lost_attempt(now, entry, fingerprint);
+        }
+    }
+
     /// Forgets prompt parts that were sent to endpoints longer ago than `part_memory_ms`, to keep
     /// the tables small.
     pub fn forget_parts(&mut self, now: Moment) {
--- a/src/gateway/decide/quarantine.rs
+++ b/src/gateway/decide/quarantine.rs
@@ -114,6 +114,12 @@
 }
 
 impl CrashQuarantine {
+    /// Returns true if an endpoint's process is known to have ended without leaving.
+    #[must_use]
+    pub fn has_ended(&self, entry: &EndpointEntry) -> bool {
+        self.ends.has_ended(entry.life().hash())
+    }
+
     /// Records an attempt that broke off. Whether its endpoint crashed may not be known yet.
     pub fn record_lost_attempt(
         &mut self,
@@ -122,7 +128,7 @@
         fingerprint: RequestFingerprint,
     ) {
         let (endpoint, process) = (endpoint_id(entry), entry.life().hash());
-        let has_ended = self.ends.has_ended(process);
+        let has_ended = self.has_ended(entry);
         let end = if has_ended { "known" } else { "unknown" };
         spdlog::info!(
             "quarantine: endpoint={} fingerprint={fingerprint} lost end={end}",
