Tests: an engine whose process has ended refuses connections

crashes_seen_in_different_ways_add_up sent the request to engines that had ended but were still listed, and took that for one more run and one more loss. No process can run it there: the connection is refused, and the router tries the next one, as real routers do. The bound stays.

--- a/tests/gateway_crash_signs.rs
+++ b/tests/gateway_crash_signs.rs
@@ -99,6 +99,8 @@
     routers: Vec<GatewayCore>,
     listed: BTreeMap<EndpointKey, EndpointEntry>,
     events: Vec<(u64, FleetEvent)>,
+    /// When engines' processes ended, by their hashes.
+    ends: BTreeMap<u64, u64>,
     next_key: usize,
     next_fingerprint: u64,
 }
@@ -114,6 +116,7 @@
             routers: (0..ROUTERS).map(|_| router_with(&listed)).collect(),
             listed,
             events: Vec::new(),
+            ends: BTreeMap::new(),
             next_key: 0,
             next_fingerprint: 1_000,
         }
@@ -206,17 +209,30 @@
     }
 
     /// Sends a request through a router; `None` if it is refused as one that crashes endpoints.
+    /// Where a process has ended, the connection is refused and the next engine is tried.
     fn send(&mut self, router: usize, fingerprint: RequestFingerprint) -> Option<AttemptTicket> {
-        match self.admit(router, fingerprint, &[]) {
-            Admission::Send(ticket) => Some(ticket),
-            Admission::Refuse {
-                cause: RefusalCause::Quarantined,
-                ..
-            } => None,
-            refusal @ Admission::Refuse { .. } => panic!("{refusal:?}"),
+        let mut tried = Vec::new();
+        loop {
+            match self.admit(router, fingerprint, &tried) {
+                Admission::Send(ticket) if self.has_ended(&ticket.entry) => {
+                    tried.push(ticket.entry.key.clone());
+                    self.routers[router].ended(ms(self.now), ticket, AttemptEnd::Gone);
+                }
+                Admission::Send(ticket) => return Some(ticket),
+                Admission::Refuse {
+                    cause: RefusalCause::Quarantined,
+                    ..
+                } => return None,
+                refusal @ Admission::Refuse { .. } => panic!("{refusal:?}"),
+            }
         }
     }
 
+    fn has_ended(&self, engine: &EndpointEntry) -> bool {
+        let ended_at = self.ends.get(&engine.life().hash());
+        ended_at.is_some_and(|at| *at <= self.now)
+    }
+
     /// Sends a request through a router to this engine; `None` if the router does not use it.
     fn send_to(
         &mut self,
@@ -268,6 +284,7 @@
     ) {
         let engine = ticket.entry.clone();
         let (ended, key) = (self.now + 50, engine.key.clone());
+        self.ends.insert(engine.life().hash(), ended);
         let heard = match sign {
             CrashSign::StartsAgainBeforeLoss => ended + 1_010,
             _ => ended,
