A router that lost a request finds out at once whether the endpoint's process ended

Callers saw a request end nine engines before it was refused. Cause: a sign of an end came only from a call that happened to connect to the endpoint.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -25,6 +25,7 @@
 use super::relay;
 use super::relay::BufferedAnswer;
 use super::reply::endpoint_request;
+use super::routes::EndpointEntry;
 
 /// Largest head of an endpoint's answer, in bytes: twice what callers may send, since endpoints
 /// echo some of the request's fields.
@@ -186,10 +187,20 @@
     traffic: &TrafficState<P>,
     ticket: &AttemptTicket,
 ) -> Result<WireStream, NotRunCause> {
-    let entry = &ticket.entry;
-    if let Some(stream) = traffic.pool.take(&entry.life()) {
-        return Ok(stream);
+    match traffic.pool.take(&ticket.entry.life()) {
+        Some(stream) => Ok(stream),
+        None => open_connection(traffic, &ticket.entry).await,
     }
+}
+
+/// Opens a new connection to an endpoint.
+///
+/// # Errors
+/// [`NotRunCause::Gone`] if it is refused, [`NotRunCause::NotReached`] if it fails otherwise.
+pub async fn open_connection<P: CallProtocol>(
+    traffic: &TrafficState<P>,
+    entry: &EndpointEntry,
+) -> Result<WireStream, NotRunCause> {
     let shared = &traffic.shared;
     shared.metrics.endpoint_connection();
     let limit = Duration::from_millis(shared.config.connect_timeout_ms);
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use rand::RngExt;
+use tokio::task::spawn_local;
 use tokio::time::Instant;
 
 use crate::units::TimeSpan;
@@ -21,8 +22,11 @@
 use super::call_state::fingerprint;
 use super::decide::Admission;
 use super::decide::AdmissionRequest;
+use super::decide::AttemptEnd;
+use super::decide::AttemptTicket;
 use super::decide::RefusalCause;
 use super::decide::shares::ShareStanding;
+use super::end_check::check_end;
 use super::front::TrafficState;
 use super::http::EventSplitter;
 use super::http::RequestHead;
@@ -168,7 +172,7 @@
 
 /// Makes attempts until one yields the end of the call or no further one is allowed.
 async fn run_attempts<P: CallProtocol>(
-    traffic: &TrafficState<P>,
+    traffic: &Rc<TrafficState<P>>,
     caller: &mut WireStream,
     call: &mut CallState,
     table: &Arc<RouteTable>,
@@ -205,9 +209,7 @@
         call.decided.placed(&ticket);
         let outcome = run_attempt(traffic, caller, call, &mut ticket).await;
         let endpoint = ticket.entry.key.clone();
-        let now = traffic.shared.clock.now();
-        let end = outcome.end(call.fingerprint);
-        traffic.shared.core().ended(now, ticket, end);
+        end_attempt(traffic, ticket, outcome.end(call.fingerprint));
         spdlog::debug!(
             "calls: id={} endpoint={endpoint} outcome={outcome:?}",
             call.facts.call_id
@@ -218,6 +220,22 @@
     }
 }
 
+/// Passes the end of an attempt to the decision core, and finds out whether the endpoint's process
+/// has ended if the core wants to know.
+fn end_attempt<P: CallProtocol>(
+    traffic: &Rc<TrafficState<P>>,
+    ticket: AttemptTicket,
+    end: AttemptEnd,
+) {
+    let entry = ticket.entry.clone();
+    let now = traffic.shared.clock.now();
+    let mut core = traffic.shared.core();
+    core.ended(now, ticket, end);
+    if core.quarantine.take_check(now, &entry) {
+        spawn_local(check_end(Rc::clone(traffic), entry));
+    }
+}
+
 /// The admission request for the next attempt of a call.
 fn admission_request<'a>(call: &'a CallState, table: &'a RouteTable) -> AdmissionRequest<'a> {
     let now = Instant::now();
--- a/src/gateway/decide/core.rs
+++ b/src/gateway/decide/core.rs
@@ -628,13 +628,7 @@
             AttemptEnd::Failed | AttemptEnd::Lost(_) => row.health.count(now, true),
             AttemptEnd::NotReached if self.is_disturbed => row.record_link_failure(now),
             AttemptEnd::NotReached => row.record_failed_connection(now),
-            AttemptEnd::Gone => {
-                row.record_failed_connection(now);
-                if self.endpoints.is_in_service(&ticket.entry) {
-                    self.quarantine
-                        .record_sign(now, &ticket.entry, EndSign::Refused);
-                }
-            }
+            AttemptEnd::Gone => self.connection_refused(now, &ticket.entry),
             AttemptEnd::Full => row.pause_when_full(now),
             // If the route does not allow the request to run at a second endpoint, callers that
             // give up are the only sign that an endpoint hangs.
@@ -643,6 +637,16 @@
         }
     }
 
+    /// Records that nothing listens at an endpoint's address.
+    pub fn connection_refused(&mut self, now: Moment, entry: &EndpointEntry) {
+        if let Some(row) = self.endpoints.of_attempt(entry) {
+            row.record_failed_connection(now);
+        }
+        if self.endpoints.is_in_service(entry) {
+            self.quarantine.record_sign(now, entry, EndSign::Refused);
+        }
+    }
+
     /// Records an attempt that broke off for the quarantine, unless its endpoint was leaving.
     fn record_lost_attempt(
         &mut self,
--- a/src/gateway/decide/process_ends.rs
+++ b/src/gateway/decide/process_ends.rs
@@ -7,7 +7,7 @@
 //!
 //! | sign | seen by | after the end | explains losses heard |
 //! |---|---|---|---|
-//! | a connection is refused | any router that connects | milliseconds | before it and after |
+//! | a connection is refused | any router that connects, and each that lost a request | milliseconds | before it and after |
 //! | a later start under the same key | all, in the endpoint list | a second | before it and after |
 //! | the registration ended | all, in the endpoint list | three heartbeats | before it only |
 //!
@@ -27,6 +27,10 @@
 /// heartbeats, and the list that shows it arrives within seconds of that.
 const LOSS_RETENTION: TimeSpan = TimeSpan::from_millis(8_000);
 
+/// Shortest time between two checks of a process by one router. An endpoint that breaks off part of
+/// its answers while it runs costs one connection in this time, which a later call uses.
+const CHECK_PAUSE: TimeSpan = TimeSpan::from_millis(1_000);
+
 /// Time for which an end is remembered and sent to other routers: longer than a router takes to hear
 /// of a broken connection, and than a full link delays messages.
 const END_RETENTION: TimeSpan = TimeSpan::from_millis(10_000);
@@ -73,6 +77,8 @@
 struct ProcessLosses {
     endpoint: EndpointId,
     lost: BTreeMap<RequestFingerprint, Moment>,
+    /// When this router last opened a connection to find out whether the process has ended.
+    checked_at: Option<Moment>,
 }
 
 /// Losses of this router that no sign explained yet, and processes known to have ended. Processes
@@ -103,6 +109,21 @@
         losses.lost.insert(fingerprint, now);
     }
 
+    /// Returns true if it should be found out whether a process has ended: losses wait for a sign,
+    /// and the last check was `CHECK_PAUSE` ago.
+    pub fn take_check(&mut self, now: Moment, process: u64) -> bool {
+        let Some(losses) = self.losses.get_mut(&process) else {
+            return false;
+        };
+        let is_due = losses
+            .checked_at
+            .is_none_or(|at| now.since(at) >= CHECK_PAUSE);
+        if is_due {
+            losses.checked_at = Some(now);
+        }
+        is_due
+    }
+
     /// Records a sign that a process ended. Returns the requests that were lost there.
     pub fn record_sign(
         &mut self,
@@ -150,7 +171,7 @@
         now: Moment,
         process: u64,
     ) -> (EndpointId, BTreeSet<RequestFingerprint>) {
-        let ProcessLosses { endpoint, lost } = self.losses.remove(&process).unwrap_or_default();
+        let ProcessLosses { endpoint, lost, .. } = self.losses.remove(&process).unwrap_or_default();
         let recent = lost.into_iter();
         let recent = recent.filter(|(_, at)| now.since(*at) <= LOSS_RETENTION);
         (
--- a/src/gateway/decide/quarantine.rs
+++ b/src/gateway/decide/quarantine.rs
@@ -142,6 +142,12 @@
         }
     }
 
+    /// Returns true if a connection should be opened to find out whether an endpoint's process has
+    /// ended: requests were lost there, no sign explains them, and none was opened recently.
+    pub fn take_check(&mut self, now: Moment, entry: &EndpointEntry) -> bool {
+        self.ends.take_check(now, entry.life().hash())
+    }
+
     /// Records a sign that an endpoint's process ended. Attempts recently lost there become
     /// suspects.
     pub fn record_sign(&mut self, now: Moment, entry: &EndpointEntry, sign: EndSign) {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -22,6 +22,7 @@
 pub mod config;
 pub mod decide;
 pub mod digest;
+pub mod end_check;
 pub mod endpoint_list;
 pub mod endpoint_view;
 pub mod follow;
