A refusal of a crashing request is told to all routers, also to those that start later

Callers saw engines end under a request that most routers already refused. Cause: routers told each other suspects only, six a message in turn, for ten seconds. The count reached the others late when many requests had been lost beside it, and never a router that started after that; it sent the request to one more engine. Refusals now go into each message for their first ten seconds and into every fifth one afterwards, 12 bytes each, at most eight. A message never prolongs a refusal.

--- a/src/core/tables/crashes.rs
+++ b/src/core/tables/crashes.rs
@@ -281,6 +281,35 @@
         fresh
     }
 
+    /// Quarantines a request until `until`, as another router reports; false if it was in quarantine
+    /// already. A report never prolongs a quarantine: each message that repeats it would.
+    pub fn adopt_quarantine(
+        &mut self,
+        fingerprint: RequestFingerprint,
+        now: Moment,
+        until: Moment,
+        config: &QuarantineConfig,
+    ) -> bool {
+        if until <= now || self.quarantined_until(fingerprint, now).is_some() {
+            return false;
+        }
+        let row = self.suspects.entry(fingerprint).or_default();
+        row.quarantined_until = Some(until);
+        row.until = until + TimeSpan::from_millis(config.refuse_ms);
+        true
+    }
+
+    /// Requests in quarantine with its end.
+    pub fn quarantined(
+        &self,
+        now: Moment,
+    ) -> impl Iterator<Item = (RequestFingerprint, Moment)> + '_ {
+        self.suspects.iter().filter_map(move |(fingerprint, row)| {
+            let until = row.quarantined_until.filter(|until| *until > now)?;
+            Some((*fingerprint, until))
+        })
+    }
+
     /// The end of a request's quarantine, if it is in quarantine.
     #[must_use]
     pub fn quarantined_until(
--- a/src/gateway/decide/quarantine.rs
+++ b/src/gateway/decide/quarantine.rs
@@ -3,12 +3,13 @@
 //! Load pattern: a request crashes each engine that starts to run it, and its caller retries it at
 //! any router. A lost attempt alone proves little, since links break too. Together with a sign that
 //! the endpoint's process ended, it makes the request a suspect of that crash. Routers exchange
-//! suspects and signs, see [`super::process_ends`], and all of them refuse a request that was
-//! running in three crashes. The limit is three
+//! suspects, signs, see [`super::process_ends`], and refusals, and all of them refuse a request that
+//! was running in three crashes. The limit is three
 //! because other requests run beside the one that causes the crash: of 64 requests that were
 //! running at one crash, few are running at a second one and hardly any at a third, while each
 //! further engine lost costs the work of all its requests.
 
+use std::cmp::Reverse;
 use std::collections::BTreeSet;
 
 use crate::configs::quarantine::QuarantineConfig;
@@ -37,6 +38,17 @@
 /// run this code, and a message could list any number.
 const MAX_RECEIVED_SUSPECTS: usize = 64;
 
+/// Number of reports of which one lists all refusals, not only recent ones: with ten messages a
+/// second, a router that starts later knows them within its first second.
+const REFUSAL_REPORTS: u64 = 5;
+
+/// Maximum number of refusals in one message, 12 bytes each. More of them take turns, beside the
+/// latest ones.
+const MAX_SENT_REFUSALS: usize = 8;
+
+/// Maximum number of refusals accepted from one message, for the same reason as of suspects.
+const MAX_RECEIVED_REFUSALS: usize = 16;
+
 /// Maximum number of ended processes accepted from one message, for the same reason.
 const MAX_RECEIVED_ENDS: usize = 64;
 
@@ -72,6 +84,15 @@
     pub fingerprint: RequestFingerprint,
 }
 
+/// A request that is refused since it was running in too many crashes, as exchanged between routers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RefusedRequest {
+    /// Fingerprint of the request.
+    pub fingerprint: RequestFingerprint,
+    /// Time for which it is still refused, in whole seconds, rounded down.
+    pub left: TimeSpan,
+}
+
 /// What a router reports to the others about crashes and the requests that may have caused them.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct CrashReport {
@@ -79,6 +100,8 @@
     pub suspects: Vec<CrashSuspect>,
     /// Hashes of endpoint processes that ended recently.
     pub ended: Vec<u64>,
+    /// Requests that are refused.
+    pub refused: Vec<RefusedRequest>,
 }
 
 /// Crashes, their suspects and the requests refused because of them.
@@ -88,7 +111,11 @@
     table: CrashTable,
     ends: ProcessEnds,
     /// Position of the next suspect to send.
-    next: usize,
+    next_suspect: usize,
+    /// Position of the next refusal to send beside the latest ones.
+    next_refusal: usize,
+    /// Number of reports made.
+    reports: u64,
 }
 
 impl Default for CrashQuarantine {
@@ -101,7 +128,9 @@
             config,
             table: CrashTable::default(),
             ends: ProcessEnds::default(),
-            next: 0,
+            next_suspect: 0,
+            next_refusal: 0,
+            reports: 0,
         }
     }
 }
@@ -234,6 +263,52 @@
         CrashReport {
             suspects: self.suspects_to_send(now),
             ended: self.ends.ends_to_send(),
+            refused: self.refusals_to_send(now),
+        }
+    }
+
+    /// Returns the refusals for the next message: those that began recently in each message, all of
+    /// them in some, for routers that start or come back later.
+    fn refusals_to_send(&mut self, now: Moment) -> Vec<RefusedRequest> {
+        self.reports += 1;
+        let sends_all = self.reports.is_multiple_of(REFUSAL_REPORTS);
+        let span = TimeSpan::from_millis(self.config.refuse_ms);
+        let recent = Moment(now.0 + span.0.saturating_sub(SUSPECT_REPORT_TIME.0));
+        let refused = self.table.quarantined(now);
+        let mut refused: Vec<_> = refused
+            .filter(|(_, until)| sends_all || *until > recent)
+            .collect();
+        refused.sort_unstable_by_key(|(_, until)| Reverse(*until));
+        let rest = refused.split_off(refused.len().min(MAX_SENT_REFUSALS / 2));
+        refused.extend(next_in_turn(
+            &rest,
+            MAX_SENT_REFUSALS / 2,
+            &mut self.next_refusal,
+        ));
+        let entries = refused.into_iter().map(|(fingerprint, until)| {
+            let seconds = until.since(now).as_millis() / 1_000;
+            RefusedRequest {
+                fingerprint,
+                left: TimeSpan::from_millis(seconds * 1_000),
+            }
+        });
+        entries.collect()
+    }
+
+    /// Adopts the refusals that another router reports.
+    fn adopt_refusals(&mut self, now: Moment, refused: Vec<RefusedRequest>) {
+        let longest = TimeSpan::from_millis(self.config.refuse_ms);
+        for request in refused.into_iter().take(MAX_RECEIVED_REFUSALS) {
+            let (fingerprint, left) = (request.fingerprint, request.left.min(longest));
+            if self
+                .table
+                .adopt_quarantine(fingerprint, now, now + left, &self.config)
+            {
+                let left_ms = left.as_millis();
+                spdlog::warn!(
+                    "quarantine: fingerprint={fingerprint} refused source=peer left_ms={left_ms}"
+                );
+            }
         }
     }
 
@@ -248,6 +323,7 @@
             self.suspect_all(now, endpoint, process, losses);
         }
         self.merge_suspects(now, report.suspects.into_iter());
+        self.adopt_refusals(now, report.refused);
     }
 
     /// Merges suspects from another router's message.
@@ -272,10 +348,16 @@
                 })
             })
             .collect();
-        let count = suspects.len().min(MAX_SENT_SUSPECTS);
-        let first = self.next % suspects.len().max(1);
-        self.next = self.next.wrapping_add(count);
-        let rotated = suspects.iter().cycle().skip(first);
-        rotated.take(count).copied().collect()
+        next_in_turn(&suspects, MAX_SENT_SUSPECTS, &mut self.next_suspect)
     }
 }
+
+/// Returns up to `count` items from position `next` on, and moves the position behind them, so that
+/// all items get their turn.
+fn next_in_turn<T: Copy>(items: &[T], count: usize, next: &mut usize) -> Vec<T> {
+    let count = items.len().min(count);
+    let first = *next % items.len().max(1);
+    *next = next.wrapping_add(count);
+    let turned = items.iter().cycle().skip(first);
+    turned.take(count).copied().collect()
+}
--- a/src/gateway/digest.rs
+++ b/src/gateway/digest.rs
@@ -18,9 +18,11 @@
 
 use crate::units::EndpointId;
 use crate::units::RequestFingerprint;
+use crate::units::TimeSpan;
 
 use super::decide::quarantine::CrashReport;
 use super::decide::quarantine::CrashSuspect;
+use super::decide::quarantine::RefusedRequest;
 use super::decide::shares::TeamFlow;
 use super::routes::TeamKey;
 
@@ -229,6 +231,36 @@
     }
 }
 
+/// A request that is refused since it was running in too many crashes.
+#[derive(Clone, PartialEq, Message)]
+pub struct RefusedEntry {
+    /// Fingerprint of the request.
+    #[prost(fixed64, tag = "1")]
+    pub fingerprint: u64,
+    /// Seconds for which it is still refused, rounded down.
+    #[prost(uint32, tag = "2")]
+    pub left_s: u32,
+}
+
+impl RefusedEntry {
+    /// Encodes a refused request.
+    #[must_use]
+    pub fn of(request: &RefusedRequest) -> Self {
+        let seconds = request.left.as_millis() / 1_000;
+        Self {
+            fingerprint: request.fingerprint.0,
+            left_s: u32::try_from(seconds).unwrap_or(u32::MAX),
+        }
+    }
+
+    fn decode(&self) -> RefusedRequest {
+        RefusedRequest {
+            fingerprint: RequestFingerprint(self.fingerprint),
+            left: TimeSpan::from_millis(u64::from(self.left_s) * 1_000),
+        }
+    }
+}
+
 /// The content of one gossip datagram.
 #[derive(Clone, PartialEq, Message)]
 pub struct RouterDigest {
@@ -284,6 +316,9 @@
     /// [`super::decide::process_ends`].
     #[prost(fixed64, repeated, tag = "15")]
     pub ended: Vec<u64>,
+    /// Requests that are refused since they were running in too many crashes.
+    #[prost(message, repeated, tag = "16")]
+    pub refused: Vec<RefusedEntry>,
 }
 
 impl RouterDigest {
@@ -293,6 +328,7 @@
         CrashReport {
             suspects: self.suspects.iter().map(SuspectEntry::decode).collect(),
             ended: self.ended.clone(),
+            refused: self.refused.iter().map(RefusedEntry::decode).collect(),
         }
     }
 }
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -25,6 +25,7 @@
 use super::decide::endpoints::EndpointRow;
 use super::digest::DemandColumns;
 use super::digest::LoadEntry;
+use super::digest::RefusedEntry;
 use super::digest::RouterDigest;
 use super::digest::SuspectEntry;
 use super::handover;
@@ -268,6 +269,7 @@
             left,
             announced_leaving,
             ended: crashes.ended,
+            refused: crashes.refused.iter().map(RefusedEntry::of).collect(),
         }
     }
 
--- a/tests/gateway_crash_signs.rs
+++ b/tests/gateway_crash_signs.rs
@@ -541,3 +541,17 @@
     fleet.run_until(30_000);
     assert!(fleet.send(0, CRASHING).is_none());
 }
+
+/// Guards against a refusal that never ends: routers repeat it to each other, each time a little
+/// later than the others, and each message prolongs it.
+#[test]
+fn a_refusal_ends_although_routers_repeat_it() {
+    let mut fleet = RouterFleet::new();
+    let ends = fleet.crash_one_by_one(CrashSign::RefusedHere, CRASHES_ALLOWED, 2_000);
+    let last = ends[CRASHES_ALLOWED - 1];
+    fleet.run_until(last + 590_000);
+    assert!(fleet.send(4, CRASHING).is_none());
+    fleet.run_until(last + 603_000);
+    let refusing = (0..ROUTERS).filter(|router| fleet.send(*router, CRASHING).is_none());
+    assert_eq!(refusing.count(), 0);
+}
