A request that was answered whole is not refused for crashes under it

Callers of a harmless request that many of them send would see it refused for ten minutes once it had run in three crashes, though it was answered hundreds of times in between. Cause: an answer cleared a suspect at one router only, and the next message of another accused it again; plain answers, other than streams, cleared nothing; a refusal was never lifted. With more signs of a crash this would have grown. Each router now remembers for ten seconds what it answered whole. Such a request is neither suspected nor refused here, and if another router accuses it, the answer is told to all, 8 bytes, at most 16 a message. A crashing request is never answered whole, so nothing is lost.

--- a/src/core/tables/crashes.rs
+++ b/src/core/tables/crashes.rs
@@ -337,6 +337,19 @@
         innocent && self.suspects.remove(&fingerprint).is_some()
     }
 
+    /// Removes a request from the suspects of all known crashes, and ends its quarantine: an
+    /// endpoint answered it whole, so it does not crash each endpoint that runs it. Returns false
+    /// if it was no suspect.
+    pub fn exonerate(&mut self, fingerprint: RequestFingerprint) -> bool {
+        if self.suspects.remove(&fingerprint).is_none() {
+            return false;
+        }
+        for record in self.records.values_mut() {
+            record.suspects.remove(&fingerprint);
+        }
+        true
+    }
+
     /// The endpoints for the isolated run of a suspect, in order of preference. All routers that
     /// know the same crash compute the same order, so that each suspect of a crash gets its own
     /// endpoint if there are enough, and all copies of a request, at whichever router they arrive,
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -69,6 +69,17 @@
 }
 
 impl AttemptOutcome {
+    /// Returns true if the endpoint ran the request to its end and proves that it answered. Streams
+    /// are passed on only with proof.
+    #[must_use]
+    pub fn is_proven_answer(&self) -> bool {
+        match self {
+            Self::Delivered(_) => true,
+            Self::Answer(answer) => answer.is_proven,
+            Self::NotRun(_) | Self::Broken(_) | Self::CallerLeft | Self::TimeUp => false,
+        }
+    }
+
     /// What the decision core records about the endpoint for this outcome.
     ///
     /// A caller that left or a time limit that passed says nothing about the endpoint. Another
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -263,12 +263,13 @@
     outcome: AttemptOutcome,
 ) -> Option<CallEnd> {
     call.tried.push(endpoint);
+    if outcome.is_proven_answer() {
+        let now = traffic.shared.clock.now();
+        let mut core = traffic.shared.core();
+        core.quarantine.record_answer(now, call.fingerprint);
+    }
     match outcome {
-        AttemptOutcome::Delivered(status) => {
-            let mut core = traffic.shared.core();
-            core.quarantine.record_answer(call.fingerprint);
-            Some(CallEnd::Answered(status))
-        }
+        AttemptOutcome::Delivered(status) => Some(CallEnd::Answered(status)),
         AttemptOutcome::CallerLeft => Some(CallEnd::CallerLeft),
         AttemptOutcome::TimeUp => {
             call.may_have_run = true;
--- a/src/gateway/decide/mod.rs
+++ b/src/gateway/decide/mod.rs
@@ -12,6 +12,7 @@
 //! correctness.
 
 pub mod accounts;
+pub mod answered;
 pub mod budget;
 pub mod capacity;
 pub mod core;
--- a/src/gateway/decide/process_ends.rs
+++ b/src/gateway/decide/process_ends.rs
@@ -180,6 +180,14 @@
         )
     }
 
+    /// Forgets the losses of a request that was answered whole since.
+    pub fn forget_losses(&mut self, fingerprint: RequestFingerprint) {
+        self.losses.retain(|_, losses| {
+            losses.lost.remove(&fingerprint);
+            !losses.lost.is_empty()
+        });
+    }
+
     /// Drops old losses and ends. Returns the number of losses that no sign explained.
     pub fn shrink(&mut self, now: Moment) -> usize {
         let mut unexplained = 0;
--- a/src/gateway/decide/quarantine.rs
+++ b/src/gateway/decide/quarantine.rs
@@ -21,6 +21,7 @@
 use crate::units::TimeSpan;
 
 use super::super::routes::EndpointEntry;
+use super::answered::AnsweredRequests;
 use super::process_ends::EndSign;
 use super::process_ends::ProcessEnds;
 
@@ -49,6 +50,12 @@
 /// Maximum number of refusals accepted from one message, for the same reason as of suspects.
 const MAX_RECEIVED_REFUSALS: usize = 16;
 
+/// Maximum number of answered requests in one message, 128 bytes of it.
+const MAX_SENT_ANSWERED: usize = 16;
+
+/// Maximum number of answered requests accepted from one message, for the same reason.
+const MAX_RECEIVED_ANSWERED: usize = 64;
+
 /// Maximum number of ended processes accepted from one message, for the same reason.
 const MAX_RECEIVED_ENDS: usize = 64;
 
@@ -102,6 +109,8 @@
     pub ended: Vec<u64>,
     /// Requests that are refused.
     pub refused: Vec<RefusedRequest>,
+    /// Suspects that were answered whole since.
+    pub answered: Vec<RequestFingerprint>,
 }
 
 /// Crashes, their suspects and the requests refused because of them.
@@ -110,10 +119,13 @@
     config: QuarantineConfig,
     table: CrashTable,
     ends: ProcessEnds,
+    answered: AnsweredRequests,
     /// Position of the next suspect to send.
     next_suspect: usize,
     /// Position of the next refusal to send beside the latest ones.
     next_refusal: usize,
+    /// Position of the next answered request to send.
+    next_answered: usize,
     /// Number of reports made.
     reports: u64,
 }
@@ -128,8 +140,10 @@
             config,
             table: CrashTable::default(),
             ends: ProcessEnds::default(),
+            answered: AnsweredRequests::default(),
             next_suspect: 0,
             next_refusal: 0,
+            next_answered: 0,
             reports: 0,
         }
     }
@@ -224,6 +238,9 @@
         fingerprint: RequestFingerprint,
         source: SuspectSource,
     ) {
+        if self.answered.clears(fingerprint) {
+            return;
+        }
         let before = self.table.crash_count(fingerprint);
         let was_refused = self.table.quarantined_until(fingerprint, now).is_some();
         let is_refused = self
@@ -249,9 +266,37 @@
         Some(until.since(now))
     }
 
-    /// Clears a request that got a complete answer.
-    pub fn record_answer(&mut self, fingerprint: RequestFingerprint) {
-        self.table.clear(fingerprint);
+    /// Clears a request that an endpoint answered whole, see [`super::answered`].
+    pub fn record_answer(&mut self, now: Moment, fingerprint: RequestFingerprint) {
+        let is_accused = self.clear(fingerprint, SuspectSource::Own);
+        self.answered.record_here(now, fingerprint, is_accused);
+    }
+
+    /// Clears requests that other routers report as answered whole.
+    fn apply_answers(&mut self, now: Moment, answered: Vec<RequestFingerprint>) {
+        for fingerprint in answered.into_iter().take(MAX_RECEIVED_ANSWERED) {
+            if self.answered.record_elsewhere(now, fingerprint) {
+                self.clear(fingerprint, SuspectSource::Peer);
+            }
+        }
+    }
+
+    /// Returns true if the request was suspected.
+    fn clear(&mut self, fingerprint: RequestFingerprint, source: SuspectSource) -> bool {
+        self.ends.forget_losses(fingerprint);
+        let was_suspect = self.table.exonerate(fingerprint);
+        if was_suspect {
+            let source = source.label();
+            spdlog::info!("quarantine: fingerprint={fingerprint} cleared source={source}");
+        }
+        was_suspect
+    }
+
+    /// Returns the answered requests for the next message.
+    fn answers_to_send(&mut self, now: Moment) -> Vec<RequestFingerprint> {
+        self.answered.shrink(now);
+        let accused = self.answered.accused();
+        next_in_turn(&accused, MAX_SENT_ANSWERED, &mut self.next_answered)
     }
 
     /// Returns the report for the next message to other routers, and drops old records.
@@ -264,6 +309,7 @@
             suspects: self.suspects_to_send(now),
             ended: self.ends.ends_to_send(),
             refused: self.refusals_to_send(now),
+            answered: self.answers_to_send(now),
         }
     }
 
@@ -300,9 +346,12 @@
         let longest = TimeSpan::from_millis(self.config.refuse_ms);
         for request in refused.into_iter().take(MAX_RECEIVED_REFUSALS) {
             let (fingerprint, left) = (request.fingerprint, request.left.min(longest));
-            if self
-                .table
-                .adopt_quarantine(fingerprint, now, now + left, &self.config)
+            // The sender has not heard yet that the request was answered.
+            let was_answered = self.answered.clears(fingerprint);
+            if !was_answered
+                && self
+                    .table
+                    .adopt_quarantine(fingerprint, now, now + left, &self.config)
             {
                 let left_ms = left.as_millis();
                 spdlog::warn!(
@@ -322,6 +371,7 @@
             }
             self.suspect_all(now, endpoint, process, losses);
         }
+        self.apply_answers(now, report.answered);
         self.merge_suspects(now, report.suspects.into_iter());
         self.adopt_refusals(now, report.refused);
     }
--- a/src/gateway/digest.rs
+++ b/src/gateway/digest.rs
@@ -319,6 +319,9 @@
     /// Requests that are refused since they were running in too many crashes.
     #[prost(message, repeated, tag = "16")]
     pub refused: Vec<RefusedEntry>,
+    /// Fingerprints of suspects that were answered whole since.
+    #[prost(fixed64, repeated, tag = "17")]
+    pub answered: Vec<u64>,
 }
 
 impl RouterDigest {
@@ -329,6 +332,12 @@
             suspects: self.suspects.iter().map(SuspectEntry::decode).collect(),
             ended: self.ended.clone(),
             refused: self.refused.iter().map(RefusedEntry::decode).collect(),
+            answered: self
+                .answered
+                .iter()
+                .copied()
+                .map(RequestFingerprint)
+                .collect(),
         }
     }
 }
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -270,6 +270,7 @@
             announced_leaving,
             ended: crashes.ended,
             refused: crashes.refused.iter().map(RefusedEntry::of).collect(),
+            answered: crashes.answered.iter().map(|request| request.0).collect(),
         }
     }
 
--- a/tests/gateway_crash_signs.rs
+++ b/tests/gateway_crash_signs.rs
@@ -261,7 +261,7 @@
         let now = ms(self.now);
         let core = &mut self.routers[router];
         core.ended(now, ticket, AttemptEnd::Answered);
-        core.quarantine.record_answer(fingerprint);
+        core.quarantine.record_answer(now, fingerprint);
     }
 
     /// An engine to take the place of one that ended, under a new key.
@@ -281,6 +281,18 @@
         ticket: AttemptTicket,
         sign: CrashSign,
         beside: Vec<(usize, AttemptTicket, RequestFingerprint)>,
+    ) {
+        self.lose(router, ticket, CRASHING, sign, beside);
+    }
+
+    /// As `crash`, for any request.
+    fn lose(
+        &mut self,
+        router: usize,
+        ticket: AttemptTicket,
+        fingerprint: RequestFingerprint,
+        sign: CrashSign,
+        beside: Vec<(usize, AttemptTicket, RequestFingerprint)>,
     ) {
         let engine = ticket.entry.clone();
         let (ended, key) = (self.now + 50, engine.key.clone());
@@ -290,7 +302,7 @@
             _ => ended,
         };
         let mut lost: BTreeMap<usize, Vec<_>> = BTreeMap::new();
-        lost.entry(router).or_default().push((ticket, CRASHING));
+        lost.entry(router).or_default().push((ticket, fingerprint));
         for (other, ticket, fingerprint) in beside {
             lost.entry(other).or_default().push((ticket, fingerprint));
         }
@@ -306,8 +318,8 @@
             CrashSign::RefusedElsewhere => (router + 3) % ROUTERS,
             _ => router,
         };
-        let fingerprint = self.fresh();
-        let connection = self.send_to(connecting, &key, fingerprint);
+        let other = self.fresh();
+        let connection = self.send_to(connecting, &key, other);
         let events = match sign {
             CrashSign::RefusedElsewhere | CrashSign::RefusedHere => vec![
                 (
@@ -555,3 +567,133 @@
     let refusing = (0..ROUTERS).filter(|router| fleet.send(*router, CRASHING).is_none());
     assert_eq!(refusing.count(), 0);
 }
+
+/// A request that runs at an engine until it is answered.
+struct RunningRequest {
+    router: usize,
+    ticket: AttemptTicket,
+    fingerprint: RequestFingerprint,
+    ends_at: u64,
+    resends: u32,
+}
+
+/// Harmless requests on engines that crash again and again for reasons of their own.
+struct HarmlessDay {
+    fleet: RouterFleet,
+    draw: StdRng,
+    running: Vec<RunningRequest>,
+    sent: usize,
+    refused: usize,
+}
+
+impl HarmlessDay {
+    fn new(seed: u64) -> Self {
+        Self {
+            fleet: RouterFleet::new(),
+            draw: StdRng::seed_from_u64(seed),
+            running: Vec::new(),
+            sent: 0,
+            refused: 0,
+        }
+    }
+
+    fn send(&mut self, fingerprint: RequestFingerprint, resends: u32) {
+        let router = self.draw.random_range(0..ROUTERS);
+        self.sent += 1;
+        let Some(ticket) = self.fleet.send(router, fingerprint) else {
+            self.refused += 1;
+            return;
+        };
+        let ends_at = self.fleet.now + self.draw.random_range(50..800);
+        self.running.push(RunningRequest {
+            router,
+            ticket,
+            fingerprint,
+            ends_at,
+            resends,
+        });
+    }
+
+    /// Answers what has run to its end.
+    fn finish(&mut self) {
+        let now = self.fleet.now;
+        let done: Vec<_> = self
+            .running
+            .extract_if(.., |request| request.ends_at <= now)
+            .collect();
+        for request in done {
+            let RunningRequest {
+                router,
+                ticket,
+                fingerprint,
+                ..
+            } = request;
+            self.fleet.answered(router, ticket, fingerprint);
+        }
+    }
+
+    /// Crashes the engines of some running requests. All requests there are lost and sent again.
+    fn crash(&mut self, count: usize) {
+        for _ in 0..count {
+            if self.running.is_empty() {
+                return;
+            }
+            let first = self.draw.random_range(0..self.running.len());
+            let engine = self.running[first].ticket.entry.key.clone();
+            let mut lost: Vec<_> = self
+                .running
+                .extract_if(.., |request| request.ticket.entry.key == engine)
+                .collect();
+            let resent: Vec<_> = lost
+                .iter()
+                .map(|request| (request.fingerprint, request.resends))
+                .collect();
+            let one = lost.pop().unwrap();
+            let beside = lost.into_iter();
+            let beside = beside.map(|one| (one.router, one.ticket, one.fingerprint));
+            let sign = [CrashSign::RefusedHere, CrashSign::Lapses][self.draw.random_range(0..2)];
+            self.fleet.lose(
+                one.router,
+                one.ticket,
+                one.fingerprint,
+                sign,
+                beside.collect(),
+            );
+            for (fingerprint, resends) in resent {
+                if resends > 0 {
+                    self.send(fingerprint, resends - 1);
+                }
+            }
+        }
+    }
+
+    /// Plays 60 s with a wave of crashes every 1.5 s.
+    fn play(&mut self) {
+        for step in 1..=1_200_u64 {
+            self.fleet.run_until(step * 50);
+            self.finish();
+            for _ in 0..4 {
+                let popular = self.draw.random_range(0..10);
+                let unique = self.fleet.fresh();
+                self.send(RequestFingerprint(popular), 1);
+                self.send(unique, 1);
+            }
+            if step.is_multiple_of(30) {
+                let count = self.draw.random_range(1..4);
+                self.crash(count);
+            }
+        }
+    }
+}
+
+/// Guards against harmless requests that are refused for minutes on a day on which engines crash
+/// again and again: a few popular ones are sent all the time, others once, and each that is lost is
+/// sent once more.
+#[test]
+fn harmless_requests_are_not_refused_on_a_day_of_many_crashes() {
+    for seed in 0..20 {
+        let mut day = HarmlessDay::new(seed);
+        day.play();
+        assert_eq!(day.refused, 0, "seed {seed}: of {}", day.sent);
+    }
+}
