Decision core: attempts have a file of their own, and carry their request's fingerprint

What an attempt's end tells of its request is needed for more ends than a broken connection, so the ticket carries the fingerprint. No decision changes.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -9,8 +9,6 @@
 use tokio::time::Instant;
 use tokio::time::sleep_until;
 
-use crate::units::RequestFingerprint;
-
 use super::call_state::CallState;
 use super::decide::AttemptEnd;
 use super::decide::AttemptTicket;
@@ -83,10 +81,9 @@
     /// What the decision core records about the endpoint for this outcome.
     ///
     /// A caller that left or a time limit that passed says nothing about the endpoint. Another
-    /// endpoint at the address means that the intended one was not reached. A broken attempt
-    /// carries the request's fingerprint, since the request may have crashed the endpoint.
+    /// endpoint at the address means that the intended one was not reached.
     #[must_use]
-    pub fn end(&self, fingerprint: RequestFingerprint) -> AttemptEnd {
+    pub fn end(&self) -> AttemptEnd {
         match self {
             Self::Answer(answer) if answer.head.status >= 500 => AttemptEnd::Failed,
             Self::Delivered(_) | Self::Answer(_) => AttemptEnd::Answered,
@@ -95,7 +92,7 @@
             Self::NotRun(NotRunCause::NotReached | NotRunCause::OtherEndpoint) => {
                 AttemptEnd::NotReached
             }
-            Self::Broken(_) => AttemptEnd::Lost(fingerprint),
+            Self::Broken(_) => AttemptEnd::Lost,
             Self::CallerLeft | Self::TimeUp | Self::NotRun(NotRunCause::Left) => {
                 AttemptEnd::Abandoned
             }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -209,7 +209,7 @@
         call.decided.placed(&ticket);
         let outcome = run_attempt(traffic, caller, call, &mut ticket).await;
         let endpoint = ticket.entry.key.clone();
-        end_attempt(traffic, ticket, outcome.end(call.fingerprint));
+        end_attempt(traffic, ticket, outcome.end());
         spdlog::debug!(
             "calls: id={} endpoint={endpoint} outcome={outcome:?}",
             call.facts.call_id
--- a/src/gateway/decide/mod.rs
+++ b/src/gateway/decide/mod.rs
@@ -13,6 +13,7 @@
 
 pub mod accounts;
 pub mod answered;
+pub mod attempts;
 pub mod budget;
 pub mod capacity;
 pub mod core;
@@ -29,11 +30,11 @@
 pub mod surge;
 pub mod window;
 
+pub use attempts::AttemptEnd;
+pub use attempts::AttemptTicket;
 pub use budget::RetryBudget;
 pub use core::Admission;
 pub use core::AdmissionRequest;
-pub use core::AttemptEnd;
-pub use core::AttemptTicket;
 pub use core::GatewayCore;
 pub use core::RefusalCause;
 pub use endpoints::EndpointTable;
--- a/tests/gateway_crash_signs.rs
+++ b/tests/gateway_crash_signs.rs
@@ -86,7 +86,7 @@
 #[derive(Debug)]
 enum FleetEvent {
     /// A router loses these requests at an engine.
-    Lose(usize, Vec<(AttemptTicket, RequestFingerprint)>),
+    Lose(usize, Vec<AttemptTicket>),
     /// A router's connection for this attempt is refused.
     Refuse(usize, AttemptTicket),
     /// The list changes: an entry is removed and another one added.
@@ -146,8 +146,8 @@
         let now = ms(self.now);
         match event {
             FleetEvent::Lose(router, lost) => {
-                for (ticket, fingerprint) in lost {
-                    self.routers[router].ended(now, ticket, AttemptEnd::Lost(fingerprint));
+                for ticket in lost {
+                    self.routers[router].ended(now, ticket, AttemptEnd::Lost);
                 }
             }
             FleetEvent::Refuse(router, ticket) => {
@@ -280,19 +280,7 @@
         router: usize,
         ticket: AttemptTicket,
         sign: CrashSign,
-        beside: Vec<(usize, AttemptTicket, RequestFingerprint)>,
-    ) {
-        self.lose(router, ticket, CRASHING, sign, beside);
-    }
-
-    /// As `crash`, for any request.
-    fn lose(
-        &mut self,
-        router: usize,
-        ticket: AttemptTicket,
-        fingerprint: RequestFingerprint,
-        sign: CrashSign,
-        beside: Vec<(usize, AttemptTicket, RequestFingerprint)>,
+        beside: Vec<(usize, AttemptTicket)>,
     ) {
         let engine = ticket.entry.clone();
         let (ended, key) = (self.now + 50, engine.key.clone());
@@ -302,9 +290,9 @@
             _ => ended,
         };
         let mut lost: BTreeMap<usize, Vec<_>> = BTreeMap::new();
-        lost.entry(router).or_default().push((ticket, fingerprint));
-        for (other, ticket, fingerprint) in beside {
-            lost.entry(other).or_default().push((ticket, fingerprint));
+        lost.entry(router).or_default().push(ticket);
+        for (other, ticket) in beside {
+            lost.entry(other).or_default().push(ticket);
         }
         for (other, lost) in lost {
             self.events.push((heard, FleetEvent::Lose(other, lost)));
@@ -318,8 +306,8 @@
             CrashSign::RefusedElsewhere => (router + 3) % ROUTERS,
             _ => router,
         };
-        let other = self.fresh();
-        let connection = self.send_to(connecting, &key, other);
+        let fingerprint = self.fresh();
+        let connection = self.send_to(connecting, &key, fingerprint);
         let events = match sign {
             CrashSign::RefusedElsewhere | CrashSign::RefusedHere => vec![
                 (
@@ -448,7 +436,7 @@
         let beside = (0..BESIDE).map(|_| {
             let fingerprint = fleet.fresh();
             let ticket = fleet.send_to(turn, &engine, fingerprint).unwrap();
-            (turn, ticket, fingerprint)
+            (turn, ticket)
         });
         let beside = beside.collect();
         fleet.crash(turn, ticket, CrashSign::RefusedHere, beside);
@@ -478,7 +466,7 @@
         let engine = ticket.entry.key.clone();
         let beside = (0..ROUTERS).filter_map(|other| {
             let ticket = fleet.send_to(other, &engine, popular)?;
-            Some((other, ticket, popular))
+            Some((other, ticket))
         });
         let beside = beside.collect();
         fleet.crash(router, ticket, CrashSign::RefusedHere, beside);
@@ -505,7 +493,7 @@
         let connection = fleet.send_to(2, &engine.key, fingerprint).unwrap();
         fleet.events.extend([
             (now + 500, FleetEvent::List(None, Some(leaving))),
-            (now + 4_000, FleetEvent::Lose(0, vec![(ticket, CRASHING)])),
+            (now + 4_000, FleetEvent::Lose(0, vec![ticket])),
             (now + 4_050, FleetEvent::Refuse(2, connection)),
             (now + 4_500, FleetEvent::List(Some(key), Some(next))),
         ]);
@@ -527,7 +515,7 @@
         let now = fleet.now;
         fleet.events.extend([
             (now + 500, FleetEvent::List(Some(engine.key), Some(next))),
-            (now + 4_000, FleetEvent::Lose(0, vec![(ticket, CRASHING)])),
+            (now + 4_000, FleetEvent::Lose(0, vec![ticket])),
         ]);
     }
     fleet.run_until(60_000);
@@ -650,15 +638,10 @@
                 .collect();
             let one = lost.pop().unwrap();
             let beside = lost.into_iter();
-            let beside = beside.map(|one| (one.router, one.ticket, one.fingerprint));
+            let beside = beside.map(|one| (one.router, one.ticket));
             let sign = [CrashSign::RefusedHere, CrashSign::Lapses][self.draw.random_range(0..2)];
-            self.fleet.lose(
-                one.router,
-                one.ticket,
-                one.fingerprint,
-                sign,
-                beside.collect(),
-            );
+            self.fleet
+                .crash(one.router, one.ticket, sign, beside.collect());
             for (fingerprint, resends) in resent {
                 if resends > 0 {
                     self.send(fingerprint, resends - 1);
--- a/tests/gateway_quarantine.rs
+++ b/tests/gateway_quarantine.rs
@@ -73,7 +73,7 @@
 /// Runs a request on an engine that breaks off and registers with a later start.
 fn crash(core: &mut GatewayCore, at: u64, fingerprint: RequestFingerprint) {
     let ticket = sent(core, ms(at), fingerprint);
-    core.ended(ms(at + 50), ticket, AttemptEnd::Lost(fingerprint));
+    core.ended(ms(at + 50), ticket, AttemptEnd::Lost);
     core.set_endpoints(ms(at + 100), &engines_of(at + 100));
 }
 
@@ -115,7 +115,7 @@
     for turn in 0..10 {
         let at = ms(1_000 + turn * 100);
         let ticket = sent(&mut core, at, CRASHING);
-        core.ended(at, ticket, AttemptEnd::Lost(CRASHING));
+        core.ended(at, ticket, AttemptEnd::Lost);
     }
     drop(sent(&mut core, ms(9_000), CRASHING));
     assert!(core.quarantine.suspects_to_send(ms(9_000)).is_empty());
