A request counts as lost when its endpoint goes silent and its registration lapses

Callers of other requests would see engine after engine end under one request if its engines end without a word, as when their hosts go dark. Heard after the registration lapsed, it counts if the endpoint had been silent for a second before that; planned departures without notice go on working.

--- a/src/gateway/decide/attempts.rs
+++ b/src/gateway/decide/attempts.rs
@@ -51,6 +51,12 @@
         self.replaced.cancelled().await;
     }
 
+    /// Since when this router has received nothing from the endpoint, or has waited for this attempt,
+    /// whichever began later.
+    fn silent_since(&self) -> Moment {
+        self.placed_at.max(self.last_activity.last())
+    }
+
     /// Records that data arrived from the endpoint.
     pub fn record_activity(&self, now: Moment) {
         self.last_activity.record_activity(now);
@@ -112,7 +118,7 @@
         let had_output = !ticket.is_prefilling;
         self.finish_prefill(&mut ticket);
         // Before the row is looked up: the list may no longer have the process of a lost attempt.
-        if end == AttemptEnd::Lost {
+        if self.is_lost(now, &ticket, end) {
             self.record_lost_attempt(now, &ticket);
         }
         let Some(row) = self.endpoints.of_attempt(&ticket.entry) else {
@@ -155,14 +161,33 @@
         }
     }
 
-    /// Records an attempt that broke off for the quarantine, unless its endpoint was leaving.
+    /// Returns true if an attempt ended without an answer although its endpoint owed one.
+    ///
+    /// Where the endpoint's host went dark, the connection does not break: all that shows is that the
+    /// caller left, or its deadline passed, while nothing came from the endpoint.
+    fn is_lost(&self, now: Moment, ticket: &AttemptTicket, end: AttemptEnd) -> bool {
+        match end {
+            AttemptEnd::Lost => true,
+            AttemptEnd::Abandoned => {
+                let row = self.endpoints.get(&ticket.entry.key);
+                row.is_none_or(|row| row.health.is_silent_here(now))
+            }
+            AttemptEnd::Answered
+            | AttemptEnd::Failed
+            | AttemptEnd::NotReached
+            | AttemptEnd::Gone
+            | AttemptEnd::Full => false,
+        }
+    }
+
+    /// Records a lost attempt for the quarantine, unless its endpoint was leaving.
     fn record_lost_attempt(&mut self, now: Moment, ticket: &AttemptTicket) {
-        let AttemptTicket {
-            entry, fingerprint, ..
-        } = ticket;
-        if self.endpoints.is_in_service(entry) || self.quarantine.has_ended(entry) {
-            self.quarantine
-                .record_lost_attempt(now, entry, *fingerprint);
+        let (entry, fingerprint) = (&ticket.entry, ticket.fingerprint);
+        let is_explained = self.quarantine.explains_loss(entry, ticket.silent_since());
+        if is_explained {
+            self.quarantine.record_crashed(now, entry, fingerprint);
+        } else if self.endpoints.is_in_service(entry) {
+            self.quarantine.record_lost(now, entry, fingerprint);
         }
     }
 }
--- a/src/gateway/decide/health.rs
+++ b/src/gateway/decide/health.rs
@@ -102,7 +102,9 @@
         self.0.store(now.0, Ordering::Relaxed);
     }
 
-    fn last(&self) -> Moment {
+    /// When data last arrived; 0 for never.
+    #[must_use]
+    pub fn last(&self) -> Moment {
         Moment(self.0.load(Ordering::Relaxed))
     }
 }
--- a/src/gateway/decide/process_ends.rs
+++ b/src/gateway/decide/process_ends.rs
@@ -9,10 +9,12 @@
 //! |---|---|---|---|
 //! | a connection is refused | any router that connects, and each that lost a request | milliseconds | before it and after |
 //! | a later start under the same key | all, in the endpoint list | a second | before it and after |
-//! | the registration ended | all, in the endpoint list | three heartbeats | before it only |
+//! | the registration ended | all, in the endpoint list | three heartbeats | before it; later ones if the endpoint was silent before it |
 //!
 //! The last one also happens on planned departures, some of which are not announced: an endpoint
-//! goes on serving for seconds and then cuts what still runs, so losses heard later prove nothing.
+//! goes on serving for seconds and then cuts what still runs, so a loss heard later proves nothing
+//! by itself. An endpoint that had been silent before its registration ended had crashed.
+//!
 //! The caller of this module leaves out signs and losses of endpoints that are known to be leaving.
 
 use std::collections::BTreeMap;
@@ -35,6 +37,14 @@
 /// of a broken connection, and than a full link delays messages.
 const END_RETENTION: TimeSpan = TimeSpan::from_millis(10_000);
 
+/// Silence before the end of a registration that shows that the process had ended by then. An engine
+/// in service sends an event every eighth of a second.
+const SILENT_BEFORE_LAPSE: TimeSpan = TimeSpan::from_millis(1_000);
+
+/// Time for which the end of a registration is remembered: callers wait for an answer up to fifteen
+/// seconds.
+const LAPSE_RETENTION: TimeSpan = TimeSpan::from_millis(20_000);
+
 /// Maximum number of ends in one message: 128 bytes of it. If more processes end within
 /// `END_RETENTION`, the latest ones are sent.
 const MAX_SENT_ENDS: usize = 16;
@@ -63,14 +73,6 @@
             Self::Unregistered => "unregistered",
         }
     }
-
-    /// Returns true if the sign also explains losses that are heard after it.
-    fn proves_end(self) -> bool {
-        match self {
-            Self::Refused | Self::Replaced => true,
-            Self::Unregistered => false,
-        }
-    }
 }
 
 #[derive(Debug, Default)]
@@ -87,13 +89,18 @@
 pub struct ProcessEnds {
     losses: BTreeMap<u64, ProcessLosses>,
     ends: BTreeMap<u64, Moment>,
+    /// When registrations ended.
+    lapses: BTreeMap<u64, Moment>,
 }
 
 impl ProcessEnds {
-    /// Returns true if a process is known to have ended.
+    /// Returns true if what is known of a process explains a loss that is heard now. `silent_since`
+    /// is since when nothing has come from the process.
     #[must_use]
-    pub fn has_ended(&self, process: u64) -> bool {
+    pub fn explains_loss(&self, process: u64, silent_since: Moment) -> bool {
+        let lapsed_at = self.lapses.get(&process);
         self.ends.contains_key(&process)
+            || lapsed_at.is_some_and(|at| silent_since + SILENT_BEFORE_LAPSE <= *at)
     }
 
     /// Keeps a loss until a sign explains it.
@@ -131,8 +138,13 @@
         process: u64,
         sign: EndSign,
     ) -> BTreeSet<RequestFingerprint> {
-        if sign.proves_end() {
-            self.record_end(now, process);
+        match sign {
+            EndSign::Refused | EndSign::Replaced => {
+                self.record_end(now, process);
+            }
+            EndSign::Unregistered => {
+                self.lapses.insert(process, now);
+            }
         }
         self.take_losses(now, process).1
     }
@@ -198,6 +210,8 @@
             !losses.lost.is_empty()
         });
         self.ends.retain(|_, at| now.since(*at) <= END_RETENTION);
+        self.lapses
+            .retain(|_, at| now.since(*at) <= LAPSE_RETENTION);
         unexplained
     }
 
--- a/src/gateway/decide/quarantine.rs
+++ b/src/gateway/decide/quarantine.rs
@@ -157,32 +157,41 @@
 }
 
 impl CrashQuarantine {
-    /// Returns true if an endpoint's process is known to have ended without leaving.
+    /// Returns true if a known end of the endpoint's process explains a loss there; `silent_since`
+    /// is since when nothing has come from it.
     #[must_use]
-    pub fn has_ended(&self, entry: &EndpointEntry) -> bool {
-        self.ends.has_ended(entry.life().hash())
+    pub fn explains_loss(&self, entry: &EndpointEntry, silent_since: Moment) -> bool {
+        self.ends.explains_loss(entry.life().hash(), silent_since)
     }
 
-    /// Records an attempt that broke off. Whether its endpoint crashed may not be known yet.
-    pub fn record_lost_attempt(
+    /// Records a lost attempt whose cause is not known yet.
+    pub fn record_lost(
         &mut self,
         now: Moment,
         entry: &EndpointEntry,
         fingerprint: RequestFingerprint,
     ) {
-        let (endpoint, process) = (endpoint_id(entry), entry.life().hash());
-        let has_ended = self.has_ended(entry);
-        let end = if has_ended { "known" } else { "unknown" };
         spdlog::info!(
-            "quarantine: endpoint={} fingerprint={fingerprint} lost end={end}",
+            "quarantine: endpoint={} fingerprint={fingerprint} lost end=unknown",
             entry.key
         );
-        if has_ended {
-            let record = self.find_or_add_record(now, endpoint, process);
-            self.suspect(now, record, fingerprint, SuspectSource::Own);
-        } else {
-            self.ends.keep_loss(now, process, endpoint, fingerprint);
-        }
+        self.ends
+            .keep_loss(now, entry.life().hash(), endpoint_id(entry), fingerprint);
+    }
+
+    /// Records an attempt that was lost in a crash.
+    pub fn record_crashed(
+        &mut self,
+        now: Moment,
+        entry: &EndpointEntry,
+        fingerprint: RequestFingerprint,
+    ) {
+        spdlog::info!(
+            "quarantine: endpoint={} fingerprint={fingerprint} lost end=known",
+            entry.key
+        );
+        let record = self.find_or_add_record(now, endpoint_id(entry), entry.life().hash());
+        self.suspect(now, record, fingerprint, SuspectSource::Own);
     }
 
     /// Returns true if a connection should be opened to find out whether an endpoint's process has
--- a/tests/gateway_crash_signs.rs
+++ b/tests/gateway_crash_signs.rs
@@ -87,6 +87,8 @@
 enum FleetEvent {
     /// A router loses these requests at an engine.
     Lose(usize, Vec<AttemptTicket>),
+    /// The caller of this attempt leaves.
+    Abandon(usize, AttemptTicket),
     /// A router's connection for this attempt is refused.
     Refuse(usize, AttemptTicket),
     /// The list changes: an entry is removed and another one added.
@@ -150,6 +152,9 @@
                     self.routers[router].ended(now, ticket, AttemptEnd::Lost);
                 }
             }
+            FleetEvent::Abandon(router, ticket) => {
+                self.routers[router].ended(now, ticket, AttemptEnd::Abandoned);
+            }
             FleetEvent::Refuse(router, ticket) => {
                 self.routers[router].ended(now, ticket, AttemptEnd::Gone);
             }
@@ -680,3 +685,71 @@
         assert_eq!(day.refused, 0, "seed {seed}: of {}", day.sent);
     }
 }
+
+/// Sends the crashing request through each router in turn. Its engine's host goes dark, so that the
+/// connection stays open and silent until the caller leaves, `left_after_ms` later.
+fn go_dark(left_after_ms: u64) -> usize {
+    let mut fleet = RouterFleet::new();
+    let mut ends = 0;
+    for turn in 0..12 {
+        fleet.run_until(1_000 + turn as u64 * 9_000);
+        let router = turn % ROUTERS;
+        let Some(ticket) = fleet.send(router, CRASHING) else {
+            continue;
+        };
+        ends += 1;
+        let engine = ticket.entry.clone();
+        let next = fleet.successor(&engine);
+        let ended = fleet.now + 50;
+        fleet.ends.insert(engine.life().hash(), ended);
+        fleet.events.extend([
+            (ended + left_after_ms, FleetEvent::Abandon(router, ticket)),
+            (
+                ended + LAPSE_MS,
+                FleetEvent::List(Some(engine.key), Some(next)),
+            ),
+        ]);
+    }
+    ends
+}
+
+/// Guards against a crash that counts nowhere: the connection does not break, since the endpoint's
+/// host goes dark with it, and the caller leaves before the registration lapses.
+#[test]
+fn a_request_whose_endpoints_go_silent_is_refused() {
+    assert_eq!(go_dark(2_500), CRASHES_ALLOWED);
+}
+
+/// Guards against a crash that counts nowhere: as above, but the caller waits until the registration
+/// has lapsed.
+#[test]
+fn a_request_whose_endpoints_go_silent_is_refused_though_its_caller_waits_long() {
+    assert_eq!(go_dark(6_000), CRASHES_ALLOWED);
+}
+
+/// Guards against harmless requests that count as the cause of a crash: their callers leave while
+/// the engine works on others, and it leaves as planned, without notice, soon after.
+#[test]
+fn requests_whose_callers_left_a_working_engine_are_no_suspects() {
+    let mut fleet = RouterFleet::new();
+    for turn in 0..6 {
+        let start = 1_000 + turn * 8_000;
+        fleet.run_until(start);
+        let ticket = fleet.send(0, CRASHING).unwrap();
+        let engine = ticket.entry.clone();
+        let fingerprint = fleet.fresh();
+        let mut other = fleet.send_to(0, &engine.key, fingerprint).unwrap();
+        fleet.routers[0].first_output(ms(start), &mut other);
+        for step in 1..=30 {
+            fleet.run_until(start + step * 100);
+            other.record_activity(ms(fleet.now));
+        }
+        fleet.routers[0].ended(ms(fleet.now), ticket, AttemptEnd::Abandoned);
+        fleet.answered(0, other, fingerprint);
+        let next = fleet.successor(&engine);
+        let list = FleetEvent::List(Some(engine.key), Some(next));
+        fleet.events.push((fleet.now + 500, list));
+    }
+    fleet.run_until(60_000);
+    assert!(fleet.send(1, CRASHING).is_some());
+}
