Quarantine: reports between routers have a file of their own

The limits on what is sent and accepted, and the turns that items take in messages, stood three times in quarantine.rs. The tests read the report in place of one of its parts, with the same assertions. Answers of a report are applied before its accusations.

--- a/src/gateway/decide/mod.rs
+++ b/src/gateway/decide/mod.rs
@@ -17,6 +17,7 @@
 pub mod budget;
 pub mod capacity;
 pub mod core;
+pub mod crash_report;
 pub mod departures;
 pub mod endpoints;
 pub mod health;
--- a/src/gateway/decide/quarantine.rs
+++ b/src/gateway/decide/quarantine.rs
@@ -2,12 +2,12 @@
 //!
 //! Load pattern: a request crashes each engine that starts to run it, and its caller retries it at
 //! any router. A lost attempt alone proves little, since links break too. Together with a sign that
-//! the endpoint's process ended, it makes the request a suspect of that crash. Routers exchange
-//! suspects, signs, see [`super::process_ends`], and refusals, and all of them refuse a request that
-//! was running in three crashes. The limit is three
-//! because other requests run beside the one that causes the crash: of 64 requests that were
-//! running at one crash, few are running at a second one and hardly any at a third, while each
-//! further engine lost costs the work of all its requests.
+//! the endpoint's process ended ([`super::process_ends`]), it makes the request a suspect of that
+//! crash. Routers exchange what they know ([`super::crash_report`]), and all of them refuse a
+//! request that was running in three crashes, unless an endpoint answered it whole
+//! ([`super::answered`]). The limit is three because other requests run beside the one that causes
+//! the crash: of 64 requests that were running at one crash, few are running at a second one and
+//! hardly any at a third, while each further engine lost costs the work of all its requests.
 
 use std::cmp::Reverse;
 use std::collections::BTreeSet;
@@ -22,6 +22,10 @@
 
 use super::super::routes::EndpointEntry;
 use super::answered::AnsweredRequests;
+use super::crash_report::CrashReport;
+use super::crash_report::CrashSuspect;
+use super::crash_report::MessageTurns;
+use super::crash_report::RefusedRequest;
 use super::process_ends::EndSign;
 use super::process_ends::ProcessEnds;
 
@@ -35,10 +39,6 @@
 /// Maximum number of suspects in one message; the next message carries the next ones.
 const MAX_SENT_SUSPECTS: usize = 6;
 
-/// Maximum number of suspects accepted from one message: the limit above binds only senders that
-/// run this code, and a message could list any number.
-const MAX_RECEIVED_SUSPECTS: usize = 64;
-
 /// Number of reports of which one lists all refusals, not only recent ones: with ten messages a
 /// second, a router that starts later knows them within its first second.
 const REFUSAL_REPORTS: u64 = 5;
@@ -47,18 +47,9 @@
 /// latest ones.
 const MAX_SENT_REFUSALS: usize = 8;
 
-/// Maximum number of refusals accepted from one message, for the same reason as of suspects.
-const MAX_RECEIVED_REFUSALS: usize = 16;
-
 /// Maximum number of answered requests in one message, 128 bytes of it.
 const MAX_SENT_ANSWERED: usize = 16;
 
-/// Maximum number of answered requests accepted from one message, for the same reason.
-const MAX_RECEIVED_ANSWERED: usize = 64;
-
-/// Maximum number of ended processes accepted from one message, for the same reason.
-const MAX_RECEIVED_ENDS: usize = 64;
-
 /// Crashes from which on a suspect's count is logged. Most suspects are in one crash only.
 const LOGGED_CRASHES: usize = 2;
 
@@ -80,39 +71,6 @@
     }
 }
 
-/// A request that was running in a crash, as exchanged between routers.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub struct CrashSuspect {
-    /// The endpoint.
-    pub endpoint: EndpointId,
-    /// Hash of the endpoint process that ended.
-    pub life: u64,
-    /// Fingerprint of the request.
-    pub fingerprint: RequestFingerprint,
-}
-
-/// A request that is refused since it was running in too many crashes, as exchanged between routers.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct RefusedRequest {
-    /// Fingerprint of the request.
-    pub fingerprint: RequestFingerprint,
-    /// Time for which it is still refused, in whole seconds, rounded down.
-    pub left: TimeSpan,
-}
-
-/// What a router reports to the others about crashes and the requests that may have caused them.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct CrashReport {
-    /// Requests that were running in recent crashes.
-    pub suspects: Vec<CrashSuspect>,
-    /// Hashes of endpoint processes that ended recently.
-    pub ended: Vec<u64>,
-    /// Requests that are refused.
-    pub refused: Vec<RefusedRequest>,
-    /// Suspects that were answered whole since.
-    pub answered: Vec<RequestFingerprint>,
-}
-
 /// Crashes, their suspects and the requests refused because of them.
 #[derive(Debug)]
 pub struct CrashQuarantine {
@@ -120,12 +78,9 @@
     table: CrashTable,
     ends: ProcessEnds,
     answered: AnsweredRequests,
-    /// Position of the next suspect to send.
-    next_suspect: usize,
-    /// Position of the next refusal to send beside the latest ones.
-    next_refusal: usize,
-    /// Position of the next answered request to send.
-    next_answered: usize,
+    suspect_turns: MessageTurns,
+    refusal_turns: MessageTurns,
+    answered_turns: MessageTurns,
     /// Number of reports made.
     reports: u64,
 }
@@ -141,9 +96,9 @@
             table: CrashTable::default(),
             ends: ProcessEnds::default(),
             answered: AnsweredRequests::default(),
-            next_suspect: 0,
-            next_refusal: 0,
-            next_answered: 0,
+            suspect_turns: MessageTurns::default(),
+            refusal_turns: MessageTurns::default(),
+            answered_turns: MessageTurns::default(),
             reports: 0,
         }
     }
@@ -283,7 +238,7 @@
 
     /// Clears requests that other routers report as answered whole.
     fn apply_answers(&mut self, now: Moment, answered: Vec<RequestFingerprint>) {
-        for fingerprint in answered.into_iter().take(MAX_RECEIVED_ANSWERED) {
+        for fingerprint in answered {
             if self.answered.record_elsewhere(now, fingerprint) {
                 self.clear(fingerprint, SuspectSource::Peer);
             }
@@ -305,7 +260,7 @@
     fn answers_to_send(&mut self, now: Moment) -> Vec<RequestFingerprint> {
         self.answered.shrink(now);
         let accused = self.answered.accused();
-        next_in_turn(&accused, MAX_SENT_ANSWERED, &mut self.next_answered)
+        self.answered_turns.take(&accused, MAX_SENT_ANSWERED)
     }
 
     /// Returns the report for the next message to other routers, and drops old records.
@@ -335,11 +290,7 @@
             .collect();
         refused.sort_unstable_by_key(|(_, until)| Reverse(*until));
         let rest = refused.split_off(refused.len().min(MAX_SENT_REFUSALS / 2));
-        refused.extend(next_in_turn(
-            &rest,
-            MAX_SENT_REFUSALS / 2,
-            &mut self.next_refusal,
-        ));
+        refused.extend(self.refusal_turns.take(&rest, MAX_SENT_REFUSALS / 2));
         let entries = refused.into_iter().map(|(fingerprint, until)| {
             let seconds = until.since(now).as_millis() / 1_000;
             RefusedRequest {
@@ -353,15 +304,17 @@
     /// Adopts the refusals that another router reports.
     fn adopt_refusals(&mut self, now: Moment, refused: Vec<RefusedRequest>) {
         let longest = TimeSpan::from_millis(self.config.refuse_ms);
-        for request in refused.into_iter().take(MAX_RECEIVED_REFUSALS) {
+        for request in refused {
             let (fingerprint, left) = (request.fingerprint, request.left.min(longest));
-            // The sender has not heard yet that the request was answered.
-            let was_answered = self.answered.clears(fingerprint);
-            if !was_answered
-                && self
-                    .table
-                    .adopt_quarantine(fingerprint, now, now + left, &self.config)
-            {
+            if self.answered.clears(fingerprint) {
+                // The sender has not heard of the answer yet.
+                continue;
+            }
+            let until = now + left;
+            let is_news = self
+                .table
+                .adopt_quarantine(fingerprint, now, until, &self.config);
+            if is_news {
                 let left_ms = left.as_millis();
                 spdlog::warn!(
                     "quarantine: fingerprint={fingerprint} refused source=peer left_ms={left_ms}"
@@ -372,7 +325,15 @@
 
     /// Applies another router's report.
     pub fn apply_report(&mut self, now: Moment, report: CrashReport) {
-        for process in report.ended.into_iter().take(MAX_RECEIVED_ENDS) {
+        let report = report.bounded();
+        self.apply_answers(now, report.answered);
+        self.apply_ends(now, report.ended);
+        self.merge_suspects(now, report.suspects);
+        self.adopt_refusals(now, report.refused);
+    }
+
+    fn apply_ends(&mut self, now: Moment, ended: Vec<u64>) {
+        for process in ended {
             let (endpoint, losses) = self.ends.record_reported_end(now, process);
             if !losses.is_empty() {
                 let count = losses.len();
@@ -380,21 +341,17 @@
             }
             self.suspect_all(now, endpoint, process, losses);
         }
-        self.apply_answers(now, report.answered);
-        self.merge_suspects(now, report.suspects.into_iter());
-        self.adopt_refusals(now, report.refused);
     }
 
-    /// Merges suspects from another router's message.
-    pub fn merge_suspects(&mut self, now: Moment, received: impl Iterator<Item = CrashSuspect>) {
-        for suspect in received.take(MAX_RECEIVED_SUSPECTS) {
+    fn merge_suspects(&mut self, now: Moment, suspects: Vec<CrashSuspect>) {
+        for suspect in suspects {
             let record = self.find_or_add_record(now, suspect.endpoint, suspect.life);
             self.suspect(now, record, suspect.fingerprint, SuspectSource::Peer);
         }
     }
 
     /// Returns suspects of recent crashes for the next message, in rotation, and drops old records.
-    pub fn suspects_to_send(&mut self, now: Moment) -> Vec<CrashSuspect> {
+    fn suspects_to_send(&mut self, now: Moment) -> Vec<CrashSuspect> {
         self.table.shrink(now, &self.config);
         let recent = self.table.records_mut();
         let recent = recent.filter(|record| now.since(record.seen_at) < SUSPECT_REPORT_TIME);
@@ -407,16 +364,6 @@
                 })
             })
             .collect();
-        next_in_turn(&suspects, MAX_SENT_SUSPECTS, &mut self.next_suspect)
+        self.suspect_turns.take(&suspects, MAX_SENT_SUSPECTS)
     }
 }
-
-/// Returns up to `count` items from position `next` on, and moves the position behind them, so that
-/// all items get their turn.
-fn next_in_turn<T: Copy>(items: &[T], count: usize, next: &mut usize) -> Vec<T> {
-    let count = items.len().min(count);
-    let first = *next % items.len().max(1);
-    *next = next.wrapping_add(count);
-    let turned = items.iter().cycle().skip(first);
-    turned.take(count).copied().collect()
-}
--- a/src/gateway/digest.rs
+++ b/src/gateway/digest.rs
@@ -20,9 +20,9 @@
 use crate::units::RequestFingerprint;
 use crate::units::TimeSpan;
 
-use super::decide::quarantine::CrashReport;
-use super::decide::quarantine::CrashSuspect;
-use super::decide::quarantine::RefusedRequest;
+use super::decide::crash_report::CrashReport;
+use super::decide::crash_report::CrashSuspect;
+use super::decide::crash_report::RefusedRequest;
 use super::decide::shares::TeamFlow;
 use super::routes::TeamKey;
 
--- a/tests/gateway_quarantine.rs
+++ b/tests/gateway_quarantine.rs
@@ -12,11 +12,14 @@
 use verbenaturn::gateway::decide::AttemptTicket;
 use verbenaturn::gateway::decide::GatewayCore;
 use verbenaturn::gateway::decide::RefusalCause;
+use verbenaturn::gateway::decide::crash_report::CrashReport;
+use verbenaturn::gateway::decide::crash_report::CrashSuspect;
 use verbenaturn::gateway::protocol::PromptShape;
 use verbenaturn::gateway::routes::EndpointEntry;
 use verbenaturn::gateway::routes::EndpointKey;
 use verbenaturn::gateway::routes::ProcessStartTime;
 use verbenaturn::gateway::routes::TeamKey;
+use verbenaturn::units::EndpointId;
 use verbenaturn::units::Moment;
 use verbenaturn::units::RequestFingerprint;
 
@@ -78,8 +81,8 @@
 }
 
 fn send_suspects(from: &mut GatewayCore, to: &mut GatewayCore, now: Moment) {
-    let suspects = from.quarantine.suspects_to_send(now);
-    to.quarantine.merge_suspects(now, suspects.into_iter());
+    let report = from.quarantine.report(now);
+    to.quarantine.apply_report(now, report);
 }
 
 /// A caller repeats a request that crashes engines, each time through another router. No router
@@ -118,7 +121,7 @@
         core.ended(at, ticket, AttemptEnd::Lost);
     }
     drop(sent(&mut core, ms(9_000), CRASHING));
-    assert!(core.quarantine.suspects_to_send(ms(9_000)).is_empty());
+    assert!(core.quarantine.report(ms(9_000)).suspects.is_empty());
 }
 
 /// A harmless request runs beside a crashing one in two crashes and is then answered. A third
@@ -138,14 +141,15 @@
 #[test]
 fn suspects_in_a_message_are_bounded() {
     let mut core = router();
-    let foreign =
-        (0..10_000).map(
-            |number| verbenaturn::gateway::decide::quarantine::CrashSuspect {
-                endpoint: verbenaturn::units::EndpointId(1),
-                life: 1,
-                fingerprint: RequestFingerprint(number),
-            },
-        );
-    core.quarantine.merge_suspects(ms(0), foreign);
-    assert!(core.quarantine.suspects_to_send(ms(1)).len() <= 6);
+    let foreign = (0..10_000).map(|number| CrashSuspect {
+        endpoint: EndpointId(1),
+        life: 1,
+        fingerprint: RequestFingerprint(number),
+    });
+    let report = CrashReport {
+        suspects: foreign.collect(),
+        ..CrashReport::default()
+    };
+    core.quarantine.apply_report(ms(0), report);
+    assert!(core.quarantine.report(ms(1)).suspects.len() <= 6);
 }
