--- a/src/gateway/digest.rs
+++ b/src/gateway/digest.rs
@@ -212,9 +212,7 @@
 }
 
 impl SuspectEntry {
-    /// Encodes a suspect.
-    #[must_use]
-    pub fn of(suspect: &CrashSuspect) -> Self {
+    fn of(suspect: &CrashSuspect) -> Self {
         Self {
             endpoint: suspect.endpoint.0,
             process_hash: suspect.life,
@@ -243,9 +241,7 @@
 }
 
 impl RefusedEntry {
-    /// Encodes a refused request.
-    #[must_use]
-    pub fn of(request: &RefusedRequest) -> Self {
+    fn of(request: &RefusedRequest) -> Self {
         let seconds = request.left.as_millis() / 1_000;
         Self {
             fingerprint: request.fingerprint.0,
@@ -325,6 +321,18 @@
 }
 
 impl RouterDigest {
+    /// Returns this digest with a report on crashes.
+    #[must_use]
+    pub fn with_crash_report(self, report: &CrashReport) -> Self {
+        Self {
+            suspects: report.suspects.iter().map(SuspectEntry::of).collect(),
+            ended: report.ended.clone(),
+            refused: report.refused.iter().map(RefusedEntry::of).collect(),
+            answered: report.answered.iter().map(|request| request.0).collect(),
+            ..self
+        }
+    }
+
     /// Returns the sender's report on crashes.
     #[must_use]
     pub fn crash_report(&self) -> CrashReport {
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -25,9 +25,7 @@
 use super::decide::endpoints::EndpointRow;
 use super::digest::DemandColumns;
 use super::digest::LoadEntry;
-use super::digest::RefusedEntry;
 use super::digest::RouterDigest;
-use super::digest::SuspectEntry;
 use super::handover;
 use super::link::LinkSpeed;
 use super::peer_table::PeerTable;
@@ -264,14 +262,12 @@
             },
             in_touch: self.shared.is_in_touch(),
             store_failing: self.shared.store_contact().is_failing,
-            suspects: crashes.suspects.iter().map(SuspectEntry::of).collect(),
             turned_away_per_s: turned_away as u32,
             left,
             announced_leaving,
-            ended: crashes.ended,
-            refused: crashes.refused.iter().map(RefusedEntry::of).collect(),
-            answered: crashes.answered.iter().map(|request| request.0).collect(),
+            ..RouterDigest::default()
         }
+        .with_crash_report(&crashes)
     }
 
     /// Returns the addresses of some live routers, different ones in each round.
