A request that was not sent is no suspect

Harmless requests could count in a crash that they had no part in: their caller left, or the endpoint announced that it leaves, while the router still connected, and that end was the same as one after the request was sent. Both are now known apart. requests_that_were_not_sent_are_no_suspects fails if the former end is reported in its place. Also tested now, without a change of code: copies at once, each side of a partition, the store away, and the size of a full report.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -60,6 +60,8 @@
     /// The endpoint announced while the connection was made that it is leaving or wants a pause
     /// (either is named `Left`), so the request was not sent.
     Left,
+    /// The caller closed its connection before the request was sent.
+    CallerLeft,
     /// The endpoint refused the request.
     Refused,
     /// Another endpoint has the address.
@@ -93,9 +95,8 @@
                 AttemptEnd::NotReached
             }
             Self::Broken(_) => AttemptEnd::Lost,
-            Self::CallerLeft | Self::TimeUp | Self::NotRun(NotRunCause::Left) => {
-                AttemptEnd::Abandoned
-            }
+            Self::NotRun(NotRunCause::Left | NotRunCause::CallerLeft) => AttemptEnd::NotSent,
+            Self::CallerLeft | Self::TimeUp => AttemptEnd::Abandoned,
         }
     }
 }
@@ -262,7 +263,7 @@
     // A router that lags reads requests whose callers have already left, and an endpoint would work
     // on them in vain. This is checked last, since connecting takes time as well.
     if caller.peer_has_closed() {
-        return AttemptOutcome::CallerLeft;
+        return AttemptOutcome::NotRun(NotRunCause::CallerLeft);
     }
     let bytes = endpoint_request(
         &traffic.protocol,
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -270,7 +270,9 @@
     }
     match outcome {
         AttemptOutcome::Delivered(status) => Some(CallEnd::Answered(status)),
-        AttemptOutcome::CallerLeft => Some(CallEnd::CallerLeft),
+        AttemptOutcome::CallerLeft | AttemptOutcome::NotRun(NotRunCause::CallerLeft) => {
+            Some(CallEnd::CallerLeft)
+        }
         AttemptOutcome::TimeUp => {
             call.may_have_run = true;
             Some(give_up(traffic, caller, call, "time up").await)
--- a/src/gateway/decide/attempts.rs
+++ b/src/gateway/decide/attempts.rs
@@ -79,8 +79,11 @@
     Gone,
     /// The endpoint reported that it is full.
     Full,
-    /// The caller disconnected, the deadline passed, or the endpoint left or paused before the
-    /// request was sent. Not counted against the endpoint unless it was silent.
+    /// The request was not sent: the caller disconnected before, or the endpoint left or paused
+    /// meanwhile. Not counted against the endpoint unless it was silent.
+    NotSent,
+    /// The caller disconnected or the deadline passed after the request was sent. Not counted
+    /// against the endpoint unless it was silent.
     Abandoned,
 }
 
@@ -146,8 +149,10 @@
             AttemptEnd::Full => row.pause_when_full(now),
             // If the route does not allow the request to run at a second endpoint, callers that
             // give up are the only sign that an endpoint hangs.
-            AttemptEnd::Abandoned if was_silent => row.health.count(now, true),
-            AttemptEnd::Abandoned => {}
+            AttemptEnd::Abandoned | AttemptEnd::NotSent if was_silent => {
+                row.health.count(now, true);
+            }
+            AttemptEnd::Abandoned | AttemptEnd::NotSent => {}
         }
     }
 
@@ -175,6 +180,7 @@
             AttemptEnd::Answered
             | AttemptEnd::Failed
             | AttemptEnd::NotReached
+            | AttemptEnd::NotSent
             | AttemptEnd::Gone
             | AttemptEnd::Full => false,
         }
--- a/tests/gateway_crash_signs.rs
+++ b/tests/gateway_crash_signs.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeMap;
 
+use prost::Message;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -13,6 +14,7 @@
 use verbenaturn::gateway::decide::AttemptTicket;
 use verbenaturn::gateway::decide::GatewayCore;
 use verbenaturn::gateway::decide::RefusalCause;
+use verbenaturn::gateway::digest::RouterDigest;
 use verbenaturn::gateway::routes::EndpointEntry;
 use verbenaturn::gateway::routes::EndpointKey;
 use verbenaturn::gateway::routes::EndpointState;
@@ -103,6 +105,8 @@
     events: Vec<(u64, FleetEvent)>,
     /// When engines' processes ended, by their hashes.
     ends: BTreeMap<u64, u64>,
+    /// Routers below this one receive nothing from the others, nor the others from them.
+    cut_below: usize,
     next_key: usize,
     next_fingerprint: u64,
 }
@@ -119,6 +123,7 @@
             listed,
             events: Vec::new(),
             ends: BTreeMap::new(),
+            cut_below: 0,
             next_key: 0,
             next_fingerprint: 1_000,
         }
@@ -182,7 +187,8 @@
             .collect();
         for (from, report) in reports.iter().enumerate() {
             for (to, core) in self.routers.iter_mut().enumerate() {
-                if from != to {
+                let is_cut = (from < self.cut_below) != (to < self.cut_below);
+                if from != to && !is_cut {
                     core.quarantine.apply_report(now, report.clone());
                 }
             }
@@ -753,3 +759,106 @@
     fleet.run_until(60_000);
     assert!(fleet.send(1, CRASHING).is_some());
 }
+
+/// Guards against copies that go on ending engines: callers send the request through all routers at
+/// once, each to another engine, before the first crash is known, and then again.
+#[test]
+fn copies_sent_at_once_end_their_engines_and_no_more() {
+    let mut fleet = RouterFleet::new();
+    fleet.run_until(1_000);
+    let engines: Vec<EndpointKey> = fleet.listed.keys().take(ROUTERS).cloned().collect();
+    for (router, engine) in engines.iter().enumerate() {
+        let ticket = fleet.send_to(router, engine, CRASHING).unwrap();
+        fleet.crash(router, ticket, CrashSign::RefusedHere, Vec::new());
+    }
+    fleet.run_until(1_000 + 50 + 50 + 2 * ROUND_MS);
+    let refusing = (0..ROUTERS).filter(|router| fleet.send(*router, CRASHING).is_none());
+    assert_eq!(refusing.count(), ROUTERS);
+}
+
+/// Guards against a side of a partition that waits for the other one's evidence.
+#[test]
+fn each_side_of_a_partition_refuses_after_its_own_crashes() {
+    let mut fleet = RouterFleet::new();
+    fleet.cut_below = ROUTERS / 2;
+    let ends = fleet.crash_one_by_one(CrashSign::RefusedHere, 24, 2_000);
+    assert_eq!(ends.len(), 2 * CRASHES_ALLOWED, "{ends:?}");
+}
+
+/// Guards against crashes that count only while the endpoint list changes: the store is away all the
+/// while, and the engines that ended stay listed.
+#[test]
+fn crashes_count_while_the_store_is_away() {
+    let mut fleet = RouterFleet::new();
+    let mut ends = 0;
+    for turn in 0..14 {
+        fleet.run_until(1_000 + turn as u64 * 4_000);
+        let router = turn % ROUTERS;
+        if let Some(ticket) = fleet.send(router, CRASHING) {
+            ends += 1;
+            fleet.crash(router, ticket, CrashSign::RefusedElsewhere, Vec::new());
+            let events = &mut fleet.events;
+            events.retain(|(_, event)| !matches!(event, FleetEvent::List(..)));
+        }
+    }
+    assert_eq!(ends, CRASHES_ALLOWED);
+}
+
+/// Guards against messages that outgrow an Ethernet frame after a crash, when all lists of a report
+/// are full: half of a frame is left to the loads.
+#[test]
+fn a_full_report_takes_at_most_half_of_a_frame() {
+    const HALF_FRAME_BYTES: usize = 1_472 / 2;
+    let mut fleet = RouterFleet::new();
+    for turn in 0..16 {
+        fleet.run_until(1_000 + turn as u64 * 300);
+        let router = turn % ROUTERS;
+        let mut lost = Vec::new();
+        for number in 0..12 {
+            // Some are in enough crashes to be refused, others only suspects.
+            let fingerprint = RequestFingerprint(u64::MAX - number);
+            let place = if number < 9 {
+                fingerprint
+            } else {
+                fleet.fresh()
+            };
+            lost.extend(fleet.send(router, place).map(|ticket| (router, ticket)));
+        }
+        let Some((router, ticket)) = lost.pop() else {
+            continue;
+        };
+        fleet.crash(router, ticket, CrashSign::RefusedHere, lost);
+    }
+    fleet.run_until(7_000);
+    let largest = (0..50).map(|step| {
+        fleet.run_until(7_000 + step * ROUND_MS);
+        let reports = fleet.routers.iter_mut().map(|core| {
+            let report = core.quarantine.report(ms(7_000 + step * ROUND_MS));
+            RouterDigest::default()
+                .with_crash_report(&report)
+                .encoded_len()
+        });
+        reports.max().unwrap()
+    });
+    let largest = largest.max().unwrap();
+    assert!(largest <= HALF_FRAME_BYTES, "{largest}");
+}
+
+/// Guards against harmless requests that count as the cause of a crash although no endpoint got
+/// them: their callers left while the router still connected to an endpoint that was dark.
+#[test]
+fn requests_that_were_not_sent_are_no_suspects() {
+    let mut fleet = RouterFleet::new();
+    for turn in 0..5 {
+        fleet.run_until(1_000 + turn * 9_000);
+        let ticket = fleet.send(0, CRASHING).unwrap();
+        let engine = ticket.entry.clone();
+        fleet.run_until(fleet.now + 2_500);
+        fleet.routers[0].ended(ms(fleet.now), ticket, AttemptEnd::NotSent);
+        let next = fleet.successor(&engine);
+        let list = FleetEvent::List(Some(engine.key), Some(next));
+        fleet.events.push((fleet.now + 1_500, list));
+    }
+    fleet.run_until(60_000);
+    assert!(fleet.send(1, CRASHING).is_some());
+}
