Check of an endpoint: an idle connection that is still open is answer enough

The check after a lost request opened a connection even where one was idle. A process that has ended has closed its idle connections as well; if its host went dark, a new connection would tell nothing either.

--- a/src/gateway/end_check.rs
+++ b/src/gateway/end_check.rs
@@ -20,10 +20,14 @@
 /// before it stops listening.
 const CHECK_DELAY: Duration = Duration::from_millis(50);
 
-/// Opens a connection to an endpoint at which a request was lost. If it is refused, the decision
-/// core is told; if it is made, it serves the next call.
+/// Opens a connection to an endpoint at which a request was lost, unless an idle one is still open.
+/// If it is refused, the decision core is told; if it is made, it serves the next call.
 pub async fn check_end<P: CallProtocol>(traffic: Rc<TrafficState<P>>, entry: EndpointEntry) {
     sleep(CHECK_DELAY).await;
+    // The connections of a process that has ended are closed, idle ones as well.
+    if traffic.pool.has_open(&entry.life()) {
+        return;
+    }
     match open_connection(&traffic, &entry).await {
         Ok(stream) => {
             let idle_limit = Duration::from_millis(traffic.shared.config.idle_reuse_ms);
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -71,6 +71,20 @@
         None
     }
 
+    /// Returns true if a usable idle connection to an endpoint is still open. Others are dropped.
+    pub fn has_open(&self, endpoint: &EndpointProcess) -> bool {
+        let mut idle = self.idle.borrow_mut();
+        let Some(connections) = idle.get_mut(endpoint) else {
+            return false;
+        };
+        let (now, before) = (Instant::now(), connections.len());
+        connections
+            .retain_mut(|connection| connection.usable_until > now && connection.stream.is_clean());
+        self.count
+            .set(self.count.get() - (before - connections.len()));
+        !connections.is_empty()
+    }
+
     /// Keeps a connection whose answer was complete, unless the pool is full.
     pub fn put(&self, endpoint: &EndpointProcess, stream: WireStream, idle_limit: Duration) {
         let mut idle = self.idle.borrow_mut();
