Contact with the store regained within a tick of its loss counts as regained

Seen: the_grace_counts_from_when_the_first_router_reached_the_store failed now and then, beside load and alone. Cause: whether other routers are in contact was derived from which of two times is later; recorded within one microsecond they are equal, the regaining was overlooked, and an endpoint that had left was kept for a grace period from this router's own return.

--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -75,6 +75,9 @@
 /// Contact of the other routers with the store, as known from gossip.
 #[derive(Debug, Default)]
 struct PeerStoreContact {
+    /// True if at least one other router was in contact when this was last recorded. Not derived
+    /// from the times below, which are equal for two records within one tick of the clock.
+    is_in_contact: bool,
     /// When at least one other router was last in contact.
     last_in_contact: Option<Moment>,
     /// When last no other router was in contact.
@@ -297,13 +300,14 @@
         let contact = self.peer_contact.lock();
         let mut contact = contact.unwrap_or_else(PoisonError::into_inner);
         if is_any_in_contact {
-            if contact.last_in_contact <= contact.last_out_of_contact {
+            if !contact.is_in_contact {
                 contact.regained = Some(now);
             }
             contact.last_in_contact = Some(now);
         } else {
             contact.last_out_of_contact = Some(now);
         }
+        contact.is_in_contact = is_any_in_contact;
     }
 
     /// Returns true if at every moment since `since` some other router was in contact with the
@@ -322,7 +326,7 @@
     fn peers_regained_contact(&self, since: Moment) -> Option<Moment> {
         let contact = self.peer_contact.lock();
         let contact = contact.unwrap_or_else(PoisonError::into_inner);
-        let is_in_contact = contact.last_in_contact > contact.last_out_of_contact;
+        let is_in_contact = contact.is_in_contact;
         contact.regained.filter(|at| is_in_contact && *at > since)
     }
 
--- a/tests/gateway_follow.rs
+++ b/tests/gateway_follow.rs
@@ -8,7 +8,10 @@
 use tokio::time::sleep;
 
 use verbenaturn::gateway::endpoint_list::EndpointListMessage;
+use verbenaturn::gateway::endpoint_list::RegisteredEndpoints;
 use verbenaturn::gateway::follow::StateSection;
+use verbenaturn::gateway::follow::StoreRevision;
+use verbenaturn::units::Moment;
 
 mod engines;
 mod stores;
@@ -107,6 +110,30 @@
     assert!(used(&shared).iter().eq(rest.keys()));
 }
 
+/// Guards against a grace period that starts too late: that the other routers lost the store and
+/// regained it was recorded within one tick of the clock, and the regaining was overlooked.
+#[tokio::test]
+async fn contact_regained_within_a_tick_of_its_loss_starts_the_grace() {
+    let all = endpoints("engine", 4);
+    let registered = |entries: &BTreeMap<_, _>, revision| RegisteredEndpoints {
+        entries: entries.clone(),
+        as_of: StoreRevision(revision),
+        ..RegisteredEndpoints::default()
+    };
+    let shared = router();
+    shared.offer_endpoints(registered(&all, 10));
+    let (began, tick) = (Moment(0), shared.clock.now());
+    shared.record_peer_contact(tick, false);
+    shared.record_peer_contact(tick, true);
+    sleep(Duration::from_millis(300)).await;
+    shared.outage_ended(began);
+    let mut rest = all.clone();
+    rest.pop_first();
+    shared.offer_endpoints(registered(&rest, 20));
+    sleep(Duration::from_millis(150)).await;
+    assert!(used(&shared).iter().eq(rest.keys()));
+}
+
 /// Only the calls for routes failed for a while: the store was up, and no registration lapsed. An
 /// endpoint that leaves just after that must not be kept as if its registration had lapsed.
 #[tokio::test]
