Ends of processes are remembered longer than they are told

Routers would have reminded each other of an end for ever: each told it for ten seconds from when it heard of it, and forgot it then, while another still told it. Found by reading the change; messages would have carried up to 16 old ends each. nothing_is_reported_a_while_after_the_last_crash fails with the former times.

--- a/src/gateway/decide/process_ends.rs
+++ b/src/gateway/decide/process_ends.rs
@@ -33,9 +33,14 @@
 /// its answers while it runs costs one connection in this time, which a later call uses.
 const CHECK_PAUSE: TimeSpan = TimeSpan::from_millis(1_000);
 
-/// Time for which an end is remembered and sent to other routers: longer than a router takes to hear
-/// of a broken connection, and than a full link delays messages.
-const END_RETENTION: TimeSpan = TimeSpan::from_millis(10_000);
+/// Time for which an end is sent to other routers: longer than a router takes to hear of a broken
+/// connection, and than a full link delays messages.
+const END_REPORT_TIME: TimeSpan = TimeSpan::from_millis(10_000);
+
+/// Time for which an end is remembered. Routers pass ends on and hear of them at different times: one
+/// that forgot an end while others still send it would take it for news, and they would remind each
+/// other of it for ever.
+const END_RETENTION: TimeSpan = TimeSpan::from_millis(60_000);
 
 /// Silence before the end of a registration that shows that the process had ended by then. An engine
 /// in service sends an event every eighth of a second.
@@ -46,7 +51,7 @@
 const LAPSE_RETENTION: TimeSpan = TimeSpan::from_millis(20_000);
 
 /// Maximum number of ends in one message: 128 bytes of it. If more processes end within
-/// `END_RETENTION`, the latest ones are sent.
+/// `END_REPORT_TIME`, the latest ones are sent.
 const MAX_SENT_ENDS: usize = 16;
 
 /// Maximum number of ends that are remembered. A foreign sender could report any number.
@@ -217,9 +222,10 @@
 
     /// Returns the ends for the next message to other routers, latest first.
     #[must_use]
-    pub fn ends_to_send(&self) -> Vec<u64> {
+    pub fn ends_to_send(&self, now: Moment) -> Vec<u64> {
         let ends = self.ends.iter().map(|(process, at)| (*at, *process));
-        let mut latest: Vec<(Moment, u64)> = ends.collect();
+        let recent = ends.filter(|(at, _)| now.since(*at) <= END_REPORT_TIME);
+        let mut latest: Vec<(Moment, u64)> = recent.collect();
         latest.sort_unstable_by(|left, right| right.cmp(left));
         latest.truncate(MAX_SENT_ENDS);
         latest.into_iter().map(|(_, process)| process).collect()
--- a/src/gateway/decide/quarantine.rs
+++ b/src/gateway/decide/quarantine.rs
@@ -271,7 +271,7 @@
         }
         CrashReport {
             suspects: self.suspects_to_send(now),
-            ended: self.ends.ends_to_send(),
+            ended: self.ends.ends_to_send(now),
             refused: self.refusals_to_send(now),
             answered: self.answers_to_send(now),
         }
--- a/tests/gateway_crash_signs.rs
+++ b/tests/gateway_crash_signs.rs
@@ -14,6 +14,7 @@
 use verbenaturn::gateway::decide::AttemptTicket;
 use verbenaturn::gateway::decide::GatewayCore;
 use verbenaturn::gateway::decide::RefusalCause;
+use verbenaturn::gateway::decide::crash_report::CrashReport;
 use verbenaturn::gateway::digest::RouterDigest;
 use verbenaturn::gateway::routes::EndpointEntry;
 use verbenaturn::gateway::routes::EndpointKey;
@@ -862,3 +863,21 @@
     fleet.run_until(60_000);
     assert!(fleet.send(1, CRASHING).is_some());
 }
+
+/// Guards against reports that never end: routers hear of an end at different times and pass it on, so
+/// that one which has forgotten it hears of it again.
+#[test]
+fn nothing_is_reported_a_while_after_the_last_crash() {
+    let mut fleet = RouterFleet::new();
+    let popular = RequestFingerprint(99);
+    fleet.run_until(1_000);
+    let ticket = fleet.send(0, popular).unwrap();
+    fleet.crash(0, ticket, CrashSign::RefusedElsewhere, Vec::new());
+    fleet.run_until(2_000);
+    assert!(fleet.answer(3, popular));
+    fleet.run_until(40_000);
+    let now = ms(fleet.now);
+    for core in &mut fleet.routers {
+        assert_eq!(core.quarantine.report(now), CrashReport::default());
+    }
+}
