--- a/tests/endpoint_lists.rs
+++ b/tests/endpoint_lists.rs
@@ -84,6 +84,21 @@
     assert_eq!(list.used().len(), 2);
 }
 
+/// Guards against work for an endpoint that is known to have left: a reader that stood still takes
+/// the departure for a lapsed registration, and another router fetches its list.
+#[test]
+fn an_endpoint_that_left_does_not_come_back_with_another_routers_list() {
+    let all = endpoints("engine", 3);
+    let mut reader = EndpointList::default();
+    read_store(&mut reader, ms(0), &all, 1);
+    let mut list = reader.clone();
+    read_store(&mut list, ms(1_000), &without(&all, 1), 2);
+    reader.store_returned(ms(3_000), GRACE);
+    read_store(&mut reader, ms(3_000), &without(&all, 1), 3);
+    assert!(list.apply_peer_list(ms(3_100), ms(3_100), reader.to_message(ms(3_100))));
+    assert_eq!(list.used(), without(&all, 1));
+}
+
 /// After an outage of the store, routers lose and regain it at different moments, stop reading at
 /// any moment, and fetch each other's lists. In any order of these events, no router uses an
 /// endpoint that left after the store's return once the grace period is over, even if no further
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -225,6 +225,46 @@
     );
 }
 
+/// Guards against retries beyond the budget when the processes of routers are killed again and
+/// again: each new process knows nothing of what the one before has spent.
+#[test]
+fn repeats_of_routers_that_restart_in_series_stay_within_the_published_budget() {
+    let bounds = RetryBounds {
+        ratio: 0.2,
+        slack: 56.0,
+        window: TimeSpan::from_millis(10_000),
+    };
+    let service = service();
+    for pause in [1_000, 2_000, 4_000, 9_000] {
+        let mut started = 0;
+        let mut routers: Vec<RetryBudget> = (0..8).map(|_| RetryBudget::new(bounds)).collect();
+        let (mut requests, mut repeats) = (Vec::new(), Vec::new());
+        for step in 0..4_000_u64 {
+            let at = step * 10;
+            if at >= 15_000 && at - started >= pause {
+                routers = (0..8).map(|_| RetryBudget::new(bounds)).collect();
+                started = at;
+            }
+            let router = usize::try_from(step % 8).unwrap();
+            let now = ms(at - started);
+            routers[router].request(now, &service);
+            requests.push(at);
+            if routers[router].take(now, &service, 8) {
+                repeats.push(at);
+            }
+            let within = |times: &[u64]| times.iter().filter(|time| **time + 10_000 > at).count();
+            #[allow(clippy::cast_precision_loss)]
+            let allowed = bounds.ratio * within(&requests) as f64 + bounds.slack;
+            #[allow(clippy::cast_precision_loss)]
+            let used = within(&repeats) as f64;
+            assert!(
+                used <= allowed,
+                "{used} of {allowed} at {at}, pause {pause}"
+            );
+        }
+    }
+}
+
 #[test]
 fn the_longest_prefix_of_the_host_wins() {
     let mut table = RouteTable::default();
--- a/tests/gateway_lives.rs
+++ b/tests/gateway_lives.rs
@@ -171,6 +171,26 @@
     );
 }
 
+/// Guards against work for a leaving endpoint whose entry lacks the start time: it must not be taken
+/// for the entry of an earlier process.
+#[test]
+fn a_leaving_entry_without_a_start_time_is_that_of_the_known_process() {
+    let entries = single();
+    let mut view = EndpointView::default();
+    view.put(ms(0), born(&entries, 20));
+    let leaving = EndpointEntry {
+        state: EndpointState::Leaving,
+        ..born(&entries, 0)
+    };
+    view.put(ms(1), leaving);
+    let entries = view.at(StoreRevision(1)).entries;
+    let entry = entries.values().next().unwrap();
+    assert_eq!(
+        (entry.state, entry.born),
+        (EndpointState::Leaving, ProcessStartTime(20))
+    );
+}
+
 /// The complete list of the store is read just after such a late write.
 #[test]
 fn a_list_with_an_entry_of_a_former_process_keeps_the_later_one() {
