--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -311,8 +311,14 @@
 /// Takes a retry from the retry budget. Returns whether the request may be sent to another
 /// endpoint.
 fn reserve_retry<P: CallProtocol>(traffic: &TrafficState<P>, call: &CallState) -> bool {
+    if !call.has_attempts_left() {
+        return false;
+    }
     let now = traffic.shared.clock.now();
-    call.has_attempts_left() && traffic.shared.core().take_retry(now, &call.service)
+    let is_granted = traffic.shared.core().take_retry(now, &call.service);
+    let service = call.service.0.as_str();
+    traffic.shared.metrics.retry(service, is_granted);
+    is_granted
 }
 
 /// Returns whether an answer counts as the endpoint's failure.
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -290,11 +290,14 @@
 
     /// Puts the endpoints read from the store in force.
     fn publish_endpoints(&self, as_of: StoreRevision) {
-        if self.shared.offer_endpoints(self.endpoints.at(as_of)) {
-            let now = self.shared.clock.now();
-            let summary = self.shared.endpoints().summary(now);
-            let reads = self.shared.is_reader();
+        let is_newest = self.shared.offer_endpoints(self.endpoints.at(as_of));
+        let now = self.shared.clock.now();
+        let summary = self.shared.endpoints().summary(now);
+        let reads = self.shared.is_reader();
+        if is_newest {
             spdlog::info!("store: {summary} source=store reads_store={reads}");
+        } else {
+            spdlog::info!("store: read_revision={as_of} is older, in force: {summary}");
         }
     }
 
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -349,9 +349,11 @@
         if reads != self.shared.is_reader() {
             let shortage = self.election.shortage(now).as_millis();
             let contact_count = election_input.contact_count;
+            let silence = self.peers.reader_silence(now);
+            let silence = silence.map_or(-1, |silence| i128::from(silence.as_millis()));
             spdlog::info!(
                 "peers: reads_store={reads} in_touch={} failing={} others_in_touch={contact_count} \
-                 shortage_ms={shortage}",
+                 shortage_ms={shortage} reader_silence_ms={silence}",
                 contact.in_touch,
                 contact.is_failing,
             );
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -27,6 +27,7 @@
     endpoint_connections: Counter<u64>,
     endpoint_announcements: Counter<u64>,
     store_failures: Counter<u64>,
+    retries: Counter<u64>,
     _provider: SdkMeterProvider,
 }
 
@@ -78,6 +79,10 @@
                 .u64_counter("verbenaturn_gateway_store_failures")
                 .with_description("Calls to the store that gave nothing.")
                 .build(),
+            retries: meter
+                .u64_counter("verbenaturn_gateway_retries")
+                .with_description("Retries that calls asked for, by service and outcome.")
+                .build(),
             registry,
             _provider: provider,
         })
@@ -118,6 +123,14 @@
         self.store_failures.add(1, &[]);
     }
 
+    /// Counts a retry that a call asked for; `is_granted` is false if the budget was used up.
+    pub fn retry(&self, service: &str, is_granted: bool) {
+        let service = KeyValue::new("service", service.to_owned());
+        let outcome = if is_granted { "sent" } else { "no_budget" };
+        self.retries
+            .add(1, &[service, KeyValue::new("outcome", outcome)]);
+    }
+
     /// All metrics in Prometheus text format.
     #[must_use]
     pub fn text(&self) -> Vec<u8> {
--- a/src/gateway/peer_table.rs
+++ b/src/gateway/peer_table.rs
@@ -287,6 +287,14 @@
         election_input
     }
 
+    /// Returns the time since the last message of a router that said in it that it is in contact
+    /// with the store; `None` if there was none.
+    #[must_use]
+    pub fn reader_silence(&self, now: Moment) -> Option<TimeSpan> {
+        let readers = self.heard.values().filter(|row| row.digest.in_touch);
+        readers.map(|row| now.since(row.heard)).min()
+    }
+
     /// Returns true if a digest of this incarnation of the router was received before.
     #[must_use]
     pub fn knows_incarnation(&self, address: &IpAddr, incarnation: u64) -> bool {
