Silence of readers is noticed after a fixed time, in fleets of any size

Cause: a dead reader counted as in contact with the store until the timeout of a silent router, 1.5 s for each ten routers begun, while the operator's bound does not grow with the fleet, and the sum of waits that is held against the bound left this path out. Class: a wait that is not in the sum of the bound that it belongs to, and grows with the fleet.

Now messages pass on which readers were seen, by sequence number, with the age of the sighting. After ten rounds (1 s) without a sign of any reader the others read the store; the candidates double each 0.3 s, since some may have died with the readers. A router that took over goes on although the dead ones come before it. The sum of this path is checked with the other one. The pause after a change counts as part of the next watch's wait. Cursors of routers that start together begin at different places: they had all sent to the same few routers in each round.

Ruled out: lists fetched late (all changed within 0.2 s after the first read), refused revisions, kept endpoints.

--- a/src/gateway/digest.rs
+++ b/src/gateway/digest.rs
@@ -197,6 +197,55 @@
     }
 }
 
+/// When another router was last known to be in contact with the store.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct SightingEntry {
+    /// The router's incarnation.
+    pub incarnation: u64,
+    /// Sequence number of the message in which it said so.
+    pub sequence: u64,
+    /// Time since then, in ms.
+    pub age_ms: u32,
+}
+
+/// Sightings of routers in contact with the store, one column per field.
+#[derive(Clone, PartialEq, Message)]
+pub struct SightingColumns {
+    #[prost(fixed64, repeated, tag = "1")]
+    incarnations: Vec<u64>,
+    #[prost(uint64, repeated, tag = "2")]
+    sequences: Vec<u64>,
+    #[prost(uint32, repeated, tag = "3")]
+    ages_ms: Vec<u32>,
+}
+
+impl SightingColumns {
+    /// Returns the rows. If the columns differ in length, rows end with the shortest one.
+    pub fn entries(&self) -> impl Iterator<Item = SightingEntry> + '_ {
+        let messages = self.sequences.iter().zip(&self.ages_ms);
+        self.incarnations
+            .iter()
+            .zip(messages)
+            .map(|(incarnation, (sequence, age_ms))| SightingEntry {
+                incarnation: *incarnation,
+                sequence: *sequence,
+                age_ms: *age_ms,
+            })
+    }
+}
+
+impl FromIterator<SightingEntry> for SightingColumns {
+    fn from_iter<I: IntoIterator<Item = SightingEntry>>(entries: I) -> Self {
+        let mut columns = Self::default();
+        for entry in entries {
+            columns.incarnations.push(entry.incarnation);
+            columns.sequences.push(entry.sequence);
+            columns.ages_ms.push(entry.age_ms);
+        }
+        columns
+    }
+}
+
 /// A request that was running when an endpoint crashed, and so may have caused the crash.
 #[derive(Clone, PartialEq, Message)]
 pub struct SuspectEntry {
@@ -318,6 +367,10 @@
     /// Fingerprints of suspects that were answered whole since.
     #[prost(fixed64, repeated, tag = "17")]
     pub answered: Vec<u64>,
+    /// Routers that were lately in contact with the store; none in a small fleet, in which all hear
+    /// from each other directly.
+    #[prost(message, optional, tag = "18")]
+    pub sightings: Option<SightingColumns>,
 }
 
 impl RouterDigest {
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -222,9 +222,11 @@
     }
 
     async fn watch_from(&mut self, mut after: StoreRevision) {
-        let wait = watch_wait(&self.shared.config);
-        let limit = wait + WATCH_SLACK;
+        let longest = watch_wait(&self.shared.config);
+        let batch = Duration::from_millis(self.shared.config.endpoint_batch_ms);
+        let mut wait = longest;
         while self.shared.is_reader() {
+            let limit = wait + WATCH_SLACK;
             // A dead connection shows only by the missing answer.
             let watch = timeout(limit, self.store.watch(self.section, after, wait)).await;
             let changes = match watch {
@@ -246,8 +248,12 @@
             after = after.max(changes.as_of);
             let has_changes = !changes.changes.is_empty();
             self.apply(changes, after);
+            wait = longest;
             if has_changes && self.section == StateSection::Endpoints {
-                sleep(Duration::from_millis(self.shared.config.endpoint_batch_ms)).await;
+                sleep(batch).await;
+                // The pause counts as a part of the next wait, whose length bounds how late a lost
+                // connection shows.
+                wait = longest.saturating_sub(batch);
             }
         }
     }
--- a/src/gateway/freshness.rs
+++ b/src/gateway/freshness.rs
@@ -1,8 +1,12 @@
 //! Upper bound on the time from the publication of a change until it is in force at all routers.
 //! The bound is the operator's; this module derives from it how long a watch of the store may wait.
 //!
-//! Load pattern: a change is published just after all routers that read the store lost their
-//! connections to it without an error. The store works and the other routers can reach it, so the
+//! Two load patterns have a sum of waits each. First: all routers that read the store die or stand
+//! still just before a change. The others must notice their silence ([`reader_silence`]), decide to
+//! read the store, read it and send the change to the rest.
+//!
+//! Second: a change is published just after all routers that read the store lost their connections
+//! to it without an error. The store works and the other routers can reach it, so the
 //! change has to be in force at them within the operator's bound. These waits add up: the readers'
 //! watches time out, the readers report that to the others, these decide to read the store, one of
 //! them reads it and sends the change to the rest. All waits but the first are fixed; the first
@@ -28,6 +32,23 @@
 /// ([`bound`]) that needs a shorter wait is not met.
 const MIN_WATCH_WAIT: Duration = Duration::from_millis(200);
 
+/// Gossip rounds without a sign of a reader after which it counts as silent: more than a sign takes
+/// to reach 1,300 routers with three messages per router and round.
+const SILENT_ROUNDS: u32 = 10;
+
+/// Fewest gossip rounds without a sign of a reader after which it may count as silent. Below it a
+/// few lost messages would make others read the store.
+const MIN_SILENT_ROUNDS: u32 = 4;
+
+/// Returns the time without a sign of a reader after which it counts as silent; shorter than usual
+/// if the operator's bound requires it.
+#[must_use]
+pub fn reader_silence(config: &GatewayConfig) -> Duration {
+    let round = Duration::from_millis(config.gossip_ms);
+    let left = bound(config).saturating_sub(waits_after_silence(config));
+    left.clamp(MIN_SILENT_ROUNDS * round, SILENT_ROUNDS * round)
+}
+
 /// Returns how long a watch of the store waits for a change.
 #[must_use]
 pub fn watch_wait(config: &GatewayConfig) -> Duration {
@@ -36,10 +57,12 @@
 }
 
 /// Returns the longest time from a change until no router acts on the previous state, provided that
-/// only readers lose the store.
+/// only readers lose the store, die or stand still.
 #[must_use]
 pub fn max_propagation_time(config: &GatewayConfig) -> Duration {
-    watch_wait(config) + fixed_waits(config)
+    let lost = watch_wait(config) + fixed_waits(config);
+    let silent = reader_silence(config) + waits_after_silence(config);
+    lost.max(silent)
 }
 
 /// Returns the stricter of the operator's bounds on the propagation time, `leave_bound_ms` and
@@ -54,6 +77,17 @@
 }
 
 fn fixed_waits(config: &GatewayConfig) -> Duration {
+    WATCH_SLACK + waits_after_loss(config)
+}
+
+/// Waits from the loss of all readers until the last router has the change that another one read.
+fn waits_after_loss(config: &GatewayConfig) -> Duration {
     let messages = MESSAGE_ROUNDS * Duration::from_millis(config.gossip_ms);
-    WATCH_SLACK + messages + READING_TIME + SENDING_TIME
+    messages + READING_TIME + SENDING_TIME
+}
+
+/// As [`waits_after_loss`], with the pause after a change in which a reader that dies takes no
+/// further change from the store.
+fn waits_after_silence(config: &GatewayConfig) -> Duration {
+    Duration::from_millis(config.endpoint_batch_ms) + waits_after_loss(config)
 }
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -26,8 +26,10 @@
 use super::digest::DemandColumns;
 use super::digest::LoadEntry;
 use super::digest::RouterDigest;
+use super::freshness;
 use super::handover;
 use super::link::LinkSpeed;
+use super::peer_table::ElectionLimits;
 use super::peer_table::PeerTable;
 use super::readers::ReaderElection;
 use super::shared::SharedState;
@@ -130,7 +132,8 @@
         socket,
         peers: PeerTable::default(),
         round: 0,
-        next: 0,
+        // Routers that start together would otherwise all send to the same few in each round.
+        next: rand::rng().random_range(0..usize::from(u16::MAX)),
         new_peers: BTreeSet::new(),
         election,
         behind_since: None,
@@ -238,6 +241,7 @@
         let lists_routers = self.round < STARTUP_ROUNDS
             || !self.new_peers.is_empty()
             || self.round.is_multiple_of(ADDRESS_ROUNDS);
+        let passes_on = self.peers.heard.len() > SMALL_FLEET;
         let mut core = self.shared.core();
         let crashes = core.quarantine.report(now);
         let turned_away = core.shares.turned_away_per_s(now);
@@ -265,6 +269,7 @@
             turned_away_per_s: turned_away as u32,
             left,
             announced_leaving,
+            sightings: passes_on.then(|| self.peers.sightings.to_pass_on(now)),
             ..RouterDigest::default()
         }
         .with_crash_report(&crashes)
@@ -339,17 +344,28 @@
         (version, self.shared.endpoints_revision().0)
     }
 
+    fn election_limits(&self) -> ElectionLimits {
+        let config = &self.shared.config;
+        let silence = freshness::reader_silence(config).as_millis();
+        ElectionLimits {
+            peer_timeout: self.timeout(),
+            reader_timeout: TimeSpan::from_millis(config.peer_timeout_ms),
+            reader_silence: TimeSpan::from_millis(u64::try_from(silence).unwrap_or(u64::MAX)),
+        }
+    }
+
     fn update_reader_role(&mut self, now: Moment) {
         let contact = self.shared.store_contact();
         let own = self.plan.listen.ip();
-        let election_input = self.peers.election_input(now, self.timeout(), own, contact);
+        let limits = self.election_limits();
+        let election_input = self.peers.election_input(now, limits, own, contact);
         self.shared
             .record_peer_contact(now, election_input.contact_count > 0);
         let reads = self.election.should_read(now, election_input);
         if reads != self.shared.is_reader() {
             let shortage = self.election.shortage(now).as_millis();
             let contact_count = election_input.contact_count;
-            let silence = self.peers.reader_silence(now);
+            let silence = self.peers.sightings.least_silence(now);
             let silence = silence.map_or(-1, |silence| i128::from(silence.as_millis()));
             spdlog::info!(
                 "peers: reads_store={reads} in_touch={} failing={} others_in_touch={contact_count} \
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -45,3 +45,4 @@
 pub mod reply;
 pub mod routes;
 pub mod shared;
+pub mod sightings;
--- a/src/gateway/peer_table.rs
+++ b/src/gateway/peer_table.rs
@@ -17,6 +17,7 @@
 use super::digest::RouterDigest;
 use super::readers::ElectionInput;
 use super::shared::StoreContact;
+use super::sightings::SightingTable;
 
 /// Time for which a silent router still counts as a participant in the shared retry budget. While
 /// routers can't reach each other, all of them still send retries, so each must go on using only
@@ -68,6 +69,19 @@
     /// Sums of the loads in `heard` by endpoint, updated with each digest: adding up all loads of a
     /// hundred routers in each round takes a tenth of a small host's processor time.
     loads: BTreeMap<u32, PeerLoad>,
+    /// When routers were last known to be in contact with the store.
+    pub sightings: SightingTable,
+}
+
+/// Time limits within which other routers count in an election of readers.
+#[derive(Debug, Clone, Copy)]
+pub struct ElectionLimits {
+    /// Silence after which a router counts as gone; longer in larger fleets.
+    pub peer_timeout: TimeSpan,
+    /// Time without a sighting after which a reader counts as gone.
+    pub reader_timeout: TimeSpan,
+    /// Time without a sighting after which a reader counts as silent.
+    pub reader_silence: TimeSpan,
 }
 
 impl PeerTable {
@@ -96,6 +110,7 @@
         }
         self.unheard_addresses.remove(&from);
         self.uncontacted.remove(&from);
+        self.record_sightings(now, &digest);
         self.add_loads(&digest.loads);
         let known = self.heard.get(&from);
         let interval = known.map_or(TimeSpan(0), |row| now.since(row.heard));
@@ -110,6 +125,20 @@
         true
     }
 
+    fn record_sightings(&mut self, now: Moment, digest: &RouterDigest) {
+        let RouterDigest {
+            incarnation,
+            sequence,
+            in_touch,
+            ..
+        } = *digest;
+        self.sightings
+            .record_message(now, incarnation, sequence, in_touch);
+        if let Some(sightings) = &digest.sightings {
+            self.sightings.record_passed_on(now, sightings);
+        }
+    }
+
     fn add_loads(&mut self, loads: &LoadColumns) {
         for load in loads.entries() {
             let sum = self.loads.entry(load.endpoint).or_default();
@@ -263,7 +292,7 @@
     pub fn election_input(
         &self,
         now: Moment,
-        timeout: TimeSpan,
+        limits: ElectionLimits,
         own: IpAddr,
         contact: StoreContact,
     ) -> ElectionInput {
@@ -274,27 +303,28 @@
             is_failing: contact.is_failing,
             ..ElectionInput::default()
         };
-        for (address, row) in self.live(now, timeout) {
+        for (address, row) in self.live(now, limits.peer_timeout) {
             let is_before = rank(address) < own;
-            election_input.contact_count += usize::from(row.digest.in_touch);
-            election_input.contact_before += usize::from(row.digest.in_touch && is_before);
-            let is_failing = row.digest.store_failing && !row.digest.in_touch;
+            let silence = self.sightings.silence(now, row.digest.incarnation);
+            if let Some(silence) = silence.filter(|silence| *silence < limits.reader_timeout) {
+                let is_silent = silence >= limits.reader_silence;
+                election_input.contact_count += 1;
+                election_input.contact_before += usize::from(is_before);
+                election_input.silent_count += usize::from(is_silent);
+                election_input.silent_before += usize::from(is_silent && is_before);
+            }
+            if silence.is_some() {
+                continue;
+            }
+            let is_failing = row.digest.store_failing;
             election_input.failing += usize::from(is_failing);
             election_input.failing_before += usize::from(is_failing && is_before);
-            let is_untried = !row.digest.in_touch && !is_failing;
+            let is_untried = !is_failing;
             election_input.untried_before += usize::from(is_untried && is_before);
         }
         election_input
     }
 
-    /// Returns the time since the last message of a router that said in it that it is in contact
-    /// with the store; `None` if there was none.
-    #[must_use]
-    pub fn reader_silence(&self, now: Moment) -> Option<TimeSpan> {
-        let readers = self.heard.values().filter(|row| row.digest.in_touch);
-        readers.map(|row| now.since(row.heard)).min()
-    }
-
     /// Returns true if a digest of this incarnation of the router was received before.
     #[must_use]
     pub fn knows_incarnation(&self, address: &IpAddr, incarnation: u64) -> bool {
@@ -306,5 +336,6 @@
     pub fn forget(&mut self, now: Moment) {
         self.heard
             .retain(|_, row| now.since(row.heard) < BUDGET_MEMORY);
+        self.sightings.forget(now);
     }
 }
--- a/src/gateway/readers.rs
+++ b/src/gateway/readers.rs
@@ -25,6 +25,14 @@
 /// Most doublings of the number of candidates.
 const MAX_DOUBLINGS: u32 = 2;
 
+/// Time with all readers silent after which the number of candidates doubles: enough for a
+/// candidate that lives to read the store and for its message.
+const SILENT_DOUBLING_PAUSE: TimeSpan = TimeSpan::from_millis(300);
+
+/// Most doublings while all readers are silent: 48 candidates. If four fifths of a fleet died with
+/// the readers, one of them lives in all but one of 40,000 cases.
+const MAX_SILENT_DOUBLINGS: u32 = 4;
+
 /// Most routers that keep trying while the store doesn't respond to them. If the store refuses a
 /// third of all routers, it refuses all twelve once in 500,000 cases, and the calls during an
 /// outage don't grow with the fleet.
@@ -50,6 +58,11 @@
     pub contact_count: usize,
     /// Those of them that come before it in the shared order.
     pub contact_before: usize,
+    /// Those in `contact_count` of which nothing has been heard for longer than a reader that lives
+    /// is silent, so that they have probably died or stand still.
+    pub silent_count: usize,
+    /// Those in `contact_before` that are silent.
+    pub silent_before: usize,
     /// Other routers that come before it in the shared order and are neither in contact with the
     /// store nor counted in `failing`.
     pub untried_before: usize,
@@ -62,6 +75,8 @@
     earliest: Moment,
     /// When at least `MIN_IN_CONTACT` routers were last in contact.
     sufficient_at: Moment,
+    /// Since when all readers have been silent.
+    silent_since: Option<Moment>,
 }
 
 impl ReaderElection {
@@ -73,6 +88,7 @@
         Self {
             earliest,
             sufficient_at: earliest,
+            silent_since: None,
         }
     }
 
@@ -82,12 +98,13 @@
     /// in contact too, so that readers change only when needed: each new reader reads the whole
     /// store once.
     pub fn should_read(&mut self, now: Moment, election_input: ElectionInput) -> bool {
-        let contact_count = election_input.contact_count + usize::from(election_input.in_touch);
+        let others = self.count_readers(now, election_input);
+        let contact_count = others + usize::from(election_input.in_touch);
         if contact_count >= MIN_IN_CONTACT {
             self.sufficient_at = now;
         }
         if election_input.in_touch {
-            return election_input.contact_before < READERS;
+            return election_input.contact_before - election_input.silent_before < READERS;
         }
         if now < self.earliest || contact_count >= READERS {
             return false;
@@ -100,6 +117,25 @@
         election_input.failing < MAX_FAILING && election_input.untried_before < wanted
     }
 
+    /// Returns how many other routers count as in contact: silent ones only beside one that is not
+    /// silent. A reader may be silent because its host is busy, and each new reader reads the whole
+    /// store; but with all of them silent, changes reach nobody.
+    fn count_readers(&mut self, now: Moment, election_input: ElectionInput) -> usize {
+        let ElectionInput {
+            contact_count,
+            silent_count,
+            ..
+        } = election_input;
+        if contact_count > silent_count {
+            self.silent_since = None;
+            return contact_count;
+        }
+        if silent_count > 0 {
+            self.silent_since.get_or_insert(now);
+        }
+        0
+    }
+
     /// Returns how often the number of candidates is doubled.
     ///
     /// Guards against a store that stops responding to all readers at once: the next three routers
@@ -108,9 +144,23 @@
     fn doublings(&self, now: Moment, contact_count: usize) -> u32 {
         let at_once = u32::from(contact_count == 0);
         let pauses = now.since(self.sufficient_at).0 / DOUBLING_PAUSE.0;
-        u32::try_from(pauses)
+        let usual = u32::try_from(pauses)
             .unwrap_or(u32::MAX)
-            .clamp(at_once, MAX_DOUBLINGS)
+            .clamp(at_once, MAX_DOUBLINGS);
+        usual.max(self.silent_doublings(now))
+    }
+
+    /// Returns how often the number of candidates is doubled since all readers are silent.
+    ///
+    /// Guards against candidates that died with the readers: they still count as candidates until
+    /// their own silence is noticed, which takes seconds in a large fleet.
+    fn silent_doublings(&self, now: Moment) -> u32 {
+        let Some(since) = self.silent_since else {
+            return 0;
+        };
+        let pauses = now.since(since).0 / SILENT_DOUBLING_PAUSE.0;
+        let doublings = u32::try_from(pauses).unwrap_or(u32::MAX).saturating_add(1);
+        doublings.min(MAX_SILENT_DOUBLINGS)
     }
 
     /// Returns for how long fewer than `MIN_IN_CONTACT` routers have been in contact.
--- a/tests/gateway_readers.rs
+++ b/tests/gateway_readers.rs
@@ -213,3 +213,45 @@
     assert_eq!(wanted(0), 6);
     assert_eq!(wanted(2), 1);
 }
+
+/// Guards against news that reach nobody after all readers died: they count as in contact until
+/// their silence has lasted for the timeout, and the candidates that died with them are waited for.
+#[test]
+fn when_all_readers_are_silent_ever_more_of_the_others_try() {
+    let wanted = |after_ms: u64| {
+        (0..100)
+            .filter(|untried_before| {
+                let mut election = ReaderElection::new(ms(0), TimeSpan(0));
+                let input = |silent_count| ElectionInput {
+                    contact_count: 3,
+                    silent_count,
+                    untried_before: *untried_before,
+                    ..ElectionInput::default()
+                };
+                election.should_read(ms(1_000), input(2));
+                assert!(!election.should_read(ms(1_000), input(2)));
+                election.should_read(ms(1_100), input(3));
+                election.should_read(ms(1_100 + after_ms), input(3))
+            })
+            .count()
+    };
+    assert_eq!((wanted(0), wanted(300), wanted(900)), (6, 12, 48));
+    assert_eq!(wanted(9_000), 48);
+}
+
+/// Guards against a router that took over from silent readers and stops at once, since they come
+/// before it in the order.
+#[test]
+fn a_router_that_took_over_from_silent_readers_goes_on_reading() {
+    let mut election = ReaderElection::new(ms(0), TimeSpan(0));
+    let input = |silent_count| ElectionInput {
+        in_touch: true,
+        contact_count: 3,
+        contact_before: 3,
+        silent_count,
+        silent_before: silent_count,
+        ..ElectionInput::default()
+    };
+    assert!(election.should_read(ms(1_000), input(3)));
+    assert!(!election.should_read(ms(1_100), input(0)));
+}
