A list of another router brings no endpoint back that this one knows to have left

A reader that stood still took a departure that it had missed for a registration that lapsed with the store, and kept the endpoint for the grace. A router that had dropped the endpoint long ago and then fetched the reader's list used it again, for up to 2.2 s.

Cause: kept endpoints of another router's list were taken over whatever this router knew. Class: a belief with an end of its own overrules newer knowledge of the receiver.

Now a kept endpoint is taken over only by a router that still used it, or that has no list yet.

--- a/src/gateway/endpoint_list.rs
+++ b/src/gateway/endpoint_list.rs
@@ -152,8 +152,13 @@
         if as_of < self.as_of {
             return false;
         }
-        self.replace(content.entries, as_of);
+        let is_first = self.as_of == StoreRevision::default();
+        let before = self.replace(content.entries, as_of);
         for (key, KeptEndpointMessage { entry, left_ms }) in content.kept {
+            // This router knows that the endpoint left if it used it no more before this list.
+            if !is_first && !before.contains_key(&key) && !self.kept.contains_key(&key) {
+                continue;
+            }
             // Counting from the request makes the expiry early by at most the duration of the
             // exchange, and never late.
             let until = asked + TimeSpan::from_millis(left_ms);
