An entry without a start time is one of the known process

An endpoint whose leaving entry lacked the start time got work for good, from all routers: the entry was taken for a late write of an earlier process and ignored.

Cause: a missing start time was read as 0, before every known one. Class: a missing value taken for the smallest. An entry without one now counts as the known process's; late writes with an earlier start are ignored as before.

--- a/src/gateway/endpoint_view.rs
+++ b/src/gateway/endpoint_view.rs
@@ -32,10 +32,15 @@
     /// Records that an endpoint registered or changed its entry.
     ///
     /// Guards against late writes of a process that has ended: they would restore its entry in
-    /// place of its successor's, or mark the successor as leaving.
-    pub fn put(&mut self, now: Moment, entry: EndpointEntry) {
+    /// place of its successor's, or mark the successor as leaving. An entry without a start time is
+    /// taken for one of the known process: it may say that the process leaves.
+    pub fn put(&mut self, now: Moment, mut entry: EndpointEntry) {
         self.unusable.remove(&entry.key);
-        if self.latest_start_time(now, &entry.key) > entry.born {
+        let latest = self.latest_start_time(now, &entry.key);
+        if entry.born == ProcessStartTime::default() {
+            entry.born = latest;
+        }
+        if latest > entry.born {
             let (key, born) = (&entry.key, entry.born);
             spdlog::info!("store: key={key} born={born} ignored: a later process has started");
             return;
