Revisions of a restored store count by era

Cause: revisions go back with the copy, and routers took all later content for older than their own. Routes go by their own version and were right, so only endpoints were stale. Class: a number is compared over a change of what it counts.

The store counts its restores in each answer. A revision now has the era in its high bits, so every later era is newer, in messages and lists between routers as well. An endpoint that was leaving before the restore stays so, though the copy has it as ready. Open: an endpoint whose entry was removed before the restore and is in the copy.

--- a/src/gateway/endpoint_list.rs
+++ b/src/gateway/endpoint_list.rs
@@ -20,6 +20,7 @@
 use super::follow::StoreRevision;
 use super::routes::EndpointEntry;
 use super::routes::EndpointKey;
+use super::routes::EndpointState;
 
 /// The content of the store's endpoint section at a revision, as
 /// [`EndpointView`](super::endpoint_view::EndpointView) passes it to an [`EndpointList`].
@@ -203,13 +204,19 @@
         entries: BTreeMap<EndpointKey, EndpointEntry>,
         as_of: StoreRevision,
     ) -> BTreeMap<EndpointKey, EndpointEntry> {
+        let was_restored = as_of.era() > self.as_of.era();
         let mut before = std::mem::replace(&mut self.registered, entries);
         for (key, entry) in &mut self.registered {
             let Some(known) = before.remove(key) else {
                 continue;
             };
+            let is_same = entry.born == known.born;
             if entry.born < known.born {
                 *entry = known;
+            } else if was_restored && is_same && known.state == EndpointState::Leaving {
+                // The restored copy may be older than the endpoint's word; a process that leaves
+                // never takes work again.
+                entry.state = EndpointState::Leaving;
             }
         }
         self.as_of = as_of;
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -43,12 +43,43 @@
 }
 
 /// A revision of the store, which grows with each change.
+///
+/// The store may be restored from an older copy. Its revisions then go back, and it counts the
+/// restores as eras, which are the high bits of this number: every revision of a later era is newer
+/// than all of an earlier one.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct StoreRevision(pub u64);
 
+/// Bits of a revision within an era: a million changes a second for 12 days.
+const REVISION_BITS: u32 = 40;
+
+impl StoreRevision {
+    /// Returns a revision of an era; `None` if either number is too large.
+    #[must_use]
+    pub fn of_era(era: u64, revision: u64) -> Option<Self> {
+        let fits = era >> (u64::BITS - REVISION_BITS) == 0 && revision >> REVISION_BITS == 0;
+        fits.then_some(Self(era << REVISION_BITS | revision))
+    }
+
+    /// Returns the era; 0 if the store counts none.
+    #[must_use]
+    pub fn era(self) -> u64 {
+        self.0 >> REVISION_BITS
+    }
+
+    /// Returns the store's own number of the revision.
+    #[must_use]
+    pub fn in_era(self) -> u64 {
+        self.0 & ((1 << REVISION_BITS) - 1)
+    }
+}
+
 impl fmt::Display for StoreRevision {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0.fmt(formatter)
+        match self.era() {
+            0 => self.0.fmt(formatter),
+            era => write!(formatter, "{era}.{}", self.in_era()),
+        }
     }
 }
 
--- a/tests/endpoint_lists.rs
+++ b/tests/endpoint_lists.rs
@@ -12,6 +12,7 @@
 use verbenaturn::gateway::follow::StoreRevision;
 use verbenaturn::gateway::routes::EndpointEntry;
 use verbenaturn::gateway::routes::EndpointKey;
+use verbenaturn::gateway::routes::EndpointState;
 use verbenaturn::units::Moment;
 use verbenaturn::units::TimeSpan;
 
@@ -99,6 +100,21 @@
     assert_eq!(list.used(), without(&all, 1));
 }
 
+/// Guards against work for an endpoint that said before a restore of the store that it leaves: the
+/// older copy still has it as ready, until it has written its entry again.
+#[test]
+fn an_endpoint_that_was_leaving_before_a_restore_gets_no_work_after_it() {
+    let all = endpoints("engine", 2);
+    let mut leaving = all.clone();
+    leaving.first_entry().unwrap().get_mut().state = EndpointState::Leaving;
+    let mut list = EndpointList::default();
+    let revision = |era, revision| StoreRevision::of_era(era, revision).unwrap().0;
+    read_store(&mut list, ms(0), &all, revision(1, 50));
+    read_store(&mut list, ms(1_000), &leaving, revision(1, 60));
+    assert!(read_store(&mut list, ms(2_000), &all, revision(2, 55)));
+    assert_eq!(list.registered(), &leaving);
+}
+
 /// After an outage of the store, routers lose and regain it at different moments, stop reading at
 /// any moment, and fetch each other's lists. In any order of these events, no router uses an
 /// endpoint that left after the store's return once the grace period is over, even if no further
