The size of the fleet is remembered for the retry budget

Routers that don't hear from each other for half a minute divided the slack among those that were left: each side of a partition, in the end each router, spent the whole of it.

The largest fleet of the last ten minutes now counts. Hosts taken away for good give their parts to the others only after that. Same class as the counts that die with a process: a limit over a window whose basis is forgotten sooner.

--- a/src/gateway/decide/core.rs
+++ b/src/gateway/decide/core.rs
@@ -25,6 +25,7 @@
 use super::capacity::FleetFlow;
 use super::endpoints::EndpointTable;
 use super::endpoints::PeerLoad;
+use super::fleet_size::FleetSize;
 use super::placement;
 use super::placement::EngineModel;
 use super::placement::Placement;
@@ -141,7 +142,7 @@
     /// Moving average of the time from the placement of an attempt to the end of its answer, in ms;
     /// a wait for an engine slot is part of it.
     pub(super) mean_hold_ms: BTreeMap<ServiceKey, f64>,
-    routers: usize,
+    fleet: FleetSize,
     prefill_tokens_per_ms: f64,
     /// True while a heavily used link of this router's host or a long delay of its own tasks
     /// distorts the times that it measures.
@@ -167,7 +168,7 @@
             budget: RetryBudget::new(bounds),
             sizes: SizeTable::default(),
             mean_hold_ms: BTreeMap::new(),
-            routers: 1,
+            fleet: FleetSize::default(),
             prefill_tokens_per_ms: config.reading_tokens_per_ms,
             domain,
             config,
@@ -202,9 +203,9 @@
         self.is_disturbed
     }
 
-    /// Sets the number of routers that share the retry budget.
-    pub fn set_routers(&mut self, routers: usize) {
-        self.routers = routers;
+    /// Sets the number of routers that share the retry budget, as far as known now.
+    pub fn set_routers(&mut self, now: Moment, routers: usize) {
+        self.fleet.record(now, routers);
     }
 
     /// Sets the other routers' load at endpoints, keyed by the 32-bit numbers of the endpoint
@@ -244,7 +245,7 @@
 
     /// Takes one retry from this router's part of the budget. Returns false if it is used up.
     pub fn take_retry(&mut self, now: Moment, service: &ServiceKey) -> bool {
-        self.budget.take(now, service, self.routers)
+        self.budget.take(now, service, self.fleet.size())
     }
 
     /// Computes the teams' shares from the demand at all routers and the capacity of the endpoints.
--- a/src/gateway/decide/mod.rs
+++ b/src/gateway/decide/mod.rs
@@ -20,6 +20,7 @@
 pub mod crash_report;
 pub mod departures;
 pub mod endpoints;
+pub mod fleet_size;
 pub mod health;
 pub mod levels;
 pub mod notices;
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -229,7 +229,7 @@
         let mut core = self.shared.core();
         core.set_peer_loads(self.peers.loads());
         core.endpoints.set_reported_departures(&left);
-        core.set_routers(self.peers.budget_routers(now));
+        core.set_routers(now, self.peers.budget_routers(now));
         core.share_out(now, rate, &flows, turned_away);
         core.forget_parts(now);
     }
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -3,6 +3,7 @@
 
 use smol_str::SmolStr;
 
+use verbenaturn::gateway::config::GatewayConfig;
 use verbenaturn::gateway::decide::Admission;
 use verbenaturn::gateway::decide::AttemptEnd;
 use verbenaturn::gateway::decide::GatewayCore;
@@ -265,6 +266,22 @@
     }
 }
 
+/// Guards against retries beyond the budget when routers don't hear from each other for longer than a
+/// silent router is remembered: each of them would spend the whole slack.
+#[test]
+fn routers_that_are_cut_off_from_each_other_keep_to_their_parts_of_the_slack() {
+    let config = GatewayConfig {
+        retry_ratio: 0.0,
+        retry_slack: 56.0,
+        ..GatewayConfig::default()
+    };
+    let mut core = GatewayCore::new(config, SmolStr::new("suva-a"));
+    core.set_routers(ms(20_000), 8);
+    core.set_routers(ms(60_000), 1);
+    let granted = (0..20).filter(|_| core.take_retry(ms(60_000), &service()));
+    assert!(granted.count() <= 7, "more than an eighth of the slack");
+}
+
 #[test]
 fn the_longest_prefix_of_the_host_wins() {
     let mut table = RouteTable::default();
