Sightings of readers go by host and incarnation

Incarnations of real processes differ by a random part; the host's address makes them differ for certain.

--- a/src/gateway/digest.rs
+++ b/src/gateway/digest.rs
@@ -200,8 +200,8 @@
 /// When another router was last known to be in contact with the store.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct SightingEntry {
-    /// The router's incarnation.
-    pub incarnation: u64,
+    /// The router's process, see [`RouterProcess`](super::sightings::RouterProcess).
+    pub router: u64,
     /// Sequence number of the message in which it said so.
     pub sequence: u64,
     /// Time since then, in ms.
@@ -212,7 +212,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct SightingColumns {
     #[prost(fixed64, repeated, tag = "1")]
-    incarnations: Vec<u64>,
+    processes: Vec<u64>,
     #[prost(uint64, repeated, tag = "2")]
     sequences: Vec<u64>,
     #[prost(uint32, repeated, tag = "3")]
@@ -223,11 +223,11 @@
     /// Returns the rows. If the columns differ in length, rows end with the shortest one.
     pub fn entries(&self) -> impl Iterator<Item = SightingEntry> + '_ {
         let messages = self.sequences.iter().zip(&self.ages_ms);
-        self.incarnations
+        self.processes
             .iter()
             .zip(messages)
-            .map(|(incarnation, (sequence, age_ms))| SightingEntry {
-                incarnation: *incarnation,
+            .map(|(router, (sequence, age_ms))| SightingEntry {
+                router: *router,
                 sequence: *sequence,
                 age_ms: *age_ms,
             })
@@ -238,7 +238,7 @@
     fn from_iter<I: IntoIterator<Item = SightingEntry>>(entries: I) -> Self {
         let mut columns = Self::default();
         for entry in entries {
-            columns.incarnations.push(entry.incarnation);
+            columns.processes.push(entry.router);
             columns.sequences.push(entry.sequence);
             columns.ages_ms.push(entry.age_ms);
         }
--- a/src/gateway/peer_table.rs
+++ b/src/gateway/peer_table.rs
@@ -17,6 +17,7 @@
 use super::digest::RouterDigest;
 use super::readers::ElectionInput;
 use super::shared::StoreContact;
+use super::sightings::RouterProcess;
 use super::sightings::SightingTable;
 
 /// Time for which a silent router still counts as a participant in the shared retry budget. While
@@ -110,7 +111,7 @@
         }
         self.unheard_addresses.remove(&from);
         self.uncontacted.remove(&from);
-        self.record_sightings(now, &digest);
+        self.record_sightings(now, from, &digest);
         self.add_loads(&digest.loads);
         let known = self.heard.get(&from);
         let interval = known.map_or(TimeSpan(0), |row| now.since(row.heard));
@@ -125,15 +126,19 @@
         true
     }
 
-    fn record_sightings(&mut self, now: Moment, digest: &RouterDigest) {
+    fn record_sightings(&mut self, now: Moment, from: IpAddr, digest: &RouterDigest) {
         let RouterDigest {
             incarnation,
             sequence,
             in_touch,
             ..
         } = *digest;
-        self.sightings
-            .record_message(now, incarnation, sequence, in_touch);
+        self.sightings.record_message(
+            now,
+            RouterProcess::of(from, incarnation),
+            sequence,
+            in_touch,
+        );
         if let Some(sightings) = &digest.sightings {
             self.sightings.record_passed_on(now, sightings);
         }
@@ -305,7 +310,8 @@
         };
         for (address, row) in self.live(now, limits.peer_timeout) {
             let is_before = rank(address) < own;
-            let silence = self.sightings.silence(now, row.digest.incarnation);
+            let process = RouterProcess::of(*address, row.digest.incarnation);
+            let silence = self.sightings.silence(now, process);
             if let Some(silence) = silence.filter(|silence| *silence < limits.reader_timeout) {
                 let is_silent = silence >= limits.reader_silence;
                 election_input.contact_count += 1;
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -15,7 +15,6 @@
 
 use crate::daemon::control::MonotonicClock;
 use crate::units::Moment;
-use crate::units::TimeSpan;
 
 use super::config::GatewayConfig;
 use super::decide::GatewayCore;
--- a/src/gateway/sightings.rs
+++ b/src/gateway/sightings.rs
@@ -7,6 +7,9 @@
 //! per router and round, a sighting reaches 1,300 routers in about six rounds.
 
 use std::collections::BTreeMap;
+use std::net::IpAddr;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::units::Moment;
 use crate::units::TimeSpan;
@@ -20,6 +23,19 @@
 /// Time for which a router that is no longer heard of is remembered.
 const SIGHTING_MEMORY: TimeSpan = TimeSpan::from_millis(30_000);
 
+/// One process of a router: the hash of the address of its host and its incarnation. Its
+/// incarnation alone would do only as long as no two hosts draw the same one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RouterProcess(pub u64);
+
+impl RouterProcess {
+    /// Returns the process with this incarnation on the host with this address.
+    #[must_use]
+    pub fn of(host: IpAddr, incarnation: u64) -> Self {
+        Self(xxh3_64_with_seed(host.to_string().as_bytes(), incarnation))
+    }
+}
+
 /// What a router last said of its contact with the store.
 #[derive(Debug, Clone, Copy)]
 struct ReaderSighting {
@@ -30,21 +46,27 @@
     in_touch: bool,
 }
 
-/// The last sightings by the incarnations of routers.
+/// The last sightings by router process.
 #[derive(Debug, Default)]
 pub struct SightingTable {
-    seen: BTreeMap<u64, ReaderSighting>,
+    seen: BTreeMap<RouterProcess, ReaderSighting>,
 }
 
 impl SightingTable {
     /// Records a router's own message.
-    pub fn record_message(&mut self, now: Moment, incarnation: u64, sequence: u64, in_touch: bool) {
+    pub fn record_message(
+        &mut self,
+        now: Moment,
+        router: RouterProcess,
+        sequence: u64,
+        in_touch: bool,
+    ) {
         let sighting = ReaderSighting {
             sequence,
             at: now,
             in_touch,
         };
-        self.record(incarnation, sighting);
+        self.record(router, sighting);
     }
 
     /// Records the sightings that another router passed on.
@@ -56,25 +78,25 @@
                 at: Moment(now.0.saturating_sub(age.0)),
                 in_touch: true,
             };
-            self.record(entry.incarnation, sighting);
+            self.record(RouterProcess(entry.router), sighting);
         }
     }
 
     /// Records a sighting if it is of a later message than the known one. The message's sequence
     /// number decides, not its time: an age leaves out the time on the way, so a sighting that goes
     /// round among routers would seem younger each time.
-    fn record(&mut self, incarnation: u64, sighting: ReaderSighting) {
-        let known = self.seen.get(&incarnation);
+    fn record(&mut self, router: RouterProcess, sighting: ReaderSighting) {
+        let known = self.seen.get(&router);
         if known.is_none_or(|known| known.sequence < sighting.sequence) {
-            self.seen.insert(incarnation, sighting);
+            self.seen.insert(router, sighting);
         }
     }
 
     /// Returns the time since a router last said that it is in contact with the store; `None` if it
     /// said since that it is not, or was never heard of.
     #[must_use]
-    pub fn silence(&self, now: Moment, incarnation: u64) -> Option<TimeSpan> {
-        let sighting = self.seen.get(&incarnation)?;
+    pub fn silence(&self, now: Moment, router: RouterProcess) -> Option<TimeSpan> {
+        let sighting = self.seen.get(&router)?;
         sighting.in_touch.then(|| now.since(sighting.at))
     }
 
@@ -88,18 +110,18 @@
     /// Returns the latest sightings, to be passed on.
     #[must_use]
     pub fn to_pass_on(&self, now: Moment) -> SightingColumns {
-        let mut latest: Vec<(u64, ReaderSighting)> = self
+        let mut latest: Vec<(RouterProcess, ReaderSighting)> = self
             .seen
             .iter()
             .filter(|(_, sighting)| sighting.in_touch)
-            .map(|(incarnation, sighting)| (*incarnation, *sighting))
+            .map(|(router, sighting)| (*router, *sighting))
             .collect();
         latest.sort_unstable_by_key(|(_, sighting)| std::cmp::Reverse(sighting.at));
         latest.truncate(MAX_SIGHTINGS_SENT);
         latest
             .into_iter()
-            .map(|(incarnation, sighting)| SightingEntry {
-                incarnation,
+            .map(|(router, sighting)| SightingEntry {
+                router: router.0,
                 sequence: sighting.sequence,
                 age_ms: u32::try_from(now.since(sighting.at).as_millis()).unwrap_or(u32::MAX),
             })
--- a/tests/gateway_sightings.rs
+++ b/tests/gateway_sightings.rs
@@ -8,6 +8,7 @@
 use verbenaturn::gateway::digest::SightingColumns;
 use verbenaturn::gateway::digest::SightingEntry;
 use verbenaturn::gateway::freshness::reader_silence;
+use verbenaturn::gateway::sightings::RouterProcess;
 use verbenaturn::gateway::sightings::SightingTable;
 use verbenaturn::units::Moment;
 use verbenaturn::units::TimeSpan;
@@ -18,13 +19,15 @@
 /// Fewest messages that a router sends per round in a large fleet.
 const MESSAGES: usize = 3;
 
+const READER: RouterProcess = RouterProcess(7);
+
 fn ms(millis: u64) -> Moment {
     Moment(millis * 1_000)
 }
 
 fn passed_on(sequence: u64, age_ms: u32) -> SightingColumns {
     let entry = SightingEntry {
-        incarnation: 7,
+        router: READER.0,
         sequence,
         age_ms,
     };
@@ -36,17 +39,17 @@
 #[test]
 fn a_sighting_that_goes_round_does_not_become_younger() {
     let mut table = SightingTable::default();
-    table.record_message(ms(0), 7, 40, true);
+    table.record_message(ms(0), READER, 40, true);
     for round in 1..20 {
         table.record_passed_on(ms(round * ROUND_MS), &passed_on(40, 0));
     }
     assert_eq!(
-        table.silence(ms(2_000), 7),
+        table.silence(ms(2_000), READER),
         Some(TimeSpan::from_millis(2_000))
     );
     table.record_passed_on(ms(2_000), &passed_on(41, 150));
     assert_eq!(
-        table.silence(ms(2_000), 7),
+        table.silence(ms(2_000), READER),
         Some(TimeSpan::from_millis(150))
     );
 }
@@ -56,10 +59,10 @@
 #[test]
 fn a_sighting_passed_on_late_does_not_undo_a_loss() {
     let mut table = SightingTable::default();
-    table.record_message(ms(0), 7, 40, true);
-    table.record_message(ms(100), 7, 42, false);
+    table.record_message(ms(0), READER, 40, true);
+    table.record_message(ms(100), READER, 42, false);
     table.record_passed_on(ms(200), &passed_on(41, 50));
-    assert_eq!(table.silence(ms(200), 7), None);
+    assert_eq!(table.silence(ms(200), READER), None);
     assert_eq!(table.to_pass_on(ms(200)).entries().count(), 0);
 }
 
@@ -106,7 +109,7 @@
                 for _ in 0..MESSAGES {
                     let receiver = self.random.random_range(0..self.tables.len());
                     let table = &mut self.tables[receiver];
-                    table.record_message(now, sender as u64, self.round, is_reader);
+                    table.record_message(now, RouterProcess(sender as u64), self.round, is_reader);
                     table.record_passed_on(now, message);
                 }
             }
