--- a/src/gateway/config.rs
+++ b/src/gateway/config.rs
@@ -148,7 +148,7 @@
     /// succession are read in one call.
     pub endpoint_batch_ms: u64,
     /// Time for which endpoints that are missing from the store after its outage are still used, in
-    /// ms, counted from the store's return.
+    /// ms, counted from the store's return. It always ends within `leave_bound_ms`.
     pub lapse_grace_ms: u64,
     /// Interval between two gossip messages to other routers, in ms.
     pub gossip_ms: u64,
