--- a/tests/cores/mod.rs
+++ b/tests/cores/mod.rs
@@ -177,6 +177,18 @@
     }
 }
 
+/// Returns the load report of an idle endpoint's process, identified by `life`.
+pub fn idle_report(endpoint: EndpointId, life: u64) -> CoreEvent {
+    CoreEvent::EndpointLoad {
+        endpoint,
+        running: 0,
+        waiting: 0,
+        active: pool(),
+        life,
+        fence: 0,
+    }
+}
+
 /// The event for the end of an attempt.
 pub fn ended(request: u64, attempt: u32, outcome: AttemptOutcome) -> CoreEvent {
     CoreEvent::AttemptEnded {
--- a/tests/crashing_copies.rs
+++ b/tests/crashing_copies.rs
@@ -15,7 +15,7 @@
 use self::cores::endpoint;
 use self::cores::facts;
 use self::cores::host;
-use self::cores::pool;
+use self::cores::idle_report;
 
 const ENDPOINTS: usize = 6;
 /// Milliseconds for which a lost copy waits for a sign of a crash: the default of `check_ms`.
@@ -28,22 +28,12 @@
     endpoint: EndpointId,
 }
 
-fn report(endpoint: EndpointId, life: u64) -> CoreEvent {
-    CoreEvent::EndpointLoad {
-        endpoint,
-        running: 0,
-        waiting: 0,
-        active: pool(),
-        life,
-        fence: 0,
-    }
-}
-
 /// Returns a fleet whose routers have read the first incarnation of all endpoints.
 fn fleet_with_known_incarnations(routers: usize) -> CoreFleet {
     let mut fleet = CoreFleet::new(routers, catalog(ENDPOINTS, 4));
     for router in 0..routers {
-        (1..=ENDPOINTS).for_each(|number| fleet.handle_event(router, report(endpoint(number), 1)));
+        (1..=ENDPOINTS)
+            .for_each(|number| fleet.handle_event(router, idle_report(endpoint(number), 1)));
     }
     fleet
 }
@@ -127,7 +117,7 @@
 #[test]
 fn a_copy_that_waits_for_a_slot_is_held_back_as_well() {
     let mut fleet = CoreFleet::new(1, catalog(1, 1));
-    fleet.handle_event(0, report(endpoint(1), 1));
+    fleet.handle_event(0, idle_report(endpoint(1), 1));
     send(&mut fleet, 0, 1);
     let first = first_dispatch(&mut fleet, 0);
     send(&mut fleet, 0, 2);
@@ -145,7 +135,7 @@
     send(&mut fleet, 0, 1);
     let first = first_dispatch(&mut fleet, 0);
     lose(&mut fleet, 0, first);
-    fleet.handle_event(0, report(first.endpoint, 2));
+    fleet.handle_event(0, idle_report(first.endpoint, 2));
     fleet.advance(10);
     for router in 0..ROUTERS {
         send(&mut fleet, router, 10 + router as u64);
@@ -177,13 +167,13 @@
     send(&mut fleet, 0, 1);
     let first = first_dispatch(&mut fleet, 0);
     lose(&mut fleet, 0, first);
-    fleet.handle_event(0, report(first.endpoint, 2));
+    fleet.handle_event(0, idle_report(first.endpoint, 2));
     assert_eq!(suspects(&fleet, 0), 1);
-    (1..=ENDPOINTS).for_each(|number| fleet.handle_event(0, report(endpoint(number), 2)));
+    (1..=ENDPOINTS).for_each(|number| fleet.handle_event(0, idle_report(endpoint(number), 2)));
     let second = first_dispatch(&mut fleet, 0);
     assert_ne!(second.endpoint, first.endpoint);
     lose(&mut fleet, 0, second);
-    fleet.handle_event(0, report(second.endpoint, 3));
+    fleet.handle_event(0, idle_report(second.endpoint, 3));
     fleet.advance(50);
     assert!(is_refused(&mut fleet, 0, 1));
 }
@@ -197,7 +187,7 @@
     for _ in 0..2 {
         let run = first_dispatch(&mut fleet, 0);
         lose(&mut fleet, 0, run);
-        fleet.handle_event(0, report(run.endpoint, 1));
+        fleet.handle_event(0, idle_report(run.endpoint, 1));
         assert!(!is_refused(&mut fleet, 0, 1));
     }
     let last = first_dispatch(&mut fleet, 0);
@@ -212,9 +202,9 @@
     let mut fleet = CoreFleet::new(3, catalog(ENDPOINTS, 4));
     send(&mut fleet, 0, 1);
     let first = first_dispatch(&mut fleet, 0);
-    fleet.handle_event(1, report(first.endpoint, 1));
+    fleet.handle_event(1, idle_report(first.endpoint, 1));
     lose(&mut fleet, 0, first);
-    fleet.handle_event(0, report(first.endpoint, 2));
+    fleet.handle_event(0, idle_report(first.endpoint, 2));
     fleet.advance(10);
     let mut other = facts(9);
     other.fingerprint = RequestFingerprint(9);
@@ -228,9 +218,9 @@
     fleet.advance(10);
     let second = first_dispatch(&mut fleet, 0);
     lose(&mut fleet, 0, second);
-    fleet.handle_event(0, report(second.endpoint, 5));
+    fleet.handle_event(0, idle_report(second.endpoint, 5));
     fleet.advance(10);
-    fleet.handle_event(0, report(second.endpoint, 6));
+    fleet.handle_event(0, idle_report(second.endpoint, 6));
     fleet.advance(50);
     let refused = fleet.core(2).state();
     let until = refused
@@ -247,7 +237,7 @@
     send(&mut fleet, 0, 1);
     let first = first_dispatch(&mut fleet, 0);
     lose(&mut fleet, 0, first);
-    fleet.handle_event(0, report(first.endpoint, 2));
+    fleet.handle_event(0, idle_report(first.endpoint, 2));
     fleet.advance(10);
     assert_eq!((suspects(&fleet, 0), suspects(&fleet, 1)), (1, 1));
     let second = first_dispatch(&mut fleet, 0);
@@ -267,7 +257,7 @@
     let first = first_dispatch(&mut fleet, asker);
     fleet.cut.insert((0, 1));
     lose(&mut fleet, asker, first);
-    fleet.handle_event(asker, report(first.endpoint, 2));
+    fleet.handle_event(asker, idle_report(first.endpoint, 2));
     let runs = dispatches(&mut fleet, asker, 2 * CHECK_MS);
     assert_eq!(runs.len(), 1, "{runs:?}");
 }
--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -19,6 +19,7 @@
 use self::cores::ended;
 use self::cores::endpoint;
 use self::cores::facts;
+use self::cores::idle_report;
 use self::cores::pool;
 
 /// The fingerprint of the request that crashes endpoints.
@@ -271,14 +272,7 @@
     // A switch drops connections of a busy router twice. Its requests are harmless and must not be
     // refused for ten minutes.
     let mut fleet = CoreFleet::new(1, catalog(3, 4));
-    let report = |number| CoreEvent::EndpointLoad {
-        endpoint: endpoint(number),
-        running: 0,
-        waiting: 0,
-        active: pool(),
-        life: 1,
-        fence: 0,
-    };
+    let report = |number| idle_report(endpoint(number), 1);
     (1..=3).for_each(|number| fleet.handle_event(0, report(number)));
     fleet.handle_event(0, CoreEvent::Arrived(facts(1)));
     for attempt in 1..=2 {
@@ -336,17 +330,7 @@
         fleet.handle_event(0, ended(life, 1, AttemptOutcome::LostBeforeAnswer));
         for number in 1..=2 {
             let endpoint = endpoint(number);
-            fleet.handle_event(
-                0,
-                CoreEvent::EndpointLoad {
-                    endpoint,
-                    running: 0,
-                    waiting: 0,
-                    active: pool(),
-                    life,
-                    fence: 0,
-                },
-            );
+            fleet.handle_event(0, idle_report(endpoint, life));
         }
         fleet.advance(5);
         assert!(fleet.core(0).state().crashes.suspect_count() <= 8);
