Departures that another router reported hold until the own list is as new

Callers saw: a request reached an endpoint that had left, 2.1 s after, at a router that had stopped using it before. In the test: one router reads that an endpoint leaves, tells the others and is killed; no other one reads the store or can fetch its list. 1.64 s after its end the others used the endpoint again.

Cause: what was reported was looked up in the last messages of live routers. When the reporter was silent for the timeout, shut down (its messages don't count as live at once) or started again (a new message replaced the old one), its report was gone, although nothing said that the endpoint works. Class: a belief that ends with whoever reported it.

Evidence: an_endpoint_that_left_gets_no_work_after_the_router_that_reported_it_is_gone fails on the code before ("in use again after 1.643033651s") and passes now.

Why this works: each router remembers reports with the revision of the list that they came from, and drops them once its own list is as new, since that list decides then. A minute without a list as new ends them too, for endpoints whose registration was missing only for a moment.

A check is replaced. departures_count_only_from_live_routers_with_a_newer_list held that the report of a router that is gone no longer counts, which is the fault. Its other half, that a list that is as new overrides reports, stands, also against reports that come later; in place of the first half, a report counts for each second of a minute and no longer.

--- a/src/gateway/decide/departures.rs
+++ b/src/gateway/decide/departures.rs
@@ -5,12 +5,17 @@
 //! list exists but can't fetch it. Each gossip message therefore carries the numbers of the
 //! endpoint processes that left, a few bytes each. The departures take effect one gossip round
 //! after a router that reads the store knows them; the list follows when it can be fetched.
+//!
+//! The router that reports a departure may be killed or restarted before the others have its list.
+//! Each router therefore remembers what was reported until its own list is as new.
 
 use std::collections::BTreeMap;
 
 use crate::units::Moment;
 use crate::units::TimeSpan;
 
+use super::super::follow::StoreRevision;
+
 /// Time for which a departure is reported: longer than a full link delays an endpoint list, which
 /// is seconds.
 const DEPARTURE_REPORT_TIME: TimeSpan = TimeSpan::from_millis(10_000);
@@ -19,6 +24,15 @@
 /// five bytes. If more endpoints leave within ten seconds, the latest ones are reported.
 const MAX_DEPARTURES_REPORTED: usize = 32;
 
+/// Time for which a report is remembered after it was last heard, if the own list stays older. An
+/// endpoint whose registration was missing for a moment gets no work from a router that can't fetch
+/// a list for as long.
+const REPORT_MEMORY: TimeSpan = TimeSpan::from_millis(60_000);
+
+/// Maximum number of reports that are remembered: about as many as the endpoints of the largest
+/// intended fleet. A foreign sender could report any number.
+const MAX_REPORTS: usize = 8_192;
+
 /// Endpoints that left recently, keyed by the numbers of their processes.
 #[derive(Debug, Default)]
 pub struct DepartureTable {
@@ -54,3 +68,54 @@
             .collect()
     }
 }
+
+/// A departure that another router reported.
+#[derive(Debug, Clone, Copy)]
+struct DepartureReport {
+    /// Revision of the reporting router's list.
+    as_of: StoreRevision,
+    /// When the report was last received.
+    heard: Moment,
+}
+
+/// Departures that other routers reported, keyed by the numbers of the processes.
+#[derive(Debug, Default)]
+pub struct DepartureReports {
+    reports: BTreeMap<u32, DepartureReport>,
+    /// Revision of this router's own list.
+    own: StoreRevision,
+}
+
+impl DepartureReports {
+    /// Records that endpoint processes left according to another router's list of revision `as_of`.
+    /// Returns false if that list is no newer than this router's own, which then decides.
+    pub fn record(&mut self, now: Moment, as_of: StoreRevision, process_numbers: &[u32]) -> bool {
+        if as_of <= self.own {
+            return false;
+        }
+        for process_number in process_numbers {
+            let known = self.reports.get(process_number);
+            if known.is_none() && self.reports.len() >= MAX_REPORTS {
+                break;
+            }
+            let as_of = known.map_or(as_of, |report| report.as_of.max(as_of));
+            let report = DepartureReport { as_of, heard: now };
+            self.reports.insert(*process_number, report);
+        }
+        true
+    }
+
+    /// Returns true if the endpoint process left according to a remembered report.
+    #[must_use]
+    pub fn has_departed(&self, process_number: u32) -> bool {
+        self.reports.contains_key(&process_number)
+    }
+
+    /// Sets the revision of this router's own list. Drops reports of lists that are no newer than it,
+    /// and old reports.
+    pub fn forget(&mut self, now: Moment, own: StoreRevision) {
+        self.own = own;
+        self.reports
+            .retain(|_, report| report.as_of > own && now.since(report.heard) < REPORT_MEMORY);
+    }
+}
--- a/src/gateway/decide/endpoints.rs
+++ b/src/gateway/decide/endpoints.rs
@@ -8,11 +8,13 @@
 use crate::units::Moment;
 use crate::units::TimeSpan;
 
+use super::super::follow::StoreRevision;
 use super::super::protocol::EndpointAnnouncement;
 use super::super::routes::EndpointEntry;
 use super::super::routes::EndpointKey;
 use super::super::routes::EndpointState;
 use super::super::routes::ServiceKey;
+use super::departures::DepartureReports;
 use super::departures::DepartureTable;
 use super::health::EndpointHealth;
 use super::health::PeerHealth;
@@ -196,6 +198,8 @@
     services: BTreeMap<ServiceKey, Vec<usize>>,
     /// Endpoints that left recently.
     pub departures: DepartureTable,
+    /// Departures according to other routers with a newer endpoint list.
+    reported: DepartureReports,
     /// Notices that endpoint processes gave about themselves, including processes that no list has
     /// at the moment.
     notices: NoticeTable,
@@ -322,14 +326,31 @@
         rows.filter_map(|row| row.pause_left(now)).min()
     }
 
-    /// Sets which endpoints have left according to routers with a newer endpoint list.
+    /// Applies another router's report of endpoint processes that left according to its list of
+    /// revision `as_of`. Reports of lists that are no newer than this router's own are ignored.
     ///
     /// Guards against a list that can't be fetched in time, see [`super::departures`]: an endpoint
-    /// that left long ago would still get work. The reports apply until this router's own list is
-    /// as new.
-    pub fn set_reported_departures(&mut self, reported: &BTreeSet<u32>) {
+    /// that left long ago would still get work.
+    pub fn apply_reported_departures(
+        &mut self,
+        now: Moment,
+        as_of: StoreRevision,
+        process_numbers: &[u32],
+    ) {
+        if self.reported.record(now, as_of, process_numbers) {
+            self.refresh_reported();
+        }
+    }
+
+    /// Drops reported departures that this router's own list, of revision `own`, decides.
+    pub fn forget_reported_departures(&mut self, now: Moment, own: StoreRevision) {
+        self.reported.forget(now, own);
+        self.refresh_reported();
+    }
+
+    fn refresh_reported(&mut self) {
         for row in &mut self.rows {
-            row.is_reported_departed = reported.contains(&row.life);
+            row.is_reported_departed = self.reported.has_departed(row.life);
         }
     }
 
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -26,6 +26,7 @@
 use super::digest::DemandColumns;
 use super::digest::LoadEntry;
 use super::digest::RouterDigest;
+use super::follow::StoreRevision;
 use super::freshness;
 use super::handover;
 use super::link::LinkSpeed;
@@ -182,11 +183,7 @@
             Ok(digest) => {
                 let now = self.shared.clock.now();
                 let is_new = !self.peers.knows_incarnation(&from.ip(), digest.incarnation);
-                let mut core = self.shared.core();
-                core.quarantine.apply_report(now, digest.crash_report());
-                core.endpoints
-                    .apply_reported_leaving(now, &digest.announced_leaving);
-                drop(core);
+                self.apply_endpoint_reports(now, &digest);
                 if self.peers.take(now, from.ip(), digest) && is_new {
                     spdlog::info!("peers: router={} found", from.ip());
                     self.new_peers.insert(from.ip());
@@ -196,6 +193,16 @@
         }
     }
 
+    /// Passes what a message says of endpoints and crashes to the decision core.
+    fn apply_endpoint_reports(&self, now: Moment, digest: &RouterDigest) {
+        let as_of = StoreRevision(digest.endpoints_revision);
+        let mut core = self.shared.core();
+        core.quarantine.apply_report(now, digest.crash_report());
+        let endpoints = &mut core.endpoints;
+        endpoints.apply_reported_leaving(now, &digest.announced_leaving);
+        endpoints.apply_reported_departures(now, as_of, &digest.left);
+    }
+
     async fn tick(&mut self) {
         self.round += 1;
         let now = self.shared.clock.now();
@@ -220,15 +227,14 @@
         let timeout = self.timeout();
         let flows = self.peers.flows(now, timeout);
         let turned_away = self.peers.turned_away(now, timeout);
-        let own_revision = self.shared.endpoints_revision().0;
-        let left = self.peers.left(now, timeout, own_revision);
+        let own_revision = self.shared.endpoints_revision();
         let rate = self
             .shared
             .routes()
             .map_or(0.0, |table| table.limits.tokens_per_s);
         let mut core = self.shared.core();
         core.set_peer_loads(self.peers.loads());
-        core.endpoints.set_reported_departures(&left);
+        core.endpoints.forget_reported_departures(now, own_revision);
         core.set_routers(now, self.peers.budget_routers(now));
         core.share_out(now, rate, &flows, turned_away);
         core.forget_parts(now);
--- a/src/gateway/peer_table.rs
+++ b/src/gateway/peer_table.rs
@@ -266,18 +266,6 @@
         Some(*newer[rand::rng().random_range(0..newer.len())])
     }
 
-    /// Returns the endpoints that left according to live routers whose lists are newer than
-    /// `known_revision`.
-    #[must_use]
-    pub fn left(&self, now: Moment, timeout: TimeSpan, known_revision: u64) -> BTreeSet<u32> {
-        let newer = self
-            .live(now, timeout)
-            .filter(|(_, row)| row.digest.endpoints_revision > known_revision);
-        newer
-            .flat_map(|(_, row)| row.digest.left.iter().copied())
-            .collect()
-    }
-
     /// Takes up to `most` addresses to which no message has been sent yet.
     pub fn take_uncontacted(&mut self, most: usize) -> Vec<IpAddr> {
         let mut taken = Vec::new();
--- a/tests/gateway_crash_signs.rs
+++ b/tests/gateway_crash_signs.rs
@@ -8,6 +8,7 @@
 
 use verbenaturn::gateway::decide::crash_report::CrashReport;
 use verbenaturn::gateway::digest::RouterDigest;
+use verbenaturn::gateway::follow::StoreRevision;
 use verbenaturn::gateway::routes::EndpointKey;
 use verbenaturn::units::RequestFingerprint;
 
@@ -156,12 +157,12 @@
         fleet.run_until(1_000 + turn * 6_000);
         let ticket = fleet.send(0, CRASHING).unwrap();
         let process = fleet.routers[0].endpoints.get(&ticket.entry.key).unwrap();
-        let reported = [process.life].into();
+        let reported = [process.life];
         fleet.crash(0, ticket, CrashSign::Lapses, Vec::new());
         fleet.run_until(fleet.now + LAPSE_MS);
-        fleet.routers[0]
-            .endpoints
-            .set_reported_departures(&reported);
+        let now = ms(fleet.now);
+        let endpoints = &mut fleet.routers[0].endpoints;
+        endpoints.apply_reported_departures(now, StoreRevision(20), &reported);
     }
     fleet.run_until(30_000);
     assert!(fleet.send(0, CRASHING).is_none());
--- a/tests/gateway_departures.rs
+++ b/tests/gateway_departures.rs
@@ -2,15 +2,14 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::net::IpAddr;
 
 use verbenaturn::gateway::decide::GatewayCore;
-use verbenaturn::gateway::digest::RouterDigest;
-use verbenaturn::gateway::peer_table::PeerTable;
+use verbenaturn::gateway::follow::StoreRevision;
+use verbenaturn::gateway::routes::EndpointEntry;
+use verbenaturn::gateway::routes::EndpointKey;
 use verbenaturn::gateway::routes::EndpointState;
 use verbenaturn::gateway::routes::ProcessStartTime;
 use verbenaturn::units::Moment;
-use verbenaturn::units::TimeSpan;
 
 mod engines;
 
@@ -18,9 +17,6 @@
 use self::engines::ready;
 use self::engines::router_with;
 
-/// Silence after which a router counts as gone.
-const TIMEOUT: TimeSpan = TimeSpan::from_millis(1_500);
-
 fn ms(millis: u64) -> Moment {
     Moment(millis * 1_000)
 }
@@ -47,11 +43,15 @@
     reading.set_endpoints(ms(100), &newer);
     let left = reported(&mut reading, ms(200));
     assert_eq!(left.len(), 3);
-    other.endpoints.set_reported_departures(&left);
+    let left: Vec<u32> = left.into_iter().collect();
+    let as_of = StoreRevision(20);
+    other
+        .endpoints
+        .apply_reported_departures(ms(200), as_of, &left);
     assert_eq!(ready(&other, ms(200)), 2);
     // Once it has the newer list itself, that list decides and no reports are needed.
     other.set_endpoints(ms(300), &newer);
-    other.endpoints.set_reported_departures(&BTreeSet::new());
+    other.endpoints.forget_reported_departures(ms(300), as_of);
     assert_eq!(ready(&other, ms(300)), 3);
 }
 
@@ -76,23 +76,62 @@
     assert!(reported(&mut core, ms(10_100)).is_empty());
 }
 
-/// A router that lags has an older list. Its reports of departures must not override a newer list,
-/// nor may those of a router that is gone.
+/// Returns a router whose list has revision 19, and which has heard from one with revision 20 that
+/// the first of these endpoints left.
+fn told_of_a_departure(all: &BTreeMap<EndpointKey, EndpointEntry>) -> GatewayCore {
+    let mut core = router_with(all);
+    let left = core.endpoints.rows().next().unwrap().life;
+    let (now, as_of) = (ms(0), StoreRevision(20));
+    core.endpoints
+        .apply_reported_departures(now, as_of, &[left]);
+    core
+}
+
+/// Guards against work for an endpoint that left: the router that reported it is killed before the
+/// others have its list. A report counts until the own list is as new, and for no longer than a
+/// minute after it was last heard.
+#[test]
+fn a_reported_departure_counts_until_the_own_list_is_as_new() {
+    let all = endpoints("engine", 3);
+    let mut core = told_of_a_departure(&all);
+    for second in 0..60 {
+        let endpoints = &mut core.endpoints;
+        endpoints.forget_reported_departures(ms(second * 1_000), StoreRevision(19));
+        assert_eq!(ready(&core, ms(second * 1_000)), 2);
+    }
+    let endpoints = &mut core.endpoints;
+    endpoints.forget_reported_departures(ms(60_000), StoreRevision(19));
+    assert_eq!(ready(&core, ms(60_000)), 3);
+}
+
+/// Guards against an endpoint without work whose registration was missing for a moment: the router's
+/// own list is as new as the report, and a router that lags reports it again.
+#[test]
+fn a_list_that_is_as_new_overrides_reported_departures() {
+    let mut core = told_of_a_departure(&endpoints("engine", 3));
+    let endpoints = &mut core.endpoints;
+    endpoints.forget_reported_departures(ms(100), StoreRevision(20));
+    assert_eq!(ready(&core, ms(100)), 3);
+    let left = core.endpoints.rows().next().unwrap().life;
+    for revision in [19, 20] {
+        let endpoints = &mut core.endpoints;
+        endpoints.apply_reported_departures(ms(200), StoreRevision(revision), &[left]);
+        assert_eq!(ready(&core, ms(200)), 3);
+    }
+}
+
+/// Guards against a report of a later list that an earlier one ends: the later one still has to
+/// arrive.
 #[test]
-fn departures_count_only_from_live_routers_with_a_newer_list() {
-    let mut peers = PeerTable::default();
-    let peer: IpAddr = "10.0.0.2".parse().unwrap();
-    let digest = RouterDigest {
-        incarnation: 1,
-        sequence: 1,
-        endpoints_revision: 20,
-        left: vec![5],
-        ..RouterDigest::default()
-    };
-    peers.take(ms(0), peer, digest);
-    assert_eq!(peers.left(ms(100), TIMEOUT, 19), BTreeSet::from([5]));
-    assert!(peers.left(ms(100), TIMEOUT, 20).is_empty());
-    assert!(peers.left(ms(1_500), TIMEOUT, 19).is_empty());
+fn a_reported_departure_counts_until_the_newest_reported_list() {
+    let mut core = told_of_a_departure(&endpoints("engine", 3));
+    let left = core.endpoints.rows().next().unwrap().life;
+    let endpoints = &mut core.endpoints;
+    for revision in [25, 22] {
+        endpoints.apply_reported_departures(ms(100), StoreRevision(revision), &[left]);
+    }
+    endpoints.forget_reported_departures(ms(200), StoreRevision(24));
+    assert_eq!(ready(&core, ms(200)), 2);
 }
 
 /// A call is placed, and the report that its endpoint left arrives while it connects. The check
@@ -118,7 +157,7 @@
     core.set_endpoints(ms(100), &newer);
     let life = core.endpoints.get(&reported_gone.key).unwrap().life;
     core.endpoints
-        .set_reported_departures(&BTreeSet::from([life]));
+        .apply_reported_departures(ms(100), StoreRevision(20), &[life]);
     assert!(
         !all.values()
             .any(|entry| core.endpoints.takes_work(ms(100), entry))
--- a/tests/gateway_leaving.rs
+++ b/tests/gateway_leaving.rs
@@ -9,6 +9,7 @@
 use smol_str::SmolStr;
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
+use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
 use verbenaturn::gateway::endpoint_list::RegisteredEndpoints;
@@ -85,8 +86,10 @@
     assert_eq!(used(&fetching).len(), 3);
 }
 
-/// Starts gossip between the routers on loopback. None of them serves its list to others.
-async fn exchanging(routers: &[Arc<SharedState>]) {
+/// Starts gossip between the routers on loopback and returns its tasks. None of the routers serves
+/// its list to others.
+async fn exchanging(routers: &[Arc<SharedState>]) -> Vec<JoinHandle<()>> {
+    let mut tasks = Vec::new();
     let mut port = 0;
     let addresses: Vec<String> = (1..=routers.len())
         .map(|number| format!("127.0.0.{number}"))
@@ -100,9 +103,10 @@
             seeds: addresses.iter().map(SmolStr::new).collect(),
             incarnation: 1,
         };
-        tokio::spawn(run_gossip(Arc::clone(shared), plan, socket));
+        tasks.push(tokio::spawn(run_gossip(Arc::clone(shared), plan, socket)));
     }
     sleep(Duration::from_millis(300)).await;
+    tasks
 }
 
 fn registered(
@@ -136,6 +140,34 @@
     assert!(used(&other).iter().eq(rest.keys()));
 }
 
+/// Guards against work for an endpoint that left, once the router that reported it is gone. A router
+/// read that the endpoint leaves, told the others and was killed; no other one could read the store
+/// or fetch the list. Its report was forgotten with it, and the others used the endpoint again.
+#[tokio::test]
+async fn an_endpoint_that_left_gets_no_work_after_the_router_that_reported_it_is_gone() {
+    let all = endpoints("engine", 4);
+    let (reading, other) = (router(), router());
+    for shared in [&reading, &other] {
+        shared.set_reader(false);
+        shared.offer_endpoints(registered(&all, 10));
+    }
+    let tasks = exchanging(&[Arc::clone(&reading), Arc::clone(&other)]).await;
+    let mut rest = all.clone();
+    rest.pop_first();
+    reading.offer_endpoints(registered(&rest, 20));
+    sleep(Duration::from_millis(500)).await;
+    tasks[0].abort();
+    let gone_at = Instant::now();
+    while gone_at.elapsed() < Duration::from_secs(3) {
+        assert!(
+            used(&other).iter().eq(rest.keys()),
+            "in use again after {:?}",
+            gone_at.elapsed()
+        );
+        sleep(Duration::from_millis(50)).await;
+    }
+}
+
 /// Time after which no router may send to an endpoint that left, in the strictest deployments.
 const LEAVE_BOUND: Duration = Duration::from_secs(2);
 
