A router's first list tells the others which endpoints left

Callers saw: requests reached an endpoint 2.0 s and more after it had left, 2 s being allowed. All routers that read the store lose it at once, and the one that reads it next has just started.

Cause: a departure is what a router's list lacks in comparison with its list before. A router without a list before names none, and the others, which have old lists, can't fetch its list.

The new test in which only a new router reads the store, without chance, failed before and passes now.

Why this works: as long as a live router has a list from before its first one, and for ten seconds at most, a router sends the numbers of all processes in its list that take work. Receivers with an older list take those of theirs that are missing as departed, like reported ones, until their own list is as new. In a fleet that starts at once nobody has such an older list, so messages stay as they were. A list of more than 256 is not sent, since a part of it would read as departures.

--- a/src/gateway/decide/departures.rs
+++ b/src/gateway/decide/departures.rs
@@ -8,6 +8,10 @@
 //!
 //! The router that reports a departure may be killed or restarted before the others have its list.
 //! Each router therefore remembers what was reported until its own list is as new.
+//!
+//! A router that has just started can be the one that reads the store next. It had no list before,
+//! so it can't tell which endpoints left. As long as others have lists from before its first one, it
+//! reports which endpoints its list has, and the others conclude which ones left.
 
 use std::collections::BTreeMap;
 
@@ -24,6 +28,10 @@
 /// five bytes. If more endpoints leave within ten seconds, the latest ones are reported.
 const MAX_DEPARTURES_REPORTED: usize = 32;
 
+/// Maximum number of endpoints in a report of a first list: 1,024 bytes of a message. Routers of
+/// larger fleets learn of such departures when they fetch the list.
+const MAX_LISTED_REPORTED: usize = 256;
+
 /// Time for which a report is remembered after it was last heard, if the own list stays older. An
 /// endpoint whose registration was missing for a moment gets no work from a router that can't fetch
 /// a list for as long.
@@ -69,6 +77,47 @@
     }
 }
 
+/// The first endpoint list of a router after its start.
+#[derive(Debug, Default)]
+pub struct FirstList {
+    read: Option<(Moment, StoreRevision)>,
+}
+
+impl FirstList {
+    /// Records the revision of the router's current list.
+    pub fn record(&mut self, now: Moment, own: StoreRevision) {
+        if self.read.is_none() && own > StoreRevision::default() {
+            self.read = Some((now, own));
+        }
+    }
+
+    /// Returns true if the content of the list is to be reported: a router has an older list than
+    /// the first one, and so may use endpoints that left without being reported.
+    #[must_use]
+    pub fn is_to_report(
+        &self,
+        now: Moment,
+        mut others: impl Iterator<Item = StoreRevision>,
+    ) -> bool {
+        let Some((read_at, first)) = self.read else {
+            return false;
+        };
+        let is_recent = now.since(read_at) < DEPARTURE_REPORT_TIME;
+        is_recent && others.any(|other| other > StoreRevision::default() && other < first)
+    }
+}
+
+/// Returns the numbers of the processes in a list, as far as they are to be reported: all or none,
+/// since the others take an endpoint that is missing as departed.
+#[must_use]
+pub fn listed_to_report(process_numbers: impl Iterator<Item = u32>) -> Vec<u32> {
+    let listed: Vec<u32> = process_numbers.take(MAX_LISTED_REPORTED + 1).collect();
+    if listed.len() > MAX_LISTED_REPORTED {
+        return Vec::new();
+    }
+    listed
+}
+
 /// A departure that another router reported.
 #[derive(Debug, Clone, Copy)]
 struct DepartureReport {
--- a/src/gateway/decide/endpoints.rs
+++ b/src/gateway/decide/endpoints.rs
@@ -16,6 +16,7 @@
 use super::super::routes::ServiceKey;
 use super::departures::DepartureReports;
 use super::departures::DepartureTable;
+use super::departures::listed_to_report;
 use super::health::EndpointHealth;
 use super::health::PeerHealth;
 use super::notices::EndpointNotices;
@@ -342,6 +343,27 @@
         }
     }
 
+    /// Applies the content of another router's list of revision `as_of`: the numbers of all processes
+    /// that take work according to it; empty if it does not report them. The other processes have
+    /// left.
+    pub fn apply_reported_list(&mut self, now: Moment, as_of: StoreRevision, listed: &[u32]) {
+        if listed.is_empty() {
+            return;
+        }
+        let listed: BTreeSet<u32> = listed.iter().copied().collect();
+        let numbers = self.rows.iter().map(|row| row.life);
+        let departed: Vec<u32> = numbers.filter(|number| !listed.contains(number)).collect();
+        self.apply_reported_departures(now, as_of, &departed);
+    }
+
+    /// Returns the numbers of all processes that take work according to this router's list, for a
+    /// message to the other routers; none if they are too many.
+    #[must_use]
+    pub fn listed_to_report(&self) -> Vec<u32> {
+        let ready = self.rows.iter().filter(|row| row.is_registered_ready());
+        listed_to_report(ready.map(|row| row.life))
+    }
+
     /// Drops reported departures that this router's own list, of revision `own`, decides.
     pub fn forget_reported_departures(&mut self, now: Moment, own: StoreRevision) {
         self.reported.forget(now, own);
--- a/src/gateway/digest.rs
+++ b/src/gateway/digest.rs
@@ -371,6 +371,11 @@
     /// from each other directly.
     #[prost(message, optional, tag = "18")]
     pub sightings: Option<SightingColumns>,
+    /// Process numbers of all endpoints that take work according to the sender's list; empty unless
+    /// the sender had no list before and others have an older one, see
+    /// [`super::decide::departures`].
+    #[prost(fixed32, repeated, tag = "19")]
+    pub listed: Vec<u32>,
 }
 
 impl RouterDigest {
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -22,6 +22,7 @@
 use crate::units::Moment;
 use crate::units::TimeSpan;
 
+use super::decide::departures::FirstList;
 use super::decide::endpoints::EndpointRow;
 use super::digest::DemandColumns;
 use super::digest::LoadEntry;
@@ -117,6 +118,7 @@
     election: ReaderElection,
     /// Since when another router has had a newer state than this one.
     behind_since: Option<Moment>,
+    first_list: FirstList,
     /// The version of the routes and the revision of the endpoint list in the last digest.
     sent_versions: (u64, u64),
     /// Whether the last digest reported contact with the store.
@@ -138,6 +140,7 @@
         new_peers: BTreeSet::new(),
         election,
         behind_since: None,
+        first_list: FirstList::default(),
         sent_versions: (0, 0),
         sent_in_touch: false,
     };
@@ -201,6 +204,7 @@
         let endpoints = &mut core.endpoints;
         endpoints.apply_reported_leaving(now, &digest.announced_leaving);
         endpoints.apply_reported_departures(now, as_of, &digest.left);
+        endpoints.apply_reported_list(now, as_of, &digest.listed);
     }
 
     async fn tick(&mut self) {
@@ -212,6 +216,8 @@
         self.apply_reports(now);
         self.update_reader_role(now);
         self.fetch_if_behind(now);
+        self.first_list
+            .record(now, self.shared.endpoints_revision());
         let digest = self.digest(now).encode_to_vec();
         for address in self.receivers(now, digest.len()) {
             let target = SocketAddr::new(address, self.plan.listen.port());
@@ -248,11 +254,13 @@
             || !self.new_peers.is_empty()
             || self.round.is_multiple_of(ADDRESS_ROUNDS);
         let passes_on = self.peers.heard.len() > SMALL_FLEET;
+        let reports_list = self.reports_list(now);
         let mut core = self.shared.core();
         let crashes = core.quarantine.report(now);
         let turned_away = core.shares.turned_away_per_s(now);
         let flows = core.shares.flows(now);
         let left = core.endpoints.departures.departures_to_report(now);
+        let listed = reports_list.then(|| core.endpoints.listed_to_report());
         let announced_leaving = core.endpoints.leaving_to_report(now);
         let measures_reliably = core.endpoints.is_health_reportable(now) && !core.is_disturbed();
         let loads = core.endpoints.rows();
@@ -276,11 +284,18 @@
             left,
             announced_leaving,
             sightings: passes_on.then(|| self.peers.sightings.to_pass_on(now)),
+            listed: listed.unwrap_or_default(),
             ..RouterDigest::default()
         }
         .with_crash_report(&crashes)
     }
 
+    fn reports_list(&self, now: Moment) -> bool {
+        let live = self.peers.live(now, self.timeout());
+        let revisions = live.map(|(_, row)| StoreRevision(row.digest.endpoints_revision));
+        self.first_list.is_to_report(now, revisions)
+    }
+
     /// Returns the addresses of some live routers, different ones in each round.
     fn addresses_to_send(&self, now: Moment) -> Vec<String> {
         let live: Vec<_> = self.peers.live(now, self.timeout()).collect();
--- a/tests/gateway_departures.rs
+++ b/tests/gateway_departures.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 
 use verbenaturn::gateway::decide::GatewayCore;
+use verbenaturn::gateway::decide::departures::FirstList;
 use verbenaturn::gateway::follow::StoreRevision;
 use verbenaturn::gateway::routes::EndpointEntry;
 use verbenaturn::gateway::routes::EndpointKey;
@@ -134,6 +135,62 @@
     assert_eq!(ready(&core, ms(200)), 2);
 }
 
+/// The content of a first list tells others which of their endpoints left, in whatever way, and
+/// nothing about lists that are as new.
+#[test]
+fn a_first_list_tells_which_endpoints_left() {
+    let all = endpoints("engine", 5);
+    let mut newer = all.clone();
+    newer.pop_first();
+    let mut entries = newer.values_mut();
+    entries.next().unwrap().state = EndpointState::Leaving;
+    entries.next().unwrap().born = ProcessStartTime(7);
+    let listed = router_with(&newer).endpoints.listed_to_report();
+    assert_eq!(listed.len(), 3);
+    let mut other = router_with(&all);
+    let as_of = StoreRevision(20);
+    other.endpoints.apply_reported_list(ms(0), as_of, &listed);
+    assert_eq!(ready(&other, ms(0)), 2);
+    other.set_endpoints(ms(100), &newer);
+    other.endpoints.forget_reported_departures(ms(100), as_of);
+    other.endpoints.apply_reported_list(ms(200), as_of, &listed);
+    assert_eq!(ready(&other, ms(200)), 3);
+}
+
+/// Guards against a list that seems to lack most endpoints, since a message holds only part of it,
+/// and against one that a router does not report being taken for empty.
+#[test]
+fn a_list_that_is_not_reported_whole_says_nothing() {
+    let all = endpoints("engine", 300);
+    let listed = router_with(&all).endpoints.listed_to_report();
+    assert!(listed.is_empty());
+    let mut other = router_with(&all);
+    let as_of = StoreRevision(20);
+    other.endpoints.apply_reported_list(ms(0), as_of, &listed);
+    assert_eq!(ready(&other, ms(0)), 300);
+}
+
+/// A first list is reported only while it can help another router, and for ten seconds: messages
+/// with it are up to a kilobyte longer.
+#[test]
+fn a_first_list_is_reported_while_others_have_an_older_one() {
+    let mut first = FirstList::default();
+    let revisions = |numbers: &[u64]| -> Vec<StoreRevision> {
+        numbers.iter().copied().map(StoreRevision).collect()
+    };
+    let (older, as_new) = (revisions(&[0, 19]), revisions(&[0, 20, 25]));
+    let is_to_report = |first: &FirstList, second: u64, others: &[StoreRevision]| {
+        first.is_to_report(ms(second * 1_000), others.iter().copied())
+    };
+    first.record(ms(0), StoreRevision(0));
+    assert!(!is_to_report(&first, 0, &older));
+    first.record(ms(1_000), StoreRevision(20));
+    first.record(ms(2_000), StoreRevision(30));
+    assert!(is_to_report(&first, 2, &older));
+    assert!(!is_to_report(&first, 2, &as_new));
+    assert!(!is_to_report(&first, 11, &older));
+}
+
 /// A call is placed, and the report that its endpoint left arrives while it connects. The check
 /// just before the request is sent must notice it, whether the list or a message brought the
 /// report.
--- a/tests/gateway_leaving.rs
+++ b/tests/gateway_leaving.rs
@@ -168,6 +168,26 @@
     }
 }
 
+/// Guards against work for an endpoint that left while the routers that read the store were away. A
+/// router that had just started read it next. Having had no list before, it named no departures, and
+/// the others could not fetch its list.
+#[tokio::test]
+async fn an_endpoint_that_left_gets_no_work_though_only_a_new_router_read_the_store() {
+    let all = endpoints("engine", 4);
+    let (reading, other) = (router(), router());
+    for shared in [&reading, &other] {
+        shared.set_reader(false);
+    }
+    other.offer_endpoints(registered(&all, 10));
+    exchanging(&[Arc::clone(&reading), Arc::clone(&other)]).await;
+    let mut rest = all.clone();
+    rest.pop_first();
+    reading.offer_endpoints(registered(&rest, 20));
+    sleep(Duration::from_millis(500)).await;
+    assert_eq!(other.endpoints_revision(), StoreRevision(10));
+    assert!(used(&other).iter().eq(rest.keys()));
+}
+
 /// Time after which no router may send to an endpoint that left, in the strictest deployments.
 const LEAVE_BOUND: Duration = Duration::from_secs(2);
 
