A flood that moves to a new router is limited there from its first request

Trace (logs of all routers, team accounts by second): the other team's flood moves to a router at which it never asked. In the tenth of a second until that router next set shares it was sent 493,000 and 513,000 tokens (two traces), twice the published rate of the whole fleet for a second. In the next six seconds both teams together got less.

Cause: a limit is set only for teams that have asked at a router before; a team's first request made a row without one. The router knew the team's demand and service from the others' messages. Class: what all know is applied only where it was learnt.

First try: the row limited from the demand that the surge detector returns. The mean over the share window decides now, for the tenth of a second until shares are set again.

Evidence: a_flood_that_moves_to_a_new_router_is_limited_from_its_first_request fails on the code before ("after 0 ms").

Ruled out: what late routers refuse is not counted.

--- a/src/gateway/decide/shares.rs
+++ b/src/gateway/decide/shares.rs
@@ -12,6 +12,10 @@
 //! Two floods that begin seconds apart must be served about the same in any period of six seconds.
 //! A team is therefore limited as soon as its recent demand rises ([`super::surge`]), and what it
 //! was served before that does not count against it.
+//!
+//! A flood can move to a router to which its team never sent a request. That router knows the
+//! team's demand and service from the other routers, so it limits the team from the first request:
+//! until the next gossip round a flood would get there what it should get in ten seconds.
 
 use std::collections::BTreeMap;
 use std::ops::AddAssign;
@@ -150,6 +154,25 @@
 }
 
 impl TeamCounts {
+    fn new(window: TimeSpan) -> Self {
+        Self {
+            asked: WindowCount::new(window),
+            asked_recently: WindowCount::new(RECENT_WINDOW),
+            asked_capped: WindowCount::new(window),
+            served: WindowCount::new(window),
+            surge: SurgeDetector::default(),
+            credit: 0.0,
+            credited_at: Moment(0),
+            allowed: None,
+            spare: None,
+            spare_credit: 0.0,
+            limited_since: None,
+            flow: TeamFlow::default(),
+            asked_here: 0.0,
+            service_ratio: 0.0,
+        }
+    }
+
     /// Refills the credits for the time since the last refill.
     #[allow(clippy::cast_precision_loss)]
     fn accrue(&mut self, now: Moment) {
@@ -184,6 +207,24 @@
         }
     }
 
+    /// Limits a team whose first request arrives at this router, if it is beyond its share at the
+    /// other routers. It has no part of its share here until shares are set again.
+    ///
+    /// The mean over the share window decides, even if no demand is known of the last moments: the
+    /// router that the flood leaves may be too late to report it.
+    fn limit_first_request(
+        &mut self,
+        now: Moment,
+        terms: &ShareTerms,
+        elsewhere: TeamFlow,
+        level: f64,
+    ) {
+        self.flow = elsewhere;
+        let demand = self.surge.update(TeamFlow::default(), elsewhere, level);
+        let asked = demand.asked.max(elsewhere.asked);
+        self.set_share(now, terms, TeamDemand { asked, ..demand });
+    }
+
     /// Fraction of the demand at this router over the share window that the size cap removes, from
     /// 0 to 1.
     fn capped_part(&mut self, now: Moment) -> f64 {
@@ -222,6 +263,10 @@
     /// 0 as soon as a team has asked, although no team is limited then.
     level: f64,
     teams: BTreeMap<TeamKey, TeamCounts>,
+    /// Values of the last time that shares were set, and the flows of all teams at all routers
+    /// then, by the hash of the team's key.
+    terms: Option<ShareTerms>,
+    flows: BTreeMap<u64, TeamFlow>,
 }
 
 impl ShareTable {
@@ -235,29 +280,27 @@
             mean_tokens: FIRST_TOKENS,
             level: f64::INFINITY,
             teams: BTreeMap::new(),
+            terms: None,
+            flows: BTreeMap::new(),
         }
     }
 
-    fn counts(&mut self, team: &TeamKey) -> &mut TeamCounts {
-        let window = self.window;
-        self.teams
-            .entry(team.clone())
-            .or_insert_with(|| TeamCounts {
-                asked: WindowCount::new(window),
-                asked_recently: WindowCount::new(RECENT_WINDOW),
-                asked_capped: WindowCount::new(window),
-                served: WindowCount::new(window),
-                surge: SurgeDetector::default(),
-                credit: 0.0,
-                credited_at: Moment(0),
-                allowed: None,
-                spare: None,
-                spare_credit: 0.0,
-                limited_since: None,
-                flow: TeamFlow::default(),
-                asked_here: 0.0,
-                service_ratio: 0.0,
-            })
+    fn counts(&mut self, now: Moment, team: &TeamKey) -> &mut TeamCounts {
+        let Self {
+            window,
+            level,
+            teams,
+            terms,
+            flows,
+            ..
+        } = self;
+        teams.entry(team.clone()).or_insert_with(|| {
+            let mut counts = TeamCounts::new(*window);
+            if let (Some(flow), Some(terms)) = (flows.get(&team.hash()), terms) {
+                counts.limit_first_request(now, terms, *flow, *level);
+            }
+            counts
+        })
     }
 
     /// Counts the demand of a request, and returns whether it is within its team's share.
@@ -268,7 +311,7 @@
         self.begun.get_or_insert(now);
         self.mean_tokens += SIZE_WEIGHT * (tokens - self.mean_tokens);
         let max_tokens = MAX_SIZE_MEANS * self.mean_tokens;
-        let counts = self.counts(team);
+        let counts = self.counts(now, team);
         counts.asked.add(now, tokens);
         let capped = tokens.min(max_tokens);
         counts.asked_recently.add(now, capped);
@@ -290,7 +333,7 @@
     /// Refused requests are not charged. A team without a bound beyond its share uses idle capacity
     /// free of charge.
     pub fn serve(&mut self, now: Moment, team: &TeamKey, tokens: f64) {
-        let counts = self.counts(team);
+        let counts = self.counts(now, team);
         counts.served.add(now, tokens);
         if counts.allowed.is_none() {
             return;
@@ -402,6 +445,8 @@
             counts.asked_here = own.get(team).map_or(0.0, |flow| flow.asked);
             counts.set_share(now, &terms, demand);
         }
+        self.terms = Some(terms);
+        self.flows = flows;
     }
 
     /// Returns the demand of each team from which shares are computed, by the hash of the team's
--- a/tests/gateway_shares.rs
+++ b/tests/gateway_shares.rs
@@ -274,3 +274,41 @@
     assert!((9_999.0..10_001.0).contains(&shares.level()));
     assert!(limited[0].asked_here > limited[0].allowed_here);
 }
+
+/// Guards against a flood that is not limited at a router where its team never sent a request. The
+/// callers move there; until the next round of messages the router served all that came, ten times
+/// what the team was owed in that second, and another flooding team got a fourth of it. The router
+/// that the callers leave may be too late to have reported anything for a moment.
+#[test]
+fn a_flood_that_moves_to_a_new_router_is_limited_from_its_first_request() {
+    for reported_recently in [0.0, 900_000.0] {
+        check_first_requests(reported_recently);
+    }
+}
+
+fn check_first_requests(reported_recently: f64) {
+    let mut shares = ShareTable::new(TimeSpan::from_millis(4_000));
+    let flood = TeamKey(SmolStr::new("flood"));
+    let normal = TeamKey(SmolStr::new("normal"));
+    let flood_flow = TeamFlow {
+        asked: 900_000.0,
+        asked_recently: reported_recently,
+        served: 20_000.0,
+    };
+    let normal_flow = TeamFlow {
+        asked: 10_000.0,
+        asked_recently: 10_000.0,
+        served: 10_000.0,
+    };
+    let elsewhere = BTreeMap::from([(flood.hash(), flood_flow), (normal.hash(), normal_flow)]);
+    shares.share_out(ms(0), 30_000.0, &elsewhere);
+    for step in 0..100 {
+        let standing = shares.ask(ms(step), &flood, 3_000.0);
+        assert_ne!(standing, ShareStanding::Within, "after {step} ms");
+        let standing = shares.ask(ms(step), &normal, 100.0);
+        assert_eq!(standing, ShareStanding::Within, "after {step} ms");
+    }
+    // Its part of the share moves along from the next round on.
+    shares.share_out(ms(100), 30_000.0, &elsewhere);
+    assert_eq!(shares.ask(ms(900), &flood, 3_000.0), ShareStanding::Within);
+}
