--- a/tests/gateway_leaving.rs
+++ b/tests/gateway_leaving.rs
@@ -120,24 +120,53 @@
     }
 }
 
+/// A router that can't fetch the list of another one, which has read that an endpoint left.
+struct LaggingRouter {
+    shared: Arc<SharedState>,
+    /// The endpoints that did not leave.
+    rest: BTreeMap<EndpointKey, EndpointEntry>,
+    /// The gossip of the router that read it.
+    reading: JoinHandle<()>,
+}
+
+impl LaggingRouter {
+    /// Starts both routers and lets the endpoint leave. `has_earlier_list` tells whether the one that
+    /// reads it had a list with the endpoint before.
+    async fn start(has_earlier_list: bool) -> Self {
+        let all = endpoints("engine", 4);
+        let (reading, other) = (router(), router());
+        for shared in [&reading, &other] {
+            shared.set_reader(false);
+        }
+        other.offer_endpoints(registered(&all, 10));
+        if has_earlier_list {
+            reading.offer_endpoints(registered(&all, 10));
+        }
+        let mut tasks = exchanging(&[Arc::clone(&reading), Arc::clone(&other)]).await;
+        let mut rest = all;
+        rest.pop_first();
+        reading.offer_endpoints(registered(&rest, 20));
+        sleep(Duration::from_millis(500)).await;
+        Self {
+            shared: other,
+            rest,
+            reading: tasks.remove(0),
+        }
+    }
+
+    fn uses_only_the_rest(&self) -> bool {
+        used(&self.shared).iter().eq(self.rest.keys())
+    }
+}
+
 /// Guards against work for an endpoint 3.7 s after it left. The link of the sending host was full:
 /// small messages arrived and announced a newer list, but each fetch of that list timed out. The
 /// messages did not say what had changed.
 #[tokio::test]
 async fn an_endpoint_that_left_gets_no_work_though_the_list_can_not_be_fetched() {
-    let all = endpoints("engine", 4);
-    let (reading, other) = (router(), router());
-    for shared in [&reading, &other] {
-        shared.set_reader(false);
-        shared.offer_endpoints(registered(&all, 10));
-    }
-    exchanging(&[Arc::clone(&reading), Arc::clone(&other)]).await;
-    let mut rest = all.clone();
-    rest.pop_first();
-    reading.offer_endpoints(registered(&rest, 20));
-    sleep(Duration::from_millis(500)).await;
-    assert_eq!(other.endpoints_revision(), StoreRevision(10));
-    assert!(used(&other).iter().eq(rest.keys()));
+    let lagging = LaggingRouter::start(true).await;
+    assert_eq!(lagging.shared.endpoints_revision(), StoreRevision(10));
+    assert!(lagging.uses_only_the_rest());
 }
 
 /// Guards against work for an endpoint that left, once the router that reported it is gone. A router
@@ -145,24 +174,14 @@
 /// or fetch the list. Its report was forgotten with it, and the others used the endpoint again.
 #[tokio::test]
 async fn an_endpoint_that_left_gets_no_work_after_the_router_that_reported_it_is_gone() {
-    let all = endpoints("engine", 4);
-    let (reading, other) = (router(), router());
-    for shared in [&reading, &other] {
-        shared.set_reader(false);
-        shared.offer_endpoints(registered(&all, 10));
-    }
-    let tasks = exchanging(&[Arc::clone(&reading), Arc::clone(&other)]).await;
-    let mut rest = all.clone();
-    rest.pop_first();
-    reading.offer_endpoints(registered(&rest, 20));
-    sleep(Duration::from_millis(500)).await;
-    tasks[0].abort();
+    let lagging = LaggingRouter::start(true).await;
+    lagging.reading.abort();
     let gone_at = Instant::now();
     while gone_at.elapsed() < Duration::from_secs(3) {
+        let passed = gone_at.elapsed();
         assert!(
-            used(&other).iter().eq(rest.keys()),
-            "in use again after {:?}",
-            gone_at.elapsed()
+            lagging.uses_only_the_rest(),
+            "in use again after {passed:?}"
         );
         sleep(Duration::from_millis(50)).await;
     }
@@ -173,19 +192,9 @@
 /// the others could not fetch its list.
 #[tokio::test]
 async fn an_endpoint_that_left_gets_no_work_though_only_a_new_router_read_the_store() {
-    let all = endpoints("engine", 4);
-    let (reading, other) = (router(), router());
-    for shared in [&reading, &other] {
-        shared.set_reader(false);
-    }
-    other.offer_endpoints(registered(&all, 10));
-    exchanging(&[Arc::clone(&reading), Arc::clone(&other)]).await;
-    let mut rest = all.clone();
-    rest.pop_first();
-    reading.offer_endpoints(registered(&rest, 20));
-    sleep(Duration::from_millis(500)).await;
-    assert_eq!(other.endpoints_revision(), StoreRevision(10));
-    assert!(used(&other).iter().eq(rest.keys()));
+    let lagging = LaggingRouter::start(false).await;
+    assert_eq!(lagging.shared.endpoints_revision(), StoreRevision(10));
+    assert!(lagging.uses_only_the_rest());
 }
 
 /// Time after which no router may send to an endpoint that left, in the strictest deployments.
