Gateway: logs tell at which software version a stream began and went on

Nothing told them apart: whether streams go on at another version within one answer, by the caller's next try, or because an endpoint's entry changed. The adapter read the software version of a registration and dropped it; the header that names the call a stream began with was not read at all. Both are decoded now, calls' lines carry software=, began_at= and resumes=, a stream that goes on has a line, and a counter compares the versions. No decision depends on it yet.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -138,6 +138,8 @@
         sends: 0,
         decided: DecisionFacts::default(),
         may_have_run: false,
+        began_at: None,
+        tried_software: None,
         tried: Vec::new(),
         unreached: 0,
     };
@@ -207,6 +209,7 @@
             }
         };
         call.decided.placed(&ticket);
+        call.tried_software.clone_from(&ticket.entry.software);
         let outcome = run_attempt(traffic, caller, call, &mut ticket).await;
         let endpoint = ticket.entry.key.clone();
         end_attempt(traffic, ticket, outcome.end());
--- a/src/gateway/call_state.rs
+++ b/src/gateway/call_state.rs
@@ -18,6 +18,7 @@
 use super::routes::Repeatability;
 use super::routes::RouteEntry;
 use super::routes::ServiceKey;
+use super::routes::SoftwareVersion;
 use super::routes::TeamKey;
 
 /// State of a call while it runs.
@@ -55,6 +56,11 @@
     pub decided: DecisionFacts,
     /// Whether an attempt may have run.
     pub may_have_run: bool,
+    /// The software version of the endpoint that sent the first event of the stream; `None` if no
+    /// event arrived or the endpoint's version is not known.
+    pub began_at: Option<SoftwareVersion>,
+    /// The software version of the endpoint of the last attempt.
+    pub tried_software: Option<SoftwareVersion>,
     /// Endpoints at which the call was tried.
     pub tried: Vec<EndpointKey>,
     /// Number of attempts that count towards `MAX_UNREACHED_ENDPOINTS`.
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -28,6 +28,7 @@
     endpoint_announcements: Counter<u64>,
     store_failures: Counter<u64>,
     retries: Counter<u64>,
+    resumed_streams: Counter<u64>,
     _provider: SdkMeterProvider,
 }
 
@@ -83,6 +84,13 @@
                 .u64_counter("verbenaturn_gateway_retries")
                 .with_description("Retries that calls asked for, by service and outcome.")
                 .build(),
+            resumed_streams: meter
+                .u64_counter("verbenaturn_gateway_resumed_streams")
+                .with_description(
+                    "Streams that went on, by who resumed them and how the endpoint's software \
+                     compares with the one that began them.",
+                )
+                .build(),
             registry,
             _provider: provider,
         })
@@ -131,6 +139,15 @@
             .add(1, &[service, KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts a stream that goes on at another endpoint. `resumption` is `answer` if the router
+    /// resumed it within one answer and `caller` if the caller did; `software` tells whether the
+    /// endpoint has the software version that began the stream.
+    pub fn resumed_stream(&self, resumption: &'static str, software: &'static str) {
+        let resumption = KeyValue::new("by", resumption);
+        let software = KeyValue::new("software", software);
+        self.resumed_streams.add(1, &[resumption, software]);
+    }
+
     /// All metrics in Prometheus text format.
     #[must_use]
     pub fn text(&self) -> Vec<u8> {
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -63,6 +63,8 @@
     pub deadline: Option<Duration>,
     /// The last event that the caller has, if it resumes a stream.
     pub last_event: Option<u64>,
+    /// The id of the call that brought the caller the first event of the stream that it resumes.
+    pub resumes: Option<SmolStr>,
     /// Size and parts of a generation request; `None` for plain services, which have no model
     /// engines.
     pub prompt: Option<PromptShape>,
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -136,9 +136,11 @@
         {
             return AttemptOutcome::Broken("malformed stream");
         }
+        let before = call.last_event();
         let events = call.splitter.take();
         if !events.is_empty() && !has_output {
             has_output = true;
+            record_stream_part(traffic, call, ticket, before);
             let now = traffic.shared.clock.now();
             traffic.shared.core().first_output(now, ticket);
         }
@@ -175,6 +177,45 @@
     }
 }
 
+/// Records which software version the stream begins at, or which one it goes on at; `before` is the
+/// last event that the caller had.
+fn record_stream_part<P: CallProtocol>(
+    traffic: &TrafficState<P>,
+    call: &mut CallState,
+    ticket: &AttemptTicket,
+    before: Option<u64>,
+) {
+    let software = ticket.entry.software.as_ref();
+    let resumption = match (call.head_sent, call.facts.last_event) {
+        (false, None) => {
+            call.began_at = software.cloned();
+            return;
+        }
+        (true, _) => "answer",
+        (false, Some(_)) => "caller",
+    };
+    let began = call.began_at.as_ref();
+    let comparison = match (began, software) {
+        (Some(began), Some(software)) if began == software => "same",
+        (Some(_), Some(_)) => "other",
+        (None, _) | (_, None) => "unknown",
+    };
+    traffic
+        .shared
+        .metrics
+        .resumed_stream(resumption, comparison);
+    spdlog::info!(
+        "calls: id={} stream goes on by={resumption} resumes={} last_event={} began_at={} \
+         software={} endpoint={}",
+        call.facts.call_id,
+        call.facts.resumes.as_deref().unwrap_or("-"),
+        before.unwrap_or_default(),
+        began.map_or("-", |version| version.0.as_str()),
+        software.map_or("-", |version| version.0.as_str()),
+        ticket.entry.key,
+    );
+}
+
 /// Writes events to the caller, with the head before the first event and the last chunk after the
 /// last one.
 ///
--- a/src/gateway/routes.rs
+++ b/src/gateway/routes.rs
@@ -59,6 +59,11 @@
     /// A team's published name.
     TeamKey
 );
+text_key!(
+    /// The version of an endpoint's software, not of its model's weights. Versions have no order and
+    /// are only compared for equality.
+    SoftwareVersion
+);
 text_key!(
     /// A route's published name.
     RouteKey
@@ -300,6 +305,9 @@
     /// The start time of its process.
     #[serde(default)]
     pub born: ProcessStartTime,
+    /// The version of its software; `None` if the router that passed the entry on doesn't state it.
+    #[serde(default)]
+    pub software: Option<SoftwareVersion>,
     /// Its service.
     pub service: ServiceKey,
     /// The address at which it takes calls.
--- a/tests/engines/mod.rs
+++ b/tests/engines/mod.rs
@@ -30,6 +30,7 @@
 use verbenaturn::gateway::routes::RouteKey;
 use verbenaturn::gateway::routes::ServiceEntry;
 use verbenaturn::gateway::routes::ServiceKey;
+use verbenaturn::gateway::routes::SoftwareVersion;
 use verbenaturn::gateway::routes::TeamKey;
 use verbenaturn::units::Moment;
 use verbenaturn::units::RequestFingerprint;
@@ -120,6 +121,7 @@
             let entry = EndpointEntry {
                 key: key.clone(),
                 born: ProcessStartTime(1),
+                software: Some(SoftwareVersion(SmolStr::new("v1"))),
                 service: ServiceKey(SmolStr::new(service)),
                 address: "127.0.0.1:1".parse().unwrap(),
                 domain: SmolStr::new("suva-a"),
