A stream that goes on within one answer stays at its software version

Callers got answers that held events of two software versions: an engine broke off, and the router resumed the stream at whatever engine placement gave next. Cause: the version of an endpoint was not part of what placement knows, so all endpoints of a service counted as equal. Placement of a call whose stream has begun now sees only endpoints of the version that sent its first event; without one the answer is cut, or the call refused as version_gone with no invitation to come again. An entry with another version is another process, also under the same name and start time.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -19,6 +19,7 @@
 use super::call_record::record;
 use super::call_state::CallEnd;
 use super::call_state::CallState;
+use super::call_state::StreamOrigin;
 use super::call_state::fingerprint;
 use super::decide::Admission;
 use super::decide::AdmissionRequest;
@@ -138,7 +139,7 @@
         sends: 0,
         decided: DecisionFacts::default(),
         may_have_run: false,
-        began_at: None,
+        origin: StreamOrigin::None,
         tried_software: None,
         tried: Vec::new(),
         unreached: 0,
@@ -192,6 +193,11 @@
         return reply_refused(traffic, caller, call, RefusalCause::OverShare, wait).await;
     }
     loop {
+        if call.origin == StreamOrigin::Unknown {
+            let cause = RefusalCause::VersionUnknown;
+            let wait = TimeSpan::from_millis(traffic.shared.config.retry_after_ms);
+            return reply_refused(traffic, caller, call, cause, wait).await;
+        }
         let admission = {
             let ask = admission_request(call, table);
             let now = traffic.shared.clock.now();
@@ -249,6 +255,7 @@
         shape: table.services.get(&call.service),
         team: call.team.as_ref(),
         prompt: call.facts.prompt.as_ref(),
+        software: call.origin.known(),
         tried: &call.tried,
         fingerprint: call.fingerprint,
         waited: micros(now.saturating_duration_since(call.arrived)),
@@ -402,17 +409,25 @@
     let status = match cause {
         RefusalCause::OverShare => OwnStatus::TooManyRequests,
         RefusalCause::NoEndpoint
+        | RefusalCause::VersionGone
+        | RefusalCause::VersionUnknown
         | RefusalCause::Paused
         | RefusalCause::Overload
         | RefusalCause::Quarantined => OwnStatus::Unavailable,
     };
     let wait = match cause {
+        // No later try can be served: a release doesn't bring a version back.
+        RefusalCause::VersionGone => {
+            let reply = OwnReply::plain(status);
+            return send_own_reply(traffic, caller, call, reply, cause.label()).await;
+        }
         // The end of the pause is known, so retries are spread over a short time right after it.
         RefusalCause::Paused => {
             let least = Duration::from_millis(traffic.shared.config.retry_after_ms);
             retry_after.as_duration() + least.mul_f64(rand::rng().random())
         }
         RefusalCause::NoEndpoint
+        | RefusalCause::VersionUnknown
         | RefusalCause::Overload
         | RefusalCause::OverShare
         | RefusalCause::Quarantined => spread(retry_after.as_duration()),
--- a/src/gateway/call_record.rs
+++ b/src/gateway/call_record.rs
@@ -10,7 +10,6 @@
 use super::decide::AttemptTicket;
 use super::front::TrafficState;
 use super::protocol::CallProtocol;
-use super::routes::SoftwareVersion;
 
 /// The figures behind a call's last placement or refusal, for its log line.
 #[derive(Debug, Clone, Copy, Default)]
@@ -84,14 +83,8 @@
             format_smolstr!("{}", call.fingerprint)
         }
     };
-    let version_text = |version: &Option<SoftwareVersion>| match version {
-        Some(version) => version.0.clone(),
-        None => SmolStr::new_static("-"),
-    };
-    let (software, began) = (
-        version_text(&call.tried_software),
-        version_text(&call.began_at),
-    );
+    let software = call.tried_software.as_ref();
+    let software = software.map_or("-", |version| version.0.as_str());
     let DecisionFacts {
         predicted_ms,
         queued,
@@ -104,7 +97,7 @@
          tries={} status={status} cause=\"{cause}\" first_ms={first} total_ms={} \
          objective_ms={} standing={standing} predicted_ms={predicted_ms:.0} queued={queued:.0} \
          prompt={} uncached={uncached:.0} reread={reread:.0} fingerprint={fingerprint} \
-         software={software} began_at={began} resumes={}",
+         software={software} began_at={} resumes={}",
         call.facts.call_id,
         call.route.name,
         call.sends,
@@ -112,6 +105,7 @@
         total.as_millis(),
         call.route.objective_ms,
         prompt.map_or(0, |prompt| prompt.prompt_tokens),
+        call.origin,
         call.facts.resumes.as_deref().unwrap_or("-"),
     );
 }
--- a/src/gateway/call_state.rs
+++ b/src/gateway/call_state.rs
@@ -1,5 +1,6 @@
 //! The state of one call while it runs.
 
+use std::fmt;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -21,6 +22,44 @@
 use super::routes::SoftwareVersion;
 use super::routes::TeamKey;
 
+/// Where a call's stream began.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StreamOrigin {
+    /// The caller has no event yet: it may begin at any endpoint.
+    None,
+    /// At an endpoint with this software version: it goes on only at endpoints with the same.
+    At(SoftwareVersion),
+    /// At an endpoint whose version is not known: it doesn't go on anywhere.
+    Unknown,
+}
+
+impl StreamOrigin {
+    /// Returns the origin of a stream whose first event came from an endpoint with this version.
+    #[must_use]
+    pub fn of(software: Option<&SoftwareVersion>) -> Self {
+        software.map_or(Self::Unknown, |version| Self::At(version.clone()))
+    }
+
+    /// Returns the version at which the stream began, if it began and the version is known.
+    #[must_use]
+    pub fn known(&self) -> Option<&SoftwareVersion> {
+        match self {
+            Self::At(version) => Some(version),
+            Self::None | Self::Unknown => None,
+        }
+    }
+}
+
+impl fmt::Display for StreamOrigin {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::None => formatter.write_str("-"),
+            Self::At(version) => version.fmt(formatter),
+            Self::Unknown => formatter.write_str("unknown"),
+        }
+    }
+}
+
 /// State of a call while it runs.
 #[derive(Debug)]
 pub struct CallState {
@@ -56,9 +95,8 @@
     pub decided: DecisionFacts,
     /// Whether an attempt may have run.
     pub may_have_run: bool,
-    /// The software version of the endpoint that sent the first event of the stream; `None` if no
-    /// event arrived or the endpoint's version is not known.
-    pub began_at: Option<SoftwareVersion>,
+    /// Where the stream began.
+    pub origin: StreamOrigin,
     /// The software version of the endpoint of the last attempt.
     pub tried_software: Option<SoftwareVersion>,
     /// Endpoints at which the call was tried.
--- a/src/gateway/decide/core.rs
+++ b/src/gateway/decide/core.rs
@@ -16,6 +16,7 @@
 use super::super::routes::RouteEntry;
 use super::super::routes::ServiceEntry;
 use super::super::routes::ServiceKey;
+use super::super::routes::SoftwareVersion;
 use super::super::routes::TeamKey;
 use super::accounts::TeamAccounts;
 use super::attempts::AttemptTicket;
@@ -23,6 +24,7 @@
 use super::budget::RetryBudget;
 use super::capacity::CapacityEstimate;
 use super::capacity::FleetFlow;
+use super::endpoints::EndpointRow;
 use super::endpoints::EndpointTable;
 use super::endpoints::PeerLoad;
 use super::fleet_size::FleetSize;
@@ -57,6 +59,9 @@
     pub team: Option<&'a TeamKey>,
     /// The prompt, if the service runs model engines.
     pub prompt: Option<&'a PromptShape>,
+    /// The software version that began the stream, if the call goes on with one: only endpoints of
+    /// this version may get it.
+    pub software: Option<&'a SoftwareVersion>,
     /// Endpoints that were already tried for this call.
     pub tried: &'a [EndpointKey],
     /// Hash of the request's content, to recognise its resends.
@@ -72,6 +77,10 @@
 pub enum RefusalCause {
     /// No endpoint of the service takes work, or all that do were already tried for this call.
     NoEndpoint,
+    /// No endpoint has the software version that began the stream, though others take work.
+    VersionGone,
+    /// The caller has a part of the stream, and it is not known which software version began it.
+    VersionUnknown,
     /// As `NoEndpoint`, but at least one endpoint would take work if it had not asked for a pause.
     Paused,
     /// The predicted time to the first output exceeds the permitted part of the objective, or the
@@ -90,6 +99,8 @@
     pub fn label(self) -> &'static str {
         match self {
             Self::NoEndpoint => "no_endpoint",
+            Self::VersionGone => "version_gone",
+            Self::VersionUnknown => "version_unknown",
             Self::Paused => "endpoints_paused",
             Self::Overload => "overload",
             Self::OverShare => "over_share",
@@ -340,7 +351,7 @@
         }
         let engine = request.shape.and_then(|shape| shape.engine);
         let Some(placement) = self.find_placement(now, request, engine) else {
-            return self.refuse_without_endpoint(now, request.service);
+            return self.refuse_without_endpoint(now, request);
         };
         let limit = self.limit_ms(request, standing, placement.unqueued_ms);
         #[allow(clippy::cast_precision_loss)]
@@ -365,12 +376,15 @@
 
     /// Refuses a call that no endpoint can take. The caller should retry when the first pause ends:
     /// an earlier retry would be refused again.
-    fn refuse_without_endpoint(&self, now: Moment, service: &ServiceKey) -> Admission {
+    fn refuse_without_endpoint(&self, now: Moment, request: &AdmissionRequest<'_>) -> Admission {
         let least = TimeSpan::from_millis(self.config.retry_after_ms);
-        let (cause, retry_after) = match self.endpoints.pause_left(now, service) {
+        let AdmissionRequest {
+            service, software, ..
+        } = *request;
+        let (cause, retry_after) = match self.endpoints.pause_left(now, service, software) {
             Some(pause) => (RefusalCause::Paused, pause.max(least)),
             None => (
-                RefusalCause::NoEndpoint,
+                self.cause_without_endpoint(now, request),
                 TimeSpan::from_millis(self.config.no_endpoint_retry_ms),
             ),
         };
@@ -381,6 +395,19 @@
         }
     }
 
+    fn cause_without_endpoint(&self, now: Moment, request: &AdmissionRequest<'_>) -> RefusalCause {
+        let AdmissionRequest {
+            service, software, ..
+        } = *request;
+        let is_ready = |row: &EndpointRow| row.is_ready(now);
+        let is_version_ready = self.endpoints.of_version(service, software).any(is_ready);
+        if !is_version_ready && self.endpoints.of_service(service).any(is_ready) {
+            RefusalCause::VersionGone
+        } else {
+            RefusalCause::NoEndpoint
+        }
+    }
+
     fn find_placement(
         &self,
         now: Moment,
@@ -397,7 +424,8 @@
             tried: request.tried,
             domain: &self.domain,
         };
-        let rows: Vec<_> = self.endpoints.of_service(request.service).collect();
+        let rows = self.endpoints.of_version(request.service, request.software);
+        let rows: Vec<_> = rows.collect();
         placement::place(&rows, &placement_request, &model, now)
     }
 
--- a/src/gateway/decide/endpoints.rs
+++ b/src/gateway/decide/endpoints.rs
@@ -14,6 +14,7 @@
 use super::super::routes::EndpointKey;
 use super::super::routes::EndpointState;
 use super::super::routes::ServiceKey;
+use super::super::routes::SoftwareVersion;
 use super::departures::DepartureReports;
 use super::departures::DepartureTable;
 use super::departures::listed_to_report;
@@ -228,7 +229,7 @@
         for (key, entry) in entries {
             let was_ready = known.get(key).is_some_and(EndpointRow::is_registered_ready);
             let row = match known.remove(key) {
-                Some(row) if row.entry.born == entry.born => EndpointRow {
+                Some(row) if row.entry.is_same_process(entry) => EndpointRow {
                     entry: entry.clone(),
                     used_until: None,
                     ..row
@@ -319,11 +320,17 @@
         lives.take(MAX_LEAVING_REPORTED).collect()
     }
 
-    /// Returns the time until the first of a service's endpoints ends the pause that it asked for;
-    /// `None` if no endpoint is kept from work by such a pause alone.
+    /// Returns the time until the first of a service's endpoints, or of those of one software version
+    /// if it is given, ends the pause that it asked for; `None` if no endpoint is kept from work by
+    /// such a pause alone.
     #[must_use]
-    pub fn pause_left(&self, now: Moment, service: &ServiceKey) -> Option<TimeSpan> {
-        let rows = self.of_service(service);
+    pub fn pause_left(
+        &self,
+        now: Moment,
+        service: &ServiceKey,
+        software: Option<&SoftwareVersion>,
+    ) -> Option<TimeSpan> {
+        let rows = self.of_version(service, software);
         rows.filter_map(|row| row.pause_left(now)).min()
     }
 
@@ -398,7 +405,7 @@
     /// ended.
     pub fn of_attempt(&mut self, entry: &EndpointEntry) -> Option<&mut EndpointRow> {
         let row = self.get_mut(&entry.key)?;
-        (row.entry.born == entry.born).then_some(row)
+        row.entry.is_same_process(entry).then_some(row)
     }
 
     /// Returns true if the process that an attempt was placed at may still get the request.
@@ -408,7 +415,7 @@
     #[must_use]
     pub fn takes_work(&self, now: Moment, entry: &EndpointEntry) -> bool {
         let row = self.get(&entry.key);
-        row.is_some_and(|row| row.entry.born == entry.born && row.is_ready(now))
+        row.is_some_and(|row| row.entry.is_same_process(entry) && row.is_ready(now))
     }
 
     /// Returns true if a process is listed and no router knows that it left. If such a process ends
@@ -417,7 +424,7 @@
     pub fn is_in_service(&self, entry: &EndpointEntry) -> bool {
         let row = self.get(&entry.key);
         row.is_some_and(|row| {
-            row.entry.born == entry.born && row.is_in_service() && !row.is_reported_departed
+            row.entry.is_same_process(entry) && row.is_in_service() && !row.is_reported_departed
         })
     }
 
@@ -435,6 +442,19 @@
             .map(|index| &self.rows[*index])
     }
 
+    /// Returns the endpoints of a service that have a software version; all of them if none is given.
+    ///
+    /// Guards against a stream whose events come from two versions: what they write doesn't fit
+    /// together, and endpoints don't check it.
+    pub fn of_version(
+        &self,
+        service: &ServiceKey,
+        software: Option<&SoftwareVersion>,
+    ) -> impl Iterator<Item = &EndpointRow> {
+        let rows = self.of_service(service);
+        rows.filter(move |row| software.is_none() || row.entry.software.as_ref() == software)
+    }
+
     /// Returns all endpoints.
     pub fn rows(&self) -> impl Iterator<Item = &EndpointRow> {
         self.rows.iter()
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -15,6 +15,7 @@
 use super::attempt::WaitBounds;
 use super::attempt::read_or_interrupt;
 use super::call_state::CallState;
+use super::call_state::StreamOrigin;
 use super::decide::AttemptTicket;
 use super::front::TrafficState;
 use super::http::ResponseHead;
@@ -188,14 +189,13 @@
     let software = ticket.entry.software.as_ref();
     let resumption = match (call.head_sent, call.facts.last_event) {
         (false, None) => {
-            call.began_at = software.cloned();
+            call.origin = StreamOrigin::of(software);
             return;
         }
         (true, _) => "answer",
         (false, Some(_)) => "caller",
     };
-    let began = call.began_at.as_ref();
-    let comparison = match (began, software) {
+    let comparison = match (call.origin.known(), software) {
         (Some(began), Some(software)) if began == software => "same",
         (Some(_), Some(_)) => "other",
         (None, _) | (_, None) => "unknown",
@@ -210,10 +210,13 @@
         call.facts.call_id,
         call.facts.resumes.as_deref().unwrap_or("-"),
         before.unwrap_or_default(),
-        began.map_or("-", |version| version.0.as_str()),
+        call.origin,
         software.map_or("-", |version| version.0.as_str()),
         ticket.entry.key,
     );
+    if call.origin == StreamOrigin::None {
+        call.origin = StreamOrigin::of(software);
+    }
 }
 
 /// Writes events to the caller, with the head before the first event and the last chunk after the
--- a/src/gateway/routes.rs
+++ b/src/gateway/routes.rs
@@ -321,6 +321,15 @@
 }
 
 impl EndpointEntry {
+    /// Returns true if `other` is an entry of the same process. A process that starts again may have
+    /// another software version; an entry without one says nothing about it.
+    #[must_use]
+    pub fn is_same_process(&self, other: &Self) -> bool {
+        let (own, other_version) = (self.software.as_ref(), other.software.as_ref());
+        let is_other_version = own.is_some() && other_version.is_some() && own != other_version;
+        self.born == other.born && !is_other_version
+    }
+
     /// Returns the identity of the process that registered.
     #[must_use]
     pub fn life(&self) -> EndpointProcess {
--- a/tests/engines/mod.rs
+++ b/tests/engines/mod.rs
@@ -160,6 +160,7 @@
         shape: Some(shape),
         team: Some(team),
         prompt: Some(prompt),
+        software: None,
         tried: &[],
         fingerprint: RequestFingerprint(0),
         waited: TimeSpan(0),
--- a/tests/gateway_words.rs
+++ b/tests/gateway_words.rs
@@ -102,8 +102,8 @@
     assert_eq!(ready(&core, ms(3_000)), 2);
     let service = &first.service;
     assert_eq!(
-        core.endpoints.pause_left(ms(1_000), service),
+        core.endpoints.pause_left(ms(1_000), service, None),
         Some(TimeSpan::from_millis(2_000))
     );
-    assert_eq!(core.endpoints.pause_left(ms(3_000), service), None);
+    assert_eq!(core.endpoints.pause_left(ms(3_000), service, None), None);
 }
