--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -47,6 +47,7 @@
 use super::routes::Repeatability;
 use super::routes::RouteEntry;
 use super::routes::RouteTable;
+use super::routes::SoftwareVersion;
 
 /// Attempts in which no request was sent, after which a call is given up: no connection was made,
 /// it was refused, or the endpoint announced that it takes no work. An address that does not
@@ -140,7 +141,7 @@
         decided: DecisionFacts::default(),
         may_have_run: false,
         origin: StreamOrigin::None,
-        tried_software: None,
+        tried_software: SoftwareVersion::default(),
         tried: Vec::new(),
         unreached: 0,
     };
--- a/src/gateway/call_record.rs
+++ b/src/gateway/call_record.rs
@@ -83,8 +83,6 @@
             format_smolstr!("{}", call.fingerprint)
         }
     };
-    let software = call.tried_software.as_ref();
-    let software = software.map_or("-", |version| version.0.as_str());
     let DecisionFacts {
         predicted_ms,
         queued,
@@ -97,7 +95,7 @@
          tries={} status={status} cause=\"{cause}\" first_ms={first} total_ms={} \
          objective_ms={} standing={standing} predicted_ms={predicted_ms:.0} queued={queued:.0} \
          prompt={} uncached={uncached:.0} reread={reread:.0} fingerprint={fingerprint} \
-         software={software} began_at={} resumes={}",
+         software={} began_at={} resumes={}",
         call.facts.call_id,
         call.route.name,
         call.sends,
@@ -105,6 +103,7 @@
         total.as_millis(),
         call.route.objective_ms,
         prompt.map_or(0, |prompt| prompt.prompt_tokens),
+        call.tried_software,
         call.origin,
         call.facts.resumes.as_deref().unwrap_or("-"),
     );
--- a/src/gateway/call_state.rs
+++ b/src/gateway/call_state.rs
@@ -29,17 +29,11 @@
     None,
     /// At an endpoint with this software version: it goes on only at endpoints with the same.
     At(SoftwareVersion),
-    /// At an endpoint whose version is not known: it doesn't go on anywhere.
+    /// Nobody knows at which version: it doesn't go on anywhere.
     Unknown,
 }
 
 impl StreamOrigin {
-    /// Returns the origin of a stream whose first event came from an endpoint with this version.
-    #[must_use]
-    pub fn of(software: Option<&SoftwareVersion>) -> Self {
-        software.map_or(Self::Unknown, |version| Self::At(version.clone()))
-    }
-
     /// Returns the version at which the stream began, if it began and the version is known.
     #[must_use]
     pub fn known(&self) -> Option<&SoftwareVersion> {
@@ -98,7 +92,7 @@
     /// Where the stream began.
     pub origin: StreamOrigin,
     /// The software version of the endpoint of the last attempt.
-    pub tried_software: Option<SoftwareVersion>,
+    pub tried_software: SoftwareVersion,
     /// Endpoints at which the call was tried.
     pub tried: Vec<EndpointKey>,
     /// Number of attempts that count towards `MAX_UNREACHED_ENDPOINTS`.
--- a/src/gateway/decide/endpoints.rs
+++ b/src/gateway/decide/endpoints.rs
@@ -452,7 +452,7 @@
         software: Option<&SoftwareVersion>,
     ) -> impl Iterator<Item = &EndpointRow> {
         let rows = self.of_service(service);
-        rows.filter(move |row| software.is_none() || row.entry.software.as_ref() == software)
+        rows.filter(move |row| software.is_none_or(|version| row.entry.software == *version))
     }
 
     /// Returns all endpoints.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -186,19 +186,19 @@
     ticket: &AttemptTicket,
     before: Option<u64>,
 ) {
-    let software = ticket.entry.software.as_ref();
+    let software = &ticket.entry.software;
     let resumption = match (call.head_sent, call.facts.last_event) {
         (false, None) => {
-            call.origin = StreamOrigin::of(software);
+            call.origin = StreamOrigin::At(software.clone());
             return;
         }
         (true, _) => "answer",
         (false, Some(_)) => "caller",
     };
-    let comparison = match (call.origin.known(), software) {
-        (Some(began), Some(software)) if began == software => "same",
-        (Some(_), Some(_)) => "other",
-        (None, _) | (_, None) => "unknown",
+    let comparison = match call.origin.known() {
+        Some(began) if began == software => "same",
+        Some(_) => "other",
+        None => "unknown",
     };
     traffic
         .shared
@@ -211,11 +211,11 @@
         call.facts.resumes.as_deref().unwrap_or("-"),
         before.unwrap_or_default(),
         call.origin,
-        software.map_or("-", |version| version.0.as_str()),
+        software,
         ticket.entry.key,
     );
     if call.origin == StreamOrigin::None {
-        call.origin = StreamOrigin::of(software);
+        call.origin = StreamOrigin::At(software.clone());
     }
 }
 
--- a/src/gateway/routes.rs
+++ b/src/gateway/routes.rs
@@ -61,7 +61,8 @@
 );
 text_key!(
     /// The version of an endpoint's software, not of its model's weights. Versions have no order and
-    /// are only compared for equality.
+    /// are only compared for equality. Empty if it is not stated, as in entries from routers of an
+    /// earlier program.
     SoftwareVersion
 );
 text_key!(
@@ -305,9 +306,9 @@
     /// The start time of its process.
     #[serde(default)]
     pub born: ProcessStartTime,
-    /// The version of its software; `None` if the router that passed the entry on doesn't state it.
+    /// The version of its software.
     #[serde(default)]
-    pub software: Option<SoftwareVersion>,
+    pub software: SoftwareVersion,
     /// Its service.
     pub service: ServiceKey,
     /// The address at which it takes calls.
@@ -325,8 +326,8 @@
     /// another software version; an entry without one says nothing about it.
     #[must_use]
     pub fn is_same_process(&self, other: &Self) -> bool {
-        let (own, other_version) = (self.software.as_ref(), other.software.as_ref());
-        let is_other_version = own.is_some() && other_version.is_some() && own != other_version;
+        let is_stated = !self.software.0.is_empty() && !other.software.0.is_empty();
+        let is_other_version = is_stated && self.software != other.software;
         self.born == other.born && !is_other_version
     }
 
--- a/tests/engines/mod.rs
+++ b/tests/engines/mod.rs
@@ -121,7 +121,7 @@
             let entry = EndpointEntry {
                 key: key.clone(),
                 born: ProcessStartTime(1),
-                software: Some(SoftwareVersion(SmolStr::new("v1"))),
+                software: SoftwareVersion(SmolStr::new("v1")),
                 service: ServiceKey(SmolStr::new(service)),
                 address: "127.0.0.1:1".parse().unwrap(),
                 domain: SmolStr::new("suva-a"),
--- a/tests/gateway_versions.rs
+++ b/tests/gateway_versions.rs
@@ -34,7 +34,7 @@
 fn two_versions() -> BTreeMap<EndpointKey, EndpointEntry> {
     let mut entries = endpoints("engine", 6);
     for (index, entry) in entries.values_mut().enumerate() {
-        entry.software = Some(version(["a", "b"][index % 2]));
+        entry.software = version(["a", "b"][index % 2]);
     }
     entries
 }
@@ -61,7 +61,7 @@
             let Admission::Send(ticket) = resume(&mut core, call, &software) else {
                 panic!("refused");
             };
-            assert_eq!(ticket.entry.software, Some(software));
+            assert_eq!(ticket.entry.software, software);
         }
     }
 }
@@ -71,7 +71,9 @@
 fn a_stream_does_not_go_on_at_an_engine_of_unknown_version() {
     let mut entries = two_versions();
     for entry in entries.values_mut() {
-        entry.software = entry.software.take().filter(|known| known.0 == "b");
+        if entry.software == version("a") {
+            entry.software = SoftwareVersion::default();
+        }
     }
     let mut core = router_with(&entries);
     let admission = resume(&mut core, 1, &version("a"));
@@ -87,7 +89,7 @@
 fn a_stream_is_refused_when_the_engines_of_its_version_have_left() {
     let mut entries = two_versions();
     for entry in entries.values_mut() {
-        if entry.software == Some(version("a")) {
+        if entry.software == version("a") {
             entry.state = EndpointState::Leaving;
         }
     }
@@ -96,9 +98,9 @@
         (false, RefusalCause::NoEndpoint),
     ] {
         if !ready {
-            entries
-                .values_mut()
-                .for_each(|entry| entry.state = EndpointState::Leaving);
+            for entry in entries.values_mut() {
+                entry.state = EndpointState::Leaving;
+            }
         }
         let admission = resume(&mut router_with(&entries), 1, &version("a"));
         let Admission::Refuse { cause, .. } = admission else {
@@ -118,10 +120,10 @@
         panic!("refused");
     };
     let mut later = entries.clone();
-    later.get_mut(&ticket.entry.key).unwrap().software = Some(version("b"));
+    later.get_mut(&ticket.entry.key).unwrap().software = version("b");
     core.set_endpoints(ms(2), &later);
     assert!(!core.endpoints.takes_work(ms(3), &ticket.entry));
-    later.get_mut(&ticket.entry.key).unwrap().software = None;
+    later.get_mut(&ticket.entry.key).unwrap().software = SoftwareVersion::default();
     core.set_endpoints(ms(4), &later);
     assert!(core.endpoints.takes_work(ms(5), &ticket.entry));
 }
