A stream that its caller takes up again goes on at the software version that began it

Cause: a call with Last-Event-Id was placed as a new one. Only the caller knows that its stream is older than the call, and it names the call that began it, not the version; the router that knew the version is often another one, or gone.

Each router now records at which version the streams began that it passes on. While a service has, or lately had, several versions it tells others within a gossip round: all of a fleet of up to eleven in the digest that they get anyway, else two that follow from the stream's number. A router without a record asks them. Streams that ran when a release began are told then. A new process learns from the others which services are mixed, and for how long. What nobody can know is refused at once, and so is a stream of a version that has left, neither is begun anew: an outdated list is no proof that there is one version.

Ruled out: telling all routers in larger fleets (70,000 streams a second at each), choosing the version by the call's id (a release shifts it), the answer's head (endpoints' headers pass unchanged).

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -43,6 +43,8 @@
 use super::reply::OwnStatus;
 use super::reply::ReplyFraming;
 use super::reply::caller_head;
+use super::resume::find_origin;
+use super::resume::stream_number;
 use super::routes::EndpointKey;
 use super::routes::Repeatability;
 use super::routes::RouteEntry;
@@ -145,6 +147,7 @@
         tried: Vec::new(),
         unreached: 0,
     };
+    find_origin(traffic, &mut call).await;
     let end = run_attempts(traffic, caller, &mut call, &table).await;
     record(traffic, &call, end, table.version);
     match end {
@@ -278,6 +281,9 @@
         let now = traffic.shared.clock.now();
         let mut core = traffic.shared.core();
         core.quarantine.record_answer(now, call.fingerprint);
+        if call.head_sent {
+            core.origins.end(stream_number(call));
+        }
     }
     match outcome {
         AttemptOutcome::Delivered(status) => Some(CallEnd::Answered(status)),
--- a/src/gateway/config.rs
+++ b/src/gateway/config.rs
@@ -113,6 +113,9 @@
     pub elsewhere_retry_ms: u64,
     /// Time for which prompt parts sent to an endpoint are remembered, in ms.
     pub part_memory_ms: u64,
+    /// Longest time for which a broken stream may be resumed, in ms, counted from its last event. Where
+    /// streams began is remembered for as long.
+    pub stream_memory_ms: u64,
     /// Time limit for connecting to an endpoint, in ms.
     pub connect_timeout_ms: u64,
     /// Idle time after which a connection to an endpoint is not reused, in ms, unless the endpoint
@@ -177,6 +180,7 @@
             no_endpoint_retry_ms: 300,
             elsewhere_retry_ms: 20,
             part_memory_ms: 10_000,
+            stream_memory_ms: 30_000,
             connect_timeout_ms: 300,
             idle_reuse_ms: 300,
             link_mbps: LinkSpeed(1_000.0),
--- a/src/gateway/decide/core.rs
+++ b/src/gateway/decide/core.rs
@@ -38,6 +38,8 @@
 use super::shares::ShareTable;
 use super::shares::TeamFlow;
 use super::sizes::SizeTable;
+use super::stream_origins::StreamOrigins;
+use super::version_history::VersionHistory;
 
 /// Interval between two log lines with the teams' counts.
 const TEAM_LOG_INTERVAL: TimeSpan = TimeSpan::from_millis(1_000);
@@ -146,6 +148,10 @@
     accounts: TeamAccounts,
     /// When the teams' counts were last logged.
     teams_logged_at: Moment,
+    /// Software versions of each service's endpoints.
+    pub versions: VersionHistory,
+    /// Where streams began.
+    pub origins: StreamOrigins,
     /// Quarantine for requests that crash endpoints.
     pub quarantine: CrashQuarantine,
     budget: RetryBudget,
@@ -169,7 +175,10 @@
             slack: config.retry_slack,
             window: seconds(config.retry_window_s),
         };
+        let stream_memory = TimeSpan::from_millis(config.stream_memory_ms);
         Self {
+            versions: VersionHistory::new(stream_memory),
+            origins: StreamOrigins::new(stream_memory),
             endpoints: EndpointTable::default(),
             shares: ShareTable::new(seconds(config.share_window_s)),
             capacity: CapacityEstimate::default(),
@@ -190,6 +199,9 @@
     /// Sets the endpoints in use: registered ones, and those whose registration lapsed but that are
     /// still used for a while, since an outage of the store may be the cause.
     pub fn set_endpoints(&mut self, now: Moment, entries: &BTreeMap<EndpointKey, EndpointEntry>) {
+        let listed = entries.values();
+        let listed = listed.map(|entry| (&entry.service, &entry.software));
+        self.versions.record_list(now, listed);
         for (former, sign) in self.endpoints.replace(now, entries) {
             self.quarantine.record_sign(now, &former, sign);
         }
--- a/src/gateway/decide/mod.rs
+++ b/src/gateway/decide/mod.rs
@@ -29,7 +29,9 @@
 pub mod quarantine;
 pub mod shares;
 pub mod sizes;
+pub mod stream_origins;
 pub mod surge;
+pub mod version_history;
 pub mod window;
 
 pub use attempts::AttemptEnd;
--- /dev/null
+++ b/src/gateway/decide/version_history.rs
@@ -0,0 +1,182 @@
+//! Which software versions the endpoints of each service had lately.
+//!
+//! Load pattern: on most days all endpoints of a service have one software version, so where a
+//! stream began needs no record: it was at that version. During a release, and for as long as a
+//! stream that began before or during it may be resumed, the service is *mixed*. Routers then tell
+//! each other where streams began ([`super::stream_origins`]).
+//!
+//! A router that has just started has seen one list only. It learns which services are mixed from
+//! the messages of routers that are older, with the time that is left, so that a report ends at the
+//! same time however often it is passed on.
+
+use std::collections::BTreeMap;
+
+use crate::units::Moment;
+use crate::units::TimeSpan;
+
+use super::super::routes::ServiceKey;
+use super::super::routes::SoftwareVersion;
+
+/// Maximum number of mixed services in one message: 320 bytes of it. A release concerns one service
+/// or a few.
+const MAX_MIXED_REPORTED: usize = 32;
+
+/// Maximum number of services that others may report: all of the largest intended fleet. A foreign
+/// sender could report any number.
+const MAX_MIXED_TOLD: usize = 256;
+
+/// A service in messages between routers: the low 32 bits of the hash of its name.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ServiceNumber(pub u32);
+
+impl ServiceNumber {
+    /// Returns the number of a service.
+    #[must_use]
+    #[allow(clippy::cast_possible_truncation)]
+    pub fn of(service: &ServiceKey) -> Self {
+        Self(service.hash() as u32)
+    }
+}
+
+/// A service whose endpoints had several software versions lately.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct MixedService {
+    /// The service.
+    pub service: ServiceNumber,
+    /// For how long streams from then may still be resumed.
+    pub left: TimeSpan,
+}
+
+/// When a software version was last listed for a service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum LastListed {
+    /// The current list has it.
+    Now,
+    /// It was dropped from the list at this time.
+    Until(Moment),
+}
+
+/// The software versions of each service, from the endpoint lists of this router and from reports of
+/// the others.
+#[derive(Debug)]
+pub struct VersionHistory {
+    /// Time for which a version counts after it was last listed.
+    memory: TimeSpan,
+    versions: BTreeMap<ServiceKey, BTreeMap<SoftwareVersion, LastListed>>,
+    /// Until when a service is mixed according to other routers.
+    told: BTreeMap<ServiceNumber, Moment>,
+}
+
+impl VersionHistory {
+    /// Creates a history without any version. A stream may be resumed for `memory` at most.
+    #[must_use]
+    pub fn new(memory: TimeSpan) -> Self {
+        Self {
+            memory,
+            versions: BTreeMap::new(),
+            told: BTreeMap::new(),
+        }
+    }
+
+    /// Records the versions of the endpoints in use.
+    pub fn record_list<'a>(
+        &mut self,
+        now: Moment,
+        listed: impl Iterator<Item = (&'a ServiceKey, &'a SoftwareVersion)>,
+    ) {
+        for version in self.versions.values_mut().flat_map(BTreeMap::values_mut) {
+            if *version == LastListed::Now {
+                *version = LastListed::Until(now);
+            }
+        }
+        for (service, software) in listed {
+            let versions = self.versions.entry(service.clone()).or_default();
+            versions.insert(software.clone(), LastListed::Now);
+        }
+        let memory = self.memory;
+        for versions in self.versions.values_mut() {
+            versions.retain(|_, last| last.time_left(now, memory) > TimeSpan(0));
+        }
+        self.versions.retain(|_, versions| !versions.is_empty());
+        self.told.retain(|_, until| now < *until);
+    }
+
+    /// Applies another router's report of mixed services.
+    pub fn apply_report(&mut self, now: Moment, mixed: &[MixedService]) {
+        for MixedService { service, left } in mixed {
+            let is_known = self.told.contains_key(service);
+            if !is_known && self.told.len() >= MAX_MIXED_TOLD {
+                continue;
+            }
+            let until = now + (*left).min(self.memory);
+            let known = self.told.entry(*service).or_insert(until);
+            *known = until.max(*known);
+        }
+    }
+
+    /// Returns for how long the service still counts as mixed; zero if it does not.
+    #[must_use]
+    pub fn mixed_for(&self, now: Moment, service: &ServiceKey) -> TimeSpan {
+        let told = self.told.get(&ServiceNumber::of(service));
+        let told = told.map_or(TimeSpan(0), |until| until.since(now));
+        told.max(self.seen_mixed_for(now, service))
+    }
+
+    /// Returns true if streams that began at several versions of the service may be resumed.
+    #[must_use]
+    pub fn is_mixed(&self, now: Moment, service: &ServiceKey) -> bool {
+        self.mixed_for(now, service) > TimeSpan(0)
+    }
+
+    fn seen_mixed_for(&self, now: Moment, service: &ServiceKey) -> TimeSpan {
+        let versions = self.versions.get(service);
+        let versions = versions.into_iter().flat_map(BTreeMap::values);
+        let mut left: Vec<TimeSpan> = versions
+            .map(|last| last.time_left(now, self.memory))
+            .collect();
+        // The second version to be forgotten is the last one beside another.
+        left.sort_unstable();
+        left.iter().rev().nth(1).copied().unwrap_or(TimeSpan(0))
+    }
+
+    /// Returns the version of the service's endpoints if they had no other lately.
+    #[must_use]
+    pub fn only_version(&self, now: Moment, service: &ServiceKey) -> Option<&SoftwareVersion> {
+        if self.is_mixed(now, service) {
+            return None;
+        }
+        let versions = self.versions.get(service)?.iter();
+        let (software, _) = versions.max_by_key(|(_, last)| last.time_left(now, self.memory))?;
+        Some(software)
+    }
+
+    /// Returns the mixed services, for the messages to the other routers.
+    #[must_use]
+    pub fn to_report(&self, now: Moment) -> Vec<MixedService> {
+        let mut mixed: BTreeMap<ServiceNumber, TimeSpan> = BTreeMap::new();
+        let seen = self.versions.keys();
+        let seen = seen.map(|key| (ServiceNumber::of(key), self.seen_mixed_for(now, key)));
+        let told = self
+            .told
+            .iter()
+            .map(|(service, until)| (*service, until.since(now)));
+        for (service, left) in seen.chain(told).filter(|(_, left)| *left > TimeSpan(0)) {
+            let known = mixed.entry(service).or_insert(left);
+            *known = left.max(*known);
+        }
+        mixed
+            .into_iter()
+            .take(MAX_MIXED_REPORTED)
+            .map(|(service, left)| MixedService { service, left })
+            .collect()
+    }
+}
+
+impl LastListed {
+    fn time_left(self, now: Moment, memory: TimeSpan) -> TimeSpan {
+        match self {
+            Self::Now => memory,
+            Self::Until(at) => (at + memory).since(now),
+        }
+    }
+}
--- a/src/gateway/digest.rs
+++ b/src/gateway/digest.rs
@@ -15,6 +15,7 @@
 use std::collections::BTreeMap;
 
 use prost::Message;
+use smol_str::SmolStr;
 
 use crate::units::EndpointId;
 use crate::units::RequestFingerprint;
@@ -24,6 +25,11 @@
 use super::decide::crash_report::CrashSuspect;
 use super::decide::crash_report::RefusedRequest;
 use super::decide::shares::TeamFlow;
+use super::decide::stream_origins::StreamNumber;
+use super::decide::stream_origins::StreamStart;
+use super::decide::version_history::MixedService;
+use super::decide::version_history::ServiceNumber;
+use super::routes::SoftwareVersion;
 use super::routes::TeamKey;
 
 /// Step in which pending prompt tokens are encoded, in tokens: about one millisecond of prefill.
@@ -306,7 +312,90 @@
     }
 }
 
+/// Streams that began at one software version of a service.
+#[derive(Clone, PartialEq, Message)]
+pub struct BegunStreams {
+    /// Service number.
+    #[prost(fixed32, tag = "1")]
+    service: u32,
+    /// Software version.
+    #[prost(string, tag = "2")]
+    software: String,
+    /// Stream numbers.
+    #[prost(fixed64, repeated, tag = "3")]
+    streams: Vec<u64>,
+}
+
+impl BegunStreams {
+    /// Groups streams by service and version.
+    #[must_use]
+    pub fn group(begun: &[(StreamNumber, StreamStart)]) -> Vec<Self> {
+        let mut groups: Vec<Self> = Vec::new();
+        for (stream, start) in begun {
+            let (service, software) = (start.service.0, start.software.0.as_str());
+            let mut known = groups.iter_mut();
+            match known.find(|group| group.service == service && group.software == software) {
+                Some(group) => group.streams.push(stream.0),
+                None => groups.push(Self {
+                    service,
+                    software: software.to_owned(),
+                    streams: vec![stream.0],
+                }),
+            }
+        }
+        groups
+    }
+
+    /// Returns the version at which all these streams began.
+    #[must_use]
+    pub fn start(&self) -> StreamStart {
+        StreamStart {
+            service: ServiceNumber(self.service),
+            software: SoftwareVersion(SmolStr::new(&self.software)),
+        }
+    }
+
+    /// Returns the streams.
+    pub fn streams(&self) -> impl Iterator<Item = StreamNumber> + '_ {
+        self.streams.iter().copied().map(StreamNumber)
+    }
+}
+
+/// A service whose endpoints had several software versions lately.
+#[derive(Clone, PartialEq, Message)]
+pub struct MixedEntry {
+    /// Service number.
+    #[prost(fixed32, tag = "1")]
+    service: u32,
+    /// Time for which streams from then may still be resumed, in ms.
+    #[prost(uint32, tag = "2")]
+    left_ms: u32,
+}
+
+impl MixedEntry {
+    /// Encodes a mixed service.
+    #[must_use]
+    pub fn of(mixed: &MixedService) -> Self {
+        Self {
+            service: mixed.service.0,
+            left_ms: u32::try_from(mixed.left.as_millis()).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// Decodes the mixed service.
+    #[must_use]
+    pub fn decode(&self) -> MixedService {
+        MixedService {
+            service: ServiceNumber(self.service),
+            left: TimeSpan::from_millis(u64::from(self.left_ms)),
+        }
+    }
+}
+
 /// The content of one gossip datagram.
+///
+/// A message without an incarnation and a sequence number only tells of streams: fields 20 to 23.
+/// An earlier program takes it for an outdated digest.
 #[derive(Clone, PartialEq, Message)]
 pub struct RouterDigest {
     /// Incarnation of the sender: a number made from the start time and a random part, so that
@@ -376,9 +465,28 @@
     /// [`super::decide::departures`].
     #[prost(fixed32, repeated, tag = "19")]
     pub listed: Vec<u32>,
+    /// Streams that began through the sender, or that it was asked for and knows, see
+    /// [`super::decide::stream_origins`].
+    #[prost(message, repeated, tag = "20")]
+    pub begun: Vec<BegunStreams>,
+    /// Services whose endpoints had several software versions lately.
+    #[prost(message, repeated, tag = "21")]
+    pub mixed: Vec<MixedEntry>,
+    /// Numbers of the streams that the receiver is asked for.
+    #[prost(fixed64, repeated, tag = "22")]
+    pub asked_streams: Vec<u64>,
+    /// Numbers of the streams that the sender was asked for and doesn't know.
+    #[prost(fixed64, repeated, tag = "23")]
+    pub unknown_streams: Vec<u64>,
 }
 
 impl RouterDigest {
+    /// Returns true if it only tells of streams.
+    #[must_use]
+    pub fn is_stream_message(&self) -> bool {
+        self.sequence == 0
+    }
+
     /// Returns this digest with a report on crashes.
     #[must_use]
     pub fn with_crash_report(self, report: &CrashReport) -> Self {
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -24,6 +24,8 @@
 
 use super::decide::departures::FirstList;
 use super::decide::endpoints::EndpointRow;
+use super::decide::stream_origins::ListStatus;
+use super::digest::BegunStreams;
 use super::digest::DemandColumns;
 use super::digest::LoadEntry;
 use super::digest::RouterDigest;
@@ -31,6 +33,7 @@
 use super::freshness;
 use super::handover;
 use super::link::LinkSpeed;
+use super::origin_exchange;
 use super::peer_table::ElectionLimits;
 use super::peer_table::PeerTable;
 use super::readers::ReaderElection;
@@ -76,6 +79,10 @@
 /// Rounds between two messages to addresses that don't respond.
 const SILENT_ROUNDS: u64 = 10;
 
+/// Rounds without a message from any other router after which this one's endpoint list may lack
+/// what the others use.
+const LIST_SILENCE_ROUNDS: u64 = 5;
+
 /// Largest datagram, in bytes. One Ethernet frame would hold 1,472; the loads of a few hundred
 /// endpoints need more, and the links between hosts carry fragmented datagrams.
 const MAX_DATAGRAM_BYTES: usize = 16_384;
@@ -123,6 +130,8 @@
     sent_versions: (u64, u64),
     /// Whether the last digest reported contact with the store.
     sent_in_touch: bool,
+    /// Whether any other router was ever heard.
+    has_met_others: bool,
 }
 
 /// Exchanges digests with other routers until the process ends.
@@ -143,6 +152,7 @@
         first_list: FirstList::default(),
         sent_versions: (0, 0),
         sent_in_touch: false,
+        has_met_others: false,
     };
     let pause = Duration::from_millis(gossip.shared.config.gossip_ms.max(1));
     let mut ticks = interval(pause);
@@ -151,10 +161,11 @@
     loop {
         tokio::select! {
             _ = ticks.tick() => gossip.tick().await,
+            () = gossip.shared.lookups.wait_until_asked() => gossip.ask_for_streams().await,
             received = gossip.socket.recv_from(&mut buffer) => match received {
                 Ok((length, from)) => {
                     gossip.shared.link.received(length);
-                    gossip.received(&buffer[..length], from);
+                    gossip.received(&buffer[..length], from).await;
                 }
                 Err(fault) => spdlog::debug!("peers: step=receive fault=\"{fault}\""),
             }
@@ -175,7 +186,7 @@
         TimeSpan::from_millis(self.shared.config.peer_timeout_ms * rounds)
     }
 
-    fn received(&mut self, bytes: &[u8], from: SocketAddr) {
+    async fn received(&mut self, bytes: &[u8], from: SocketAddr) {
         let own = from.ip() == self.plan.listen.ip();
         // All routers send from the gossip port, so a datagram from another port is not from a
         // router.
@@ -185,6 +196,10 @@
         match RouterDigest::decode(bytes) {
             Ok(digest) => {
                 let now = self.shared.clock.now();
+                self.apply_stream_reports(now, from.ip(), &digest).await;
+                if digest.is_stream_message() {
+                    return;
+                }
                 let is_new = !self.peers.knows_incarnation(&from.ip(), digest.incarnation);
                 self.apply_endpoint_reports(now, &digest);
                 if self.peers.take(now, from.ip(), digest) && is_new {
@@ -196,6 +211,69 @@
         }
     }
 
+    /// Applies what a message tells of streams and answers its questions.
+    async fn apply_stream_reports(&self, now: Moment, from: IpAddr, digest: &RouterDigest) {
+        let answer = origin_exchange::apply(&self.shared, now, digest);
+        if let Some(answer) = answer {
+            self.send(from, &answer).await;
+        }
+    }
+
+    /// Asks other routers for the streams that calls wait for.
+    async fn ask_for_streams(&self) {
+        let now = self.shared.clock.now();
+        let live = self.live(now);
+        let asks_all = live.len() <= SMALL_FLEET;
+        let questions = origin_exchange::take_questions(&self.shared, &live, asks_all);
+        for (address, question) in questions {
+            self.send(address, &question).await;
+        }
+    }
+
+    /// Tells other routers of streams that began, in a fleet in which a digest doesn't reach all.
+    async fn tell_of_streams(&self, now: Moment) {
+        let live = self.live(now);
+        if live.len() <= SMALL_FLEET {
+            return;
+        }
+        let begun = origin_exchange::take_untold(&self.shared, now);
+        for (address, message) in origin_exchange::tell_holders(&live, begun) {
+            self.send(address, &message).await;
+        }
+    }
+
+    fn live(&self, now: Moment) -> Vec<IpAddr> {
+        let live = self.peers.live(now, self.timeout());
+        live.map(|(address, _)| *address).collect()
+    }
+
+    async fn send(&self, router: IpAddr, digest: &RouterDigest) {
+        self.send_bytes(router, &digest.encode_to_vec()).await;
+    }
+
+    async fn send_bytes(&self, router: IpAddr, bytes: &[u8]) {
+        let target = SocketAddr::new(router, self.plan.listen.port());
+        self.shared.link.sent(bytes.len());
+        if let Err(fault) = self.socket.send_to(bytes, target).await {
+            spdlog::debug!("peers: router={target} step=send fault=\"{fault}\"");
+        }
+    }
+
+    /// Determines whether another router may use a software version that this one's list lacks.
+    fn update_list_status(&mut self, now: Moment) {
+        let heard = self.peers.heard.values().map(|row| row.heard).max();
+        self.has_met_others |= heard.is_some();
+        let silence = TimeSpan::from_millis(self.shared.config.gossip_ms * LIST_SILENCE_ROUNDS);
+        let hears_others = heard.is_some_and(|at| now.since(at) < silence);
+        let is_informed = self.shared.is_in_touch() || hears_others || !self.has_met_others;
+        let status = if is_informed && self.behind_since.is_none() {
+            ListStatus::Latest
+        } else {
+            ListStatus::MaybeOutdated
+        };
+        self.shared.set_list_status(status);
+    }
+
     /// Passes what a message says of endpoints and crashes to the decision core.
     fn apply_endpoint_reports(&self, now: Moment, digest: &RouterDigest) {
         let as_of = StoreRevision(digest.endpoints_revision);
@@ -216,16 +294,14 @@
         self.apply_reports(now);
         self.update_reader_role(now);
         self.fetch_if_behind(now);
+        self.update_list_status(now);
         self.first_list
             .record(now, self.shared.endpoints_revision());
         let digest = self.digest(now).encode_to_vec();
         for address in self.receivers(now, digest.len()) {
-            let target = SocketAddr::new(address, self.plan.listen.port());
-            self.shared.link.sent(digest.len());
-            if let Err(fault) = self.socket.send_to(&digest, target).await {
-                spdlog::debug!("peers: router={target} step=send fault=\"{fault}\"");
-            }
+            self.send_bytes(address, &digest).await;
         }
+        self.tell_of_streams(now).await;
     }
 
     /// Passes the other routers' reports to the decision core.
@@ -255,6 +331,11 @@
             || self.round.is_multiple_of(ADDRESS_ROUNDS);
         let passes_on = self.peers.heard.len() > SMALL_FLEET;
         let reports_list = self.reports_list(now);
+        let begun = if self.live(now).len() <= SMALL_FLEET {
+            origin_exchange::take_untold(&self.shared, now)
+        } else {
+            Vec::new()
+        };
         let mut core = self.shared.core();
         let crashes = core.quarantine.report(now);
         let turned_away = core.shares.turned_away_per_s(now);
@@ -285,6 +366,8 @@
             announced_leaving,
             sightings: passes_on.then(|| self.peers.sightings.to_pass_on(now)),
             listed: listed.unwrap_or_default(),
+            begun: BegunStreams::group(&begun),
+            mixed: origin_exchange::mixed_entries(&core.versions.to_report(now)),
             ..RouterDigest::default()
         }
         .with_crash_report(&crashes)
--- /dev/null
+++ b/src/gateway/origin_exchange.rs
@@ -0,0 +1,147 @@
+//! Messages in which routers tell and ask each other where streams began; the socket is
+//! [`super::gossip`]'s.
+
+use std::collections::BTreeMap;
+use std::net::IpAddr;
+
+use crate::units::Moment;
+
+use super::decide::stream_origins::StreamNumber;
+use super::decide::stream_origins::StreamStart;
+use super::decide::stream_origins::holders;
+use super::decide::version_history::MixedService;
+use super::digest::BegunStreams;
+use super::digest::MixedEntry;
+use super::digest::RouterDigest;
+use super::shared::SharedState;
+
+/// Routers that are told where a stream began, in a fleet in which not all are. One may be killed
+/// together with the router that began the stream.
+const TOLD_ROUTERS: usize = 2;
+
+/// Routers that are asked for a stream in such a fleet: those that were told, also if the two routers
+/// know different fleets by one, and the one that began it if it counts itself in.
+const ASKED_ROUTERS: usize = 3;
+
+/// Maximum number of streams told in one round: 2 KB. When a release begins, all running streams
+/// are to be told.
+const MAX_TOLD_PER_ROUND: usize = 256;
+
+/// Maximum number of streams in a question that are answered: 8 KB of an answer.
+const MAX_ASKED: usize = 1_024;
+
+/// A message and its receiver.
+pub type AddressedDigest = (IpAddr, RouterDigest);
+
+/// Takes the streams that are to be told in this round.
+pub fn take_untold(shared: &SharedState, now: Moment) -> Vec<(StreamNumber, StreamStart)> {
+    let mut core = shared.core();
+    let core = &mut *core;
+    core.origins
+        .take_untold(now, &core.versions, MAX_TOLD_PER_ROUND)
+}
+
+/// Returns the messages that tell of streams in a fleet in which not all routers are told.
+#[must_use]
+pub fn tell_holders(
+    routers: &[IpAddr],
+    begun: Vec<(StreamNumber, StreamStart)>,
+) -> Vec<AddressedDigest> {
+    let mut told: BTreeMap<IpAddr, Vec<(StreamNumber, StreamStart)>> = BTreeMap::new();
+    for (stream, start) in begun {
+        for holder in holders(routers, stream, TOLD_ROUTERS) {
+            told.entry(holder)
+                .or_default()
+                .push((stream, start.clone()));
+        }
+    }
+    let messages = told.into_iter().map(|(holder, begun)| {
+        let begun = BegunStreams::group(&begun);
+        let message = RouterDigest {
+            begun,
+            ..RouterDigest::default()
+        };
+        (holder, message)
+    });
+    messages.collect()
+}
+
+/// Returns the questions that were not sent yet; `asks_all` in a fleet in which all routers are told.
+#[must_use]
+pub fn take_questions(
+    shared: &SharedState,
+    routers: &[IpAddr],
+    asks_all: bool,
+) -> Vec<AddressedDigest> {
+    let count = if asks_all {
+        routers.len()
+    } else {
+        ASKED_ROUTERS
+    };
+    let mut asked: BTreeMap<IpAddr, Vec<u64>> = BTreeMap::new();
+    for stream in shared.lookups.unsent() {
+        let receivers = holders(routers, stream, count);
+        shared.lookups.sent(stream, receivers.len());
+        for receiver in receivers {
+            asked.entry(receiver).or_default().push(stream.0);
+        }
+    }
+    let messages = asked.into_iter().map(|(receiver, asked_streams)| {
+        let message = RouterDigest {
+            asked_streams,
+            ..RouterDigest::default()
+        };
+        (receiver, message)
+    });
+    messages.collect()
+}
+
+/// Applies what a message tells of streams, and returns the answer to its questions if it has any.
+pub fn apply(shared: &SharedState, now: Moment, digest: &RouterDigest) -> Option<RouterDigest> {
+    let mixed: Vec<_> = digest.mixed.iter().map(MixedEntry::decode).collect();
+    {
+        let mut core = shared.core();
+        core.versions.apply_report(now, &mixed);
+        for group in &digest.begun {
+            let start = group.start();
+            for stream in group.streams() {
+                core.origins.record(now, stream, start.clone());
+            }
+        }
+    }
+    for group in &digest.begun {
+        let start = group.start();
+        for stream in group.streams() {
+            shared.lookups.found(stream, &start);
+        }
+    }
+    for stream in &digest.unknown_streams {
+        shared.lookups.not_found(StreamNumber(*stream));
+    }
+    let has_questions = !digest.asked_streams.is_empty();
+    has_questions.then(|| answer(shared, now, &digest.asked_streams))
+}
+
+fn answer(shared: &SharedState, now: Moment, asked: &[u64]) -> RouterDigest {
+    let core = shared.core();
+    let mut known = Vec::new();
+    let mut unknown_streams = Vec::new();
+    for stream in asked.iter().copied().take(MAX_ASKED).map(StreamNumber) {
+        match core.origins.find(stream) {
+            Some(start) => known.push((stream, start.clone())),
+            None => unknown_streams.push(stream.0),
+        }
+    }
+    RouterDigest {
+        begun: BegunStreams::group(&known),
+        mixed: mixed_entries(&core.versions.to_report(now)),
+        unknown_streams,
+        ..RouterDigest::default()
+    }
+}
+
+/// Encodes mixed services.
+#[must_use]
+pub fn mixed_entries(mixed: &[MixedService]) -> Vec<MixedEntry> {
+    mixed.iter().map(MixedEntry::of).collect()
+}
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -25,6 +25,7 @@
 use super::reply::ReplyFraming;
 use super::reply::caller_head;
 use super::reply::push_chunk;
+use super::resume::stream_number;
 
 /// Silence in the middle of a stream after which its connection counts as dead. Callers give up a
 /// stream after a silence of 2 s or more, so another endpoint must continue it before that; a
@@ -143,7 +144,13 @@
             has_output = true;
             record_stream_part(traffic, call, ticket, before);
             let now = traffic.shared.clock.now();
-            traffic.shared.core().first_output(now, ticket);
+            let mut core = traffic.shared.core();
+            core.first_output(now, ticket);
+            if !call.head_sent {
+                let software = &ticket.entry.software;
+                core.origins
+                    .begin(now, stream_number(call), &call.service, software);
+            }
         }
         let ends = start.decoder.is_complete();
         if ends && call.splitter.is_inside_event() {
--- /dev/null
+++ b/src/gateway/resume.rs
@@ -0,0 +1,93 @@
+//! Finds out where a stream began that a caller resumes, before the first attempt of its call.
+
+use tokio::time::Instant;
+
+use super::call_state::CallState;
+use super::call_state::StreamOrigin;
+use super::decide::stream_origins::Location;
+use super::decide::stream_origins::StreamNumber;
+use super::decide::stream_origins::StreamOrigins;
+use super::decide::stream_origins::StreamStart;
+use super::decide::version_history::ServiceNumber;
+use super::front::TrafficState;
+use super::protocol::CallProtocol;
+
+/// Returns the number under which the stream of a call is recorded: that of the call that brought its
+/// first event.
+#[must_use]
+pub fn stream_number(call: &CallState) -> StreamNumber {
+    let begun_by = call.facts.resumes.as_ref().unwrap_or(&call.facts.call_id);
+    StreamNumber::of(begun_by, call.team.as_ref())
+}
+
+/// Sets the origin of a call's stream, and the service at which it began if the route still names it.
+/// Other routers are asked if this one can't know it.
+pub async fn find_origin<P: CallProtocol>(traffic: &TrafficState<P>, call: &mut CallState) {
+    let Some(last_event) = call.facts.last_event.filter(|_| call.route.streams) else {
+        return;
+    };
+    let asked = Instant::now();
+    let stream = call.facts.resumes.is_some().then(|| stream_number(call));
+    let (location, source) = match (locate(traffic, call, stream), stream) {
+        (Location::Ask, Some(stream)) => (locate_asked(traffic, call, stream).await, "routers"),
+        (location, _) => (location, "here"),
+    };
+    let known_by = known_by(&location, source);
+    call.origin = match location {
+        Location::Recorded(start) => recorded_origin(call, start),
+        Location::OnlyVersion(software) => StreamOrigin::At(software),
+        Location::Ask | Location::Unknown => StreamOrigin::Unknown,
+    };
+    spdlog::info!(
+        "calls: id={} takes up resumes={} last_event={last_event} began_at={} known_by={known_by} \
+         after_ms={}",
+        call.facts.call_id,
+        call.facts.resumes.as_deref().unwrap_or("-"),
+        call.origin,
+        asked.elapsed().as_millis(),
+    );
+}
+
+fn known_by(location: &Location, source: &'static str) -> &'static str {
+    match (location, source) {
+        (Location::Recorded(_), "routers") => "routers",
+        (Location::Recorded(_), _) => "record",
+        (Location::OnlyVersion(_), _) => "only_version",
+        (Location::Ask | Location::Unknown, _) => "nobody",
+    }
+}
+
+fn locate<P: CallProtocol>(
+    traffic: &TrafficState<P>,
+    call: &CallState,
+    stream: Option<StreamNumber>,
+) -> Location {
+    let shared = &traffic.shared;
+    let (now, list) = (shared.clock.now(), shared.list_status());
+    let core = shared.core();
+    core.origins
+        .locate(now, &core.versions, &call.service, stream, list)
+}
+
+async fn locate_asked<P: CallProtocol>(
+    traffic: &TrafficState<P>,
+    call: &CallState,
+    stream: StreamNumber,
+) -> Location {
+    let shared = &traffic.shared;
+    let answers = shared.lookups.ask(stream).await;
+    let now = shared.clock.now();
+    let core = shared.core();
+    StreamOrigins::locate_asked(now, &core.versions, &call.service, answers)
+}
+
+/// Returns the origin of a recorded stream and sets the call's service to the one at which it began.
+/// If the route doesn't name that service any more, the stream doesn't go on anywhere.
+fn recorded_origin(call: &mut CallState, start: StreamStart) -> StreamOrigin {
+    let mut services = call.route.split.iter().map(|(service, _)| service);
+    let Some(service) = services.find(|service| ServiceNumber::of(service) == start.service) else {
+        return StreamOrigin::Unknown;
+    };
+    call.service = service.clone();
+    StreamOrigin::At(start.software)
+}
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -18,6 +18,7 @@
 
 use super::config::GatewayConfig;
 use super::decide::GatewayCore;
+use super::decide::stream_origins::ListStatus;
 use super::endpoint_list::EndpointList;
 use super::endpoint_list::EndpointListMessage;
 use super::endpoint_list::RegisteredEndpoints;
@@ -26,6 +27,7 @@
 use super::freshness;
 use super::link::LinkMeter;
 use super::metrics::GatewayMetrics;
+use super::origin_lookup::OriginLookups;
 use super::protocol::EndpointAnnouncement;
 use super::routes::EndpointEntry;
 use super::routes::RouteTable;
@@ -105,12 +107,16 @@
     pub shutdown_stages: ShutdownStages,
     /// Counters and histograms.
     pub metrics: GatewayMetrics,
+    /// Questions to other routers where streams began.
+    pub lookups: OriginLookups,
     /// Traffic of this process on its host's link.
     pub link: Arc<LinkMeter>,
     in_flight: AtomicUsize,
     body_bytes: AtomicUsize,
     fetching: AtomicBool,
     overloaded: AtomicBool,
+    /// True if the endpoint list is as new as those of others, see [`ListStatus::Latest`].
+    has_latest_list: AtomicBool,
 }
 
 impl SharedState {
@@ -129,11 +135,13 @@
             config,
             shutdown_stages: ShutdownStages::new(),
             metrics,
+            lookups: OriginLookups::default(),
             link: Arc::default(),
             in_flight: AtomicUsize::new(0),
             body_bytes: AtomicUsize::new(0),
             fetching: AtomicBool::new(false),
             overloaded: AtomicBool::new(false),
+            has_latest_list: AtomicBool::new(false),
         }
     }
 
@@ -363,6 +371,22 @@
         self.fetching.store(fetching, Ordering::Relaxed);
     }
 
+    /// Returns whether the endpoint list can lack a software version that another router uses.
+    #[must_use]
+    pub fn list_status(&self) -> ListStatus {
+        if self.has_latest_list.load(Ordering::Relaxed) {
+            ListStatus::Latest
+        } else {
+            ListStatus::MaybeOutdated
+        }
+    }
+
+    /// Sets what [`Self::list_status`] returns.
+    pub fn set_list_status(&self, status: ListStatus) {
+        let is_latest = status == ListStatus::Latest;
+        self.has_latest_list.store(is_latest, Ordering::Relaxed);
+    }
+
     /// Counts a call as in flight until the guard is dropped.
     pub fn begin_call(self: &Arc<Self>) -> CallGuard {
         self.in_flight.fetch_add(1, Ordering::Relaxed);
