Engines fetch prompt parts from engines of their own software version only

The holder is now looked for among the engines of the same version.

parts_are_fetched_from_engines_of_the_same_version_only failed before. No caller reported it.

--- a/src/gateway/decide/placement.rs
+++ b/src/gateway/decide/placement.rs
@@ -6,6 +6,7 @@
 //! nothing there. Every router ranks endpoints for a part in the same way (rendezvous hashing), so
 //! that the part stays in few caches without coordination between routers.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use smol_str::SmolStr;
@@ -18,6 +19,7 @@
 use super::super::protocol::PromptShape;
 use super::super::routes::EndpointKey;
 use super::super::routes::EngineShape;
+use super::super::routes::SoftwareVersion;
 use super::endpoints::EndpointRow;
 
 /// Assumed probability that the first and second endpoint in a part's rendezvous order, its
@@ -186,7 +188,7 @@
     }
 }
 
-/// The engine that is expected to cache most tokens of a prompt's shared parts.
+/// The engine of a software version that is expected to cache most tokens of a prompt's shared parts.
 ///
 /// Another engine can fetch a part from there in the time of the transfer, a seventh of the time to
 /// prefill it, so that a request can go to the engine with the shortest queue wherever its parts
@@ -200,17 +202,31 @@
 }
 
 impl<'a> PartHolder<'a> {
-    fn of(rows: &[(&'a EndpointRow, PrefillWork)], engine: Option<EngineShape>) -> Option<Self> {
-        let ms_per_token = engine?.fetch_ms_per_token()?;
-        let most = rows
-            .iter()
-            .max_by(|(_, left), (_, right)| left.cached.total_cmp(&right.cached))?;
-        let (row, PrefillWork { cached, .. }) = *most;
-        (cached >= LEAST_FETCH).then_some(Self {
-            row,
-            cached,
-            ms_per_token,
-        })
+    /// Returns the holder among the engines of each software version.
+    ///
+    /// Guards against an engine that goes on from the memory of another version: what two versions
+    /// write doesn't fit together, and engines don't check it.
+    fn by_version(
+        rows: &[(&'a EndpointRow, PrefillWork)],
+        engine: Option<EngineShape>,
+    ) -> BTreeMap<&'a SoftwareVersion, Self> {
+        let mut holders: BTreeMap<&SoftwareVersion, Self> = BTreeMap::new();
+        let Some(ms_per_token) = engine.and_then(|shape| shape.fetch_ms_per_token()) else {
+            return holders;
+        };
+        for (row, PrefillWork { cached, .. }) in rows {
+            let holder = Self {
+                row,
+                cached: *cached,
+                ms_per_token,
+            };
+            let known = holders.entry(&row.entry.software).or_insert(holder);
+            if holder.cached >= known.cached {
+                *known = holder;
+            }
+        }
+        holders.retain(|_, holder| holder.cached >= LEAST_FETCH);
+        holders
     }
 
     /// Returns what an engine with this prefill work would fetch; `None` if a fetch is not worth
@@ -298,9 +314,10 @@
         .into_iter()
         .map(|row| (row, work_of(row).unwrap_or_default()))
         .collect();
-    let holder = PartHolder::of(&candidates, request.engine);
+    let holders = PartHolder::by_version(&candidates, request.engine);
     let mut best: Option<(f64, Placement)> = None;
     for (row, mut work) in candidates {
+        let holder = holders.get(&row.entry.software);
         let fetch = holder.and_then(|holder| holder.fetch(row, work));
         let fetched = fetch.map_or(0.0, |fetch| fetch.tokens);
         let fetch_ms = fetch.map_or(0.0, |fetch| fetch.ms);
--- a/tests/gateway_versions.rs
+++ b/tests/gateway_versions.rs
@@ -11,6 +11,7 @@
 use verbenaturn::gateway::decide::GatewayCore;
 use verbenaturn::gateway::decide::RefusalCause;
 use verbenaturn::gateway::decide::shares::ShareStanding;
+use verbenaturn::gateway::link::LinkSpeed;
 use verbenaturn::gateway::routes::EndpointEntry;
 use verbenaturn::gateway::routes::EndpointKey;
 use verbenaturn::gateway::routes::EndpointState;
@@ -66,6 +67,40 @@
     }
 }
 
+/// Guards against an engine that goes on from the memory of another software version: the engine
+/// with a prompt's shared part cached is full, and the one that gets the request would fetch it.
+#[test]
+fn parts_are_fetched_from_engines_of_the_same_version_only() {
+    let mut entries = two_versions();
+    for (index, entry) in entries.values_mut().enumerate() {
+        entry.address = format!("127.0.0.1:{}", 1_000 + index).parse().unwrap();
+    }
+    let version_at = |address| {
+        let mut entries = entries.values();
+        let entry = entries.find(|entry| entry.address == address);
+        entry.unwrap().software.clone()
+    };
+    let mut shape = engine_service();
+    let engine = shape.engine.as_mut().unwrap();
+    engine.token_bytes = 100_000;
+    engine.memory_link = Some(LinkSpeed(100_000.0));
+    let (route, service, team) = (route("r", 800), service(), nadi());
+    let mut core = router_with(&entries);
+    let mut fetches = 0;
+    for part in 0..200 {
+        let prompt = prompt(part % 3, 5_000, 100);
+        let call = ask(&route, &service, &shape, &team, &prompt);
+        let Admission::Send(ticket) = core.admit(ms(part), &call, ShareStanding::Within) else {
+            continue;
+        };
+        if let Some(holder) = ticket.fetch_from {
+            fetches += 1;
+            assert_eq!(version_at(holder), ticket.entry.software);
+        }
+    }
+    assert!(fetches > 5, "{fetches}");
+}
+
 /// An engine whose entry states no version may have any.
 #[test]
 fn a_stream_does_not_go_on_at_an_engine_of_unknown_version() {
