Gossip: messages that tell of streams have a file of their own

Pure moves but for one line: the streams to tell are taken once a round, not at two places, and a router that hears nobody keeps them for the first round in which somebody is there.

--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -25,7 +25,8 @@
 use super::decide::departures::FirstList;
 use super::decide::endpoints::EndpointRow;
 use super::decide::stream_origins::ListStatus;
-use super::digest::BegunStreams;
+use super::decide::stream_origins::StreamNumber;
+use super::decide::stream_origins::StreamStart;
 use super::digest::DemandColumns;
 use super::digest::LoadEntry;
 use super::digest::RouterDigest;
@@ -38,6 +39,7 @@
 use super::peer_table::PeerTable;
 use super::readers::ReaderElection;
 use super::shared::SharedState;
+use super::stream_messages::BegunStreams;
 
 /// Number of routers up to which all of them receive a message in each round. In a larger fleet
 /// each router sends to a part of the others, so that its cost stays constant.
@@ -230,14 +232,9 @@
         }
     }
 
-    /// Tells other routers of streams that began, in a fleet in which a digest doesn't reach all.
-    async fn tell_of_streams(&self, now: Moment) {
-        let live = self.live(now);
-        if live.len() <= SMALL_FLEET {
-            return;
-        }
-        let begun = origin_exchange::take_untold(&self.shared, now);
-        for (address, message) in origin_exchange::tell_holders(&live, begun) {
+    /// Tells some of the other routers of streams that began.
+    async fn tell_holders(&self, live: &[IpAddr], begun: &[(StreamNumber, StreamStart)]) {
+        for (address, message) in origin_exchange::tell_holders(live, begun) {
             self.send(address, &message).await;
         }
     }
@@ -297,11 +294,21 @@
         self.update_list_status(now);
         self.first_list
             .record(now, self.shared.endpoints_revision());
-        let digest = self.digest(now).encode_to_vec();
+        let live = self.live(now);
+        let begun = if live.is_empty() {
+            Vec::new()
+        } else {
+            origin_exchange::take_untold(&self.shared, now)
+        };
+        let tells_all = live.len() <= SMALL_FLEET;
+        let told = if tells_all { &begun[..] } else { &[] };
+        let digest = self.digest(now, told).encode_to_vec();
         for address in self.receivers(now, digest.len()) {
             self.send_bytes(address, &digest).await;
         }
-        self.tell_of_streams(now).await;
+        if !tells_all {
+            self.tell_holders(&live, &begun).await;
+        }
     }
 
     /// Passes the other routers' reports to the decision core.
@@ -323,7 +330,7 @@
     }
 
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    fn digest(&self, now: Moment) -> RouterDigest {
+    fn digest(&self, now: Moment, begun: &[(StreamNumber, StreamStart)]) -> RouterDigest {
         let endpoints_revision = self.shared.endpoints_revision().0;
         let routes_version = self.shared.routes().map_or(0, |table| table.version);
         let lists_routers = self.round < STARTUP_ROUNDS
@@ -331,11 +338,6 @@
             || self.round.is_multiple_of(ADDRESS_ROUNDS);
         let passes_on = self.peers.heard.len() > SMALL_FLEET;
         let reports_list = self.reports_list(now);
-        let begun = if self.live(now).len() <= SMALL_FLEET {
-            origin_exchange::take_untold(&self.shared, now)
-        } else {
-            Vec::new()
-        };
         let mut core = self.shared.core();
         let crashes = core.quarantine.report(now);
         let turned_away = core.shares.turned_away_per_s(now);
@@ -366,7 +368,7 @@
             announced_leaving,
             sightings: passes_on.then(|| self.peers.sightings.to_pass_on(now)),
             listed: listed.unwrap_or_default(),
-            begun: BegunStreams::group(&begun),
+            begun: BegunStreams::group(begun),
             mixed: origin_exchange::mixed_entries(&core.versions.to_report(now)),
             ..RouterDigest::default()
         }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -49,3 +49,4 @@
 pub mod routes;
 pub mod shared;
 pub mod sightings;
+pub mod stream_messages;
--- a/src/gateway/origin_exchange.rs
+++ b/src/gateway/origin_exchange.rs
@@ -10,10 +10,10 @@
 use super::decide::stream_origins::StreamStart;
 use super::decide::stream_origins::holders;
 use super::decide::version_history::MixedService;
-use super::digest::BegunStreams;
-use super::digest::MixedEntry;
 use super::digest::RouterDigest;
 use super::shared::SharedState;
+use super::stream_messages::BegunStreams;
+use super::stream_messages::MixedEntry;
 
 /// Routers that are told where a stream began, in a fleet in which not all are. One may be killed
 /// together with the router that began the stream.
@@ -45,14 +45,14 @@
 #[must_use]
 pub fn tell_holders(
     routers: &[IpAddr],
-    begun: Vec<(StreamNumber, StreamStart)>,
+    begun: &[(StreamNumber, StreamStart)],
 ) -> Vec<AddressedDigest> {
     let mut told: BTreeMap<IpAddr, Vec<(StreamNumber, StreamStart)>> = BTreeMap::new();
     for (stream, start) in begun {
-        for holder in holders(routers, stream, TOLD_ROUTERS) {
+        for holder in holders(routers, *stream, TOLD_ROUTERS) {
             told.entry(holder)
                 .or_default()
-                .push((stream, start.clone()));
+                .push((*stream, start.clone()));
         }
     }
     let messages = told.into_iter().map(|(holder, begun)| {
--- a/tests/gateway_stream_origins.rs
+++ b/tests/gateway_stream_origins.rs
@@ -18,12 +18,12 @@
 use verbenaturn::gateway::decide::stream_origins::holders;
 use verbenaturn::gateway::decide::version_history::ServiceNumber;
 use verbenaturn::gateway::decide::version_history::VersionHistory;
-use verbenaturn::gateway::digest::BegunStreams;
 use verbenaturn::gateway::digest::RouterDigest;
 use verbenaturn::gateway::origin_exchange::tell_holders;
 use verbenaturn::gateway::peer_table::PeerTable;
 use verbenaturn::gateway::routes::ServiceKey;
 use verbenaturn::gateway::routes::SoftwareVersion;
+use verbenaturn::gateway::stream_messages::BegunStreams;
 use verbenaturn::units::TimeSpan;
 
 use crate::engines::ms;
@@ -243,7 +243,7 @@
     };
     assert!(peers.take(ms(1), router(1), digest));
     let begun = vec![(stream("x"), start("a"))];
-    for (_, message) in tell_holders(&[router(2)], begun) {
+    for (_, message) in tell_holders(&[router(2)], &begun) {
         assert!(message.is_stream_message());
         assert!(!peers.take(ms(2), router(1), message));
     }
@@ -258,7 +258,7 @@
     let begun: Vec<_> = (0..5)
         .map(|id| (StreamNumber(id * 7_919), start("v1.12.3")))
         .collect();
-    let messages = tell_holders(&fleet, begun.clone());
+    let messages = tell_holders(&fleet, &begun);
     assert_eq!(messages.len(), 10);
     for (_, message) in &messages {
         assert!(message.encoded_len() <= 32, "{}", message.encoded_len());
