Gateway: logs tell the shared parts of lost requests, and which answer cleared a suspect

Lines on lost attempts and on calls without an endpoint's answer now carry parts=, and a cleared suspect the status of its answer. Nothing that is decided changes.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -69,14 +69,14 @@
 }
 
 impl AttemptOutcome {
-    /// Returns true if the endpoint ran the request to its end and proves that it answered. Streams
-    /// are passed on only with proof.
+    /// Returns the status of an answer if the endpoint ran the request to its end and proves that it
+    /// answered. Streams are passed on only with proof.
     #[must_use]
-    pub fn is_proven_answer(&self) -> bool {
+    pub fn proven_status(&self) -> Option<u16> {
         match self {
-            Self::Delivered(_) => true,
-            Self::Answer(answer) => answer.is_proven,
-            Self::NotRun(_) | Self::Broken(_) | Self::CallerLeft | Self::TimeUp => false,
+            Self::Delivered(status) => Some(*status),
+            Self::Answer(answer) => answer.is_proven.then_some(answer.head.status),
+            Self::NotRun(_) | Self::Broken(_) | Self::CallerLeft | Self::TimeUp => None,
         }
     }
 
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -277,10 +277,10 @@
     outcome: AttemptOutcome,
 ) -> Option<CallEnd> {
     call.tried.push(endpoint);
-    if outcome.is_proven_answer() {
+    if let Some(status) = outcome.proven_status() {
         let now = traffic.shared.clock.now();
         let mut core = traffic.shared.core();
-        core.quarantine.record_answer(now, call.fingerprint);
+        core.quarantine.record_answer(now, call.fingerprint, status);
         if call.head_sent {
             core.origins.end(stream_number(call));
         }
--- a/src/gateway/call_record.rs
+++ b/src/gateway/call_record.rs
@@ -10,6 +10,7 @@
 use super::decide::AttemptTicket;
 use super::front::TrafficState;
 use super::protocol::CallProtocol;
+use super::protocol::PartIds;
 
 /// The figures behind a call's last placement or refusal, for its log line.
 #[derive(Debug, Clone, Copy, Default)]
@@ -77,10 +78,10 @@
     {
         traffic.shared.core().record_unserved(team);
     }
-    let fingerprint = match end {
-        CallEnd::Answered(_) => SmolStr::new_static("-"),
+    let (fingerprint, parts) = match end {
+        CallEnd::Answered(_) => (SmolStr::new_static("-"), PartIds::default()),
         CallEnd::Own(..) | CallEnd::Cut(_) | CallEnd::CallerLeft => {
-            format_smolstr!("{}", call.fingerprint)
+            (format_smolstr!("{}", call.fingerprint), PartIds::of(prompt))
         }
     };
     let DecisionFacts {
@@ -95,7 +96,7 @@
          tries={} status={status} cause=\"{cause}\" first_ms={first} total_ms={} \
          objective_ms={} standing={standing} predicted_ms={predicted_ms:.0} queued={queued:.0} \
          prompt={} uncached={uncached:.0} reread={reread:.0} fingerprint={fingerprint} \
-         software={} began_at={} resumes={}",
+         parts={parts} software={} began_at={} resumes={}",
         call.facts.call_id,
         call.route.name,
         call.sends,
--- a/src/gateway/decide/attempts.rs
+++ b/src/gateway/decide/attempts.rs
@@ -7,6 +7,7 @@
 use crate::units::Moment;
 use crate::units::RequestFingerprint;
 
+use super::super::protocol::PartIds;
 use super::super::routes::EndpointEntry;
 use super::core::GatewayCore;
 use super::health::ActivityClock;
@@ -38,6 +39,8 @@
     pub queued: f64,
     /// Hash of the request's content.
     pub(super) fingerprint: RequestFingerprint,
+    /// Shared parts of the request's prompt.
+    pub(super) parts: PartIds,
     pub(super) placed_at: Moment,
     /// True until the first output or the end of the attempt.
     pub(super) is_prefilling: bool,
@@ -189,11 +192,13 @@
     /// Records a lost attempt for the quarantine, unless its endpoint was leaving.
     fn record_lost_attempt(&mut self, now: Moment, ticket: &AttemptTicket) {
         let (entry, fingerprint) = (&ticket.entry, ticket.fingerprint);
+        let parts = &ticket.parts;
         let is_explained = self.quarantine.explains_loss(entry, ticket.silent_since());
         if is_explained {
-            self.quarantine.record_crashed(now, entry, fingerprint);
+            self.quarantine
+                .record_crashed(now, entry, fingerprint, parts);
         } else if self.endpoints.is_in_service(entry) {
-            self.quarantine.record_lost(now, entry, fingerprint);
+            self.quarantine.record_lost(now, entry, fingerprint, parts);
         }
     }
 }
--- a/src/gateway/decide/core.rs
+++ b/src/gateway/decide/core.rs
@@ -9,6 +9,7 @@
 use crate::units::TimeSpan;
 
 use super::super::config::GatewayConfig;
+use super::super::protocol::PartIds;
 use super::super::protocol::PromptShape;
 use super::super::routes::EndpointEntry;
 use super::super::routes::EndpointKey;
@@ -529,7 +530,7 @@
                 self.accounts.send(team, tokens);
                 self.shares.serve(now, team, tokens);
             }
-            for part in placement::shared_parts(prompt) {
+            for part in prompt.shared_parts() {
                 row.parts.insert(part.id, now);
             }
         }
@@ -541,6 +542,7 @@
             reread: placement.reread,
             queued: row.total_pending(),
             fingerprint: request.fingerprint,
+            parts: PartIds::of(request.prompt),
             placed_at: now,
             is_prefilling: true,
             last_activity: row.health.last_activity.clone(),
--- a/src/gateway/decide/placement.rs
+++ b/src/gateway/decide/placement.rs
@@ -15,7 +15,6 @@
 use crate::units::Moment;
 use crate::units::TimeSpan;
 
-use super::super::protocol::PromptPart;
 use super::super::protocol::PromptShape;
 use super::super::routes::EndpointKey;
 use super::super::routes::EngineShape;
@@ -111,13 +110,6 @@
     pub fetch_from: Option<SocketAddr>,
 }
 
-/// Parts of a prompt that other requests may share: all but the last.
-#[must_use]
-pub fn shared_parts(prompt: &PromptShape) -> &[PromptPart] {
-    let shared = prompt.parts.len().saturating_sub(1);
-    &prompt.parts[..shared]
-}
-
 /// Returns the endpoint's hash for a part; the largest comes first in the rendezvous order.
 fn rank_of(row: &EndpointRow, part: u64) -> u64 {
     xxh3_64_with_seed(&row.hash.to_le_bytes(), part)
@@ -297,7 +289,10 @@
     now: Moment,
 ) -> Option<Placement> {
     let usable = usable_rows(rows, request.tried, now);
-    let shared = request.prompt.map(shared_parts).unwrap_or_default();
+    let shared = request
+        .prompt
+        .map(PromptShape::shared_parts)
+        .unwrap_or_default();
     let homes: Vec<HomeRanks> = shared
         .iter()
         .map(|part| HomeRanks::of(&usable, part.id))
--- a/src/gateway/decide/quarantine.rs
+++ b/src/gateway/decide/quarantine.rs
@@ -20,6 +20,7 @@
 use crate::units::RequestFingerprint;
 use crate::units::TimeSpan;
 
+use super::super::protocol::PartIds;
 use super::super::routes::EndpointEntry;
 use super::answered::AnsweredRequests;
 use super::crash_report::CrashReport;
@@ -125,9 +126,10 @@
         now: Moment,
         entry: &EndpointEntry,
         fingerprint: RequestFingerprint,
+        parts: &PartIds,
     ) {
         spdlog::info!(
-            "quarantine: endpoint={} fingerprint={fingerprint} lost end=unknown",
+            "quarantine: endpoint={} fingerprint={fingerprint} parts={parts} lost end=unknown",
             entry.key
         );
         self.ends
@@ -140,9 +142,10 @@
         now: Moment,
         entry: &EndpointEntry,
         fingerprint: RequestFingerprint,
+        parts: &PartIds,
     ) {
         spdlog::info!(
-            "quarantine: endpoint={} fingerprint={fingerprint} lost end=known",
+            "quarantine: endpoint={} fingerprint={fingerprint} parts={parts} lost end=known",
             entry.key
         );
         let record = self.find_or_add_record(now, endpoint_id(entry), entry.life().hash());
@@ -231,8 +234,11 @@
     }
 
     /// Clears a request that an endpoint answered whole, see [`super::answered`].
-    pub fn record_answer(&mut self, now: Moment, fingerprint: RequestFingerprint) {
+    pub fn record_answer(&mut self, now: Moment, fingerprint: RequestFingerprint, status: u16) {
         let is_accused = self.clear(fingerprint, SuspectSource::Own);
+        if is_accused {
+            spdlog::info!("quarantine: fingerprint={fingerprint} answered status={status}");
+        }
         self.answered.record_here(now, fingerprint, is_accused);
     }
 
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -1,6 +1,7 @@
 //! Interface to the deployment's protocol with callers and endpoints, which defines the meaning of
 //! headers.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -21,6 +22,33 @@
     pub tokens: u32,
 }
 
+/// Identifiers of a prompt's shared parts, in order.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct PartIds(pub Vec<u64>);
+
+impl PartIds {
+    /// The shared parts of a prompt; empty for a request without one.
+    #[must_use]
+    pub fn of(prompt: Option<&PromptShape>) -> Self {
+        let shared = prompt.map(PromptShape::shared_parts).unwrap_or_default();
+        Self(shared.iter().map(|part| part.id).collect())
+    }
+}
+
+impl fmt::Display for PartIds {
+    /// Writes the identifiers in hexadecimal, as callers send them, or `-` if there are none.
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.0.is_empty() {
+            return formatter.write_str("-");
+        }
+        for (index, part) in self.0.iter().enumerate() {
+            let comma = if index > 0 { "," } else { "" };
+            write!(formatter, "{comma}{part:x}")?;
+        }
+        Ok(())
+    }
+}
+
 /// Size and parts of a generation request.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct PromptShape {
@@ -36,6 +64,13 @@
 }
 
 impl PromptShape {
+    /// Returns the parts that other requests may share: all but the last one.
+    #[must_use]
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        let shared = self.parts.len().saturating_sub(1);
+        &self.parts[..shared]
+    }
+
     /// Expected number of generated tokens.
     #[must_use]
     pub fn expected_output(&self) -> u32 {
--- a/tests/crashing/mod.rs
+++ b/tests/crashing/mod.rs
@@ -261,7 +261,7 @@
         let now = ms(self.now);
         let core = &mut self.routers[router];
         core.ended(now, ticket, AttemptEnd::Answered);
-        core.quarantine.record_answer(now, fingerprint);
+        core.quarantine.record_answer(now, fingerprint, 200);
     }
 
     /// An engine to take the place of one that ended, under a new key.
--- a/tests/gateway_quarantine.rs
+++ b/tests/gateway_quarantine.rs
@@ -131,7 +131,7 @@
     let mut core = router();
     crash(&mut core, 1_000, CRASHING);
     crash(&mut core, 3_000, CRASHING);
-    core.quarantine.record_answer(ms(4_000), CRASHING);
+    core.quarantine.record_answer(ms(4_000), CRASHING, 200);
     crash(&mut core, 5_000, CRASHING);
     drop(sent(&mut core, ms(6_000), CRASHING));
 }
