Requests that share one part of their prompts are judged by that part when engines crash

Callers saw engine after engine end under requests that had nothing in common but one part of their prompts: after five crashes 29 to 35 more reached engines, and calls of others were cut.

Cause: a crash was counted by the hash of the whole request. The evidence was complete (losses, signs, their exchange), but each request was new to it. Class: an identity that is narrower than the fault. What is looked for sits in what requests share.

Lost requests now keep the shared parts of their prompts with the loss; a crash makes each part a suspect that no whole answer spoke for in the last thirty seconds. Whole means framed and 2xx, or an answer that went on for a second: an engine that dies when it begins to write can do neither. A part in three crashes is refused by all routers for ten minutes with the time that is left. A crash has one cause: the one that fits most crashes, of equal ones the narrowest; refused requests and parts explain their crashes, so sound parts beside them are not blamed.

Against: a list of refused callers, routes or first parts, which would refuse the sound ones; judging the last part, which belongs to one request.

--- a/examples/decisions.rs
+++ b/examples/decisions.rs
@@ -10,6 +10,7 @@
 use verbenaturn::gateway::decide::Admission;
 use verbenaturn::gateway::decide::AttemptEnd;
 use verbenaturn::gateway::decide::GatewayCore;
+use verbenaturn::gateway::protocol::PartId;
 use verbenaturn::gateway::protocol::PromptPart;
 use verbenaturn::gateway::protocol::PromptShape;
 use verbenaturn::gateway::routes::TeamKey;
@@ -30,7 +31,10 @@
 const PARTS: u64 = 300;
 
 fn prompt(round: u64) -> PromptShape {
-    let part = |id: u64, tokens: u32| PromptPart { id, tokens };
+    let part = |id: u64, tokens: u32| PromptPart {
+        id: PartId(id),
+        tokens,
+    };
     PromptShape {
         prompt_tokens: 6_000,
         output_limit: 100,
--- a/src/core/tables/crashes.rs
+++ b/src/core/tables/crashes.rs
@@ -321,6 +321,20 @@
         (until > now).then_some(until)
     }
 
+    /// The `life` of each endpoint process whose crash a request in quarantine explains.
+    #[must_use]
+    pub fn explained_lives(&self, now: Moment) -> BTreeSet<u64> {
+        let quarantined: BTreeSet<RequestFingerprint> = self
+            .quarantined(now)
+            .map(|(fingerprint, _)| fingerprint)
+            .collect();
+        let explained = self
+            .records
+            .values()
+            .filter(|record| !record.suspects.is_disjoint(&quarantined));
+        explained.map(|record| record.life).collect()
+    }
+
     /// True if a request is a suspect and must run in isolation.
     #[must_use]
     pub fn is_suspect(&self, fingerprint: RequestFingerprint) -> bool {
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -21,6 +21,7 @@
 use super::protocol::AttemptFacts;
 use super::protocol::CallProtocol;
 use super::relay;
+use super::relay::AnswerEnd;
 use super::relay::BufferedAnswer;
 use super::reply::endpoint_request;
 use super::routes::EndpointEntry;
@@ -37,7 +38,7 @@
 #[derive(Debug)]
 pub enum AttemptOutcome {
     /// The whole answer was passed on to the caller, with this status.
-    Delivered(u16),
+    Delivered(u16, AnswerEnd),
     /// A complete answer that was not passed on yet.
     Answer(BufferedAnswer),
     /// The request did not run at this endpoint.
@@ -69,13 +70,13 @@
 }
 
 impl AttemptOutcome {
-    /// Returns the status of an answer if the endpoint ran the request to its end and proves that it
-    /// answered. Streams are passed on only with proof.
+    /// Returns the status of an answer, and how its end was recognised, if the endpoint ran the
+    /// request to its end and proves that it answered. Streams are passed on only with proof.
     #[must_use]
-    pub fn proven_status(&self) -> Option<u16> {
+    pub fn proven_answer(&self) -> Option<(u16, AnswerEnd)> {
         match self {
-            Self::Delivered(status) => Some(*status),
-            Self::Answer(answer) => answer.is_proven.then_some(answer.head.status),
+            Self::Delivered(status, end) => Some((*status, *end)),
+            Self::Answer(answer) => answer.is_proven.then_some((answer.head.status, answer.end)),
             Self::NotRun(_) | Self::Broken(_) | Self::CallerLeft | Self::TimeUp => None,
         }
     }
@@ -88,7 +89,7 @@
     pub fn end(&self) -> AttemptEnd {
         match self {
             Self::Answer(answer) if answer.head.status >= 500 => AttemptEnd::Failed,
-            Self::Delivered(_) | Self::Answer(_) => AttemptEnd::Answered,
+            Self::Delivered(..) | Self::Answer(_) => AttemptEnd::Answered,
             Self::NotRun(NotRunCause::Refused) => AttemptEnd::Full,
             Self::NotRun(NotRunCause::Gone) => AttemptEnd::Gone,
             Self::NotRun(NotRunCause::NotReached | NotRunCause::OtherEndpoint) => {
@@ -187,6 +188,8 @@
     /// Whether the endpoint proves that it made the answer, see
     /// [`is_proven`](super::protocol::AnswerFacts::is_proven).
     pub is_proven: bool,
+    /// How the end of the answer will be recognised.
+    pub end: AnswerEnd,
     /// How long the connection may be idle afterwards; `None` if it can't be reused.
     pub reuse: Option<Duration>,
 }
@@ -364,6 +367,7 @@
         return Ok(AnswerStart {
             reuse: reuse_limit(&head, default_limit).filter(|_| keeps),
             is_proven: facts.is_proven,
+            end: AnswerEnd::of(framing),
             head,
             decoder,
         });
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -38,6 +38,8 @@
 use super::load::must_refuse_all;
 use super::protocol::CallFacts;
 use super::protocol::CallProtocol;
+use super::protocol::PartIds;
+use super::relay::AnswerEnd;
 use super::relay::BufferedAnswer;
 use super::reply::OwnReply;
 use super::reply::OwnStatus;
@@ -277,16 +279,20 @@
     outcome: AttemptOutcome,
 ) -> Option<CallEnd> {
     call.tried.push(endpoint);
-    if let Some(status) = outcome.proven_status() {
+    if let Some((status, end)) = outcome.proven_answer() {
         let now = traffic.shared.clock.now();
         let mut core = traffic.shared.core();
         core.quarantine.record_answer(now, call.fingerprint, status);
+        if (200..300).contains(&status) && end == AnswerEnd::Framed {
+            let parts = PartIds::of(call.facts.prompt.as_ref());
+            core.quarantine.record_part_answer(now, &parts);
+        }
         if call.head_sent {
             core.origins.end(stream_number(call));
         }
     }
     match outcome {
-        AttemptOutcome::Delivered(status) => Some(CallEnd::Answered(status)),
+        AttemptOutcome::Delivered(status, _) => Some(CallEnd::Answered(status)),
         AttemptOutcome::CallerLeft | AttemptOutcome::NotRun(NotRunCause::CallerLeft) => {
             Some(CallEnd::CallerLeft)
         }
@@ -420,7 +426,8 @@
         | RefusalCause::VersionUnknown
         | RefusalCause::Paused
         | RefusalCause::Overload
-        | RefusalCause::Quarantined => OwnStatus::Unavailable,
+        | RefusalCause::Quarantined
+        | RefusalCause::PartQuarantined => OwnStatus::Unavailable,
     };
     let wait = match cause {
         // No later try can be served: a release doesn't bring a version back.
@@ -437,7 +444,8 @@
         | RefusalCause::VersionUnknown
         | RefusalCause::Overload
         | RefusalCause::OverShare
-        | RefusalCause::Quarantined => spread(retry_after.as_duration()),
+        | RefusalCause::Quarantined
+        | RefusalCause::PartQuarantined => spread(retry_after.as_duration()),
     };
     let reply = OwnReply::with_retry_after(status, wait);
     send_own_reply(traffic, caller, call, reply, cause.label()).await
--- a/src/gateway/decide/answered.rs
+++ b/src/gateway/decide/answered.rs
@@ -1,5 +1,5 @@
-//! Requests that were answered whole recently, which therefore don't end each process that runs
-//! them.
+//! Requests that were answered whole recently, or parts of their prompts, which therefore don't end
+//! each process that runs them.
 //!
 //! Load pattern: callers of all routers send one harmless request all the time, so that it runs at
 //! several endpoints whenever endpoints crash, at several of one failure domain even at once. The
@@ -11,65 +11,72 @@
 use std::collections::BTreeSet;
 
 use crate::units::Moment;
-use crate::units::RequestFingerprint;
 use crate::units::TimeSpan;
 
-/// Time for which an answer clears a request. Signs of a crash arrive within eight seconds of it.
-const ANSWER_RETENTION: TimeSpan = TimeSpan::from_millis(10_000);
-
-/// Maximum number of requests that are remembered, about 100 KB. At 54 answers a second, as in the
-/// largest fleet that is designed for, ten seconds hold an eighth of it.
-const MAX_ANSWERED: usize = 4_096;
-
-/// Requests answered whole within `ANSWER_RETENTION`.
-#[derive(Debug, Default)]
-pub struct AnsweredRequests {
+/// Items answered whole recently: requests, or parts of prompts.
+#[derive(Debug)]
+pub struct RecentAnswers<K> {
     /// By this router.
-    here: BTreeMap<RequestFingerprint, Moment>,
+    here: BTreeMap<K, Moment>,
     /// By other routers, as they report.
-    elsewhere: BTreeMap<RequestFingerprint, Moment>,
-    /// Requests answered here that some router suspects.
-    accused: BTreeSet<RequestFingerprint>,
+    elsewhere: BTreeMap<K, Moment>,
+    /// Items answered here that some router suspects.
+    accused: BTreeSet<K>,
+    /// Time for which an answer clears an item.
+    retention: TimeSpan,
+    /// Maximum number of items that are remembered of each kind of answers.
+    most: usize,
 }
 
-impl AnsweredRequests {
-    /// Records an answer of this router. `is_accused` tells whether the request was suspected.
-    pub fn record_here(&mut self, now: Moment, fingerprint: RequestFingerprint, is_accused: bool) {
-        self.here.insert(fingerprint, now);
+impl<K: Copy + Ord> RecentAnswers<K> {
+    /// Creates a memory that keeps `most` items for `retention`.
+    #[must_use]
+    pub fn new(retention: TimeSpan, most: usize) -> Self {
+        Self {
+            here: BTreeMap::new(),
+            elsewhere: BTreeMap::new(),
+            accused: BTreeSet::new(),
+            retention,
+            most,
+        }
+    }
+
+    /// Records an answer of this router. `is_accused` tells whether the item was suspected.
+    pub fn record_here(&mut self, now: Moment, item: K, is_accused: bool) {
+        self.here.insert(item, now);
         if is_accused {
-            self.accused.insert(fingerprint);
+            self.accused.insert(item);
         }
     }
 
     /// Records an answer that another router reports. Returns false if one is known already.
-    pub fn record_elsewhere(&mut self, now: Moment, fingerprint: RequestFingerprint) -> bool {
-        self.elsewhere.insert(fingerprint, now).is_none()
+    pub fn record_elsewhere(&mut self, now: Moment, item: K) -> bool {
+        self.elsewhere.insert(item, now).is_none()
     }
 
-    /// Returns true if a request that is accused now was answered whole recently.
-    pub fn clears(&mut self, fingerprint: RequestFingerprint) -> bool {
-        if self.here.contains_key(&fingerprint) {
-            self.accused.insert(fingerprint);
+    /// Returns true if an item that is accused now was answered whole recently.
+    pub fn clears(&mut self, item: K) -> bool {
+        if self.here.contains_key(&item) {
+            self.accused.insert(item);
             return true;
         }
-        self.elsewhere.contains_key(&fingerprint)
+        self.elsewhere.contains_key(&item)
     }
 
-    /// Returns the requests to report to other routers.
+    /// Returns the items to report to other routers.
     #[must_use]
-    pub fn accused(&self) -> Vec<RequestFingerprint> {
+    pub fn accused(&self) -> Vec<K> {
         self.accused.iter().copied().collect()
     }
 
     /// Drops old answers.
     pub fn shrink(&mut self, now: Moment) {
         for answers in [&mut self.here, &mut self.elsewhere] {
-            answers.retain(|_, at| now.since(*at) < ANSWER_RETENTION);
-            while answers.len() > MAX_ANSWERED {
+            answers.retain(|_, at| now.since(*at) < self.retention);
+            while answers.len() > self.most {
                 answers.pop_first();
             }
         }
-        self.accused
-            .retain(|fingerprint| self.here.contains_key(fingerprint));
+        self.accused.retain(|item| self.here.contains_key(item));
     }
 }
--- a/src/gateway/decide/attempts.rs
+++ b/src/gateway/decide/attempts.rs
@@ -6,6 +6,7 @@
 
 use crate::units::Moment;
 use crate::units::RequestFingerprint;
+use crate::units::TimeSpan;
 
 use super::super::protocol::PartIds;
 use super::super::routes::EndpointEntry;
@@ -21,6 +22,17 @@
 /// so nothing is learned from it.
 const MIN_LEARNING_TOKENS: f64 = 2_000.0;
 
+/// Time for which an answer has to go on after its first output to show that its prompt does not crash
+/// the endpoint: a part that does so ends it when the answer begins.
+const SOUND_OUTPUT_TIME: TimeSpan = TimeSpan::from_millis(1_000);
+
+/// The time in which output arrived.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct OutputSpan {
+    first: Moment,
+    last: Moment,
+}
+
 /// An attempt that was placed at an endpoint. It must be passed to [`GatewayCore::ended`].
 #[derive(Debug)]
 pub struct AttemptTicket {
@@ -41,6 +53,8 @@
     pub(super) fingerprint: RequestFingerprint,
     /// Shared parts of the request's prompt.
     pub(super) parts: PartIds,
+    /// When the first output and the last bytes since then arrived.
+    pub(super) output: Option<OutputSpan>,
     pub(super) placed_at: Moment,
     /// True until the first output or the end of the attempt.
     pub(super) is_prefilling: bool,
@@ -61,8 +75,18 @@
     }
 
     /// Records that data arrived from the endpoint.
-    pub fn record_activity(&self, now: Moment) {
+    pub fn record_activity(&mut self, now: Moment) {
         self.last_activity.record_activity(now);
+        if let Some(output) = &mut self.output {
+            output.last = now;
+        }
+    }
+
+    /// Returns true if output went on for long enough to show that the prompt does not crash the
+    /// endpoint.
+    fn has_sound_output(&self) -> bool {
+        let output = self.output;
+        output.is_some_and(|output| output.last.since(output.first) >= SOUND_OUTPUT_TIME)
     }
 }
 
@@ -95,6 +119,10 @@
     #[allow(clippy::cast_precision_loss)]
     pub fn first_output(&mut self, now: Moment, ticket: &mut AttemptTicket) {
         self.finish_prefill(ticket);
+        ticket.output.get_or_insert(OutputSpan {
+            first: now,
+            last: now,
+        });
         let Some(row) = self.endpoints.of_attempt(&ticket.entry) else {
             return;
         };
@@ -123,6 +151,9 @@
     pub fn ended(&mut self, now: Moment, mut ticket: AttemptTicket, end: AttemptEnd) {
         let had_output = !ticket.is_prefilling;
         self.finish_prefill(&mut ticket);
+        if ticket.has_sound_output() {
+            self.quarantine.record_part_answer(now, &ticket.parts);
+        }
         // Before the row is looked up: the list may no longer have the process of a lost attempt.
         if self.is_lost(now, &ticket, end) {
             self.record_lost_attempt(now, &ticket);
--- a/src/gateway/decide/core.rs
+++ b/src/gateway/decide/core.rs
@@ -94,6 +94,8 @@
     OverShare,
     /// The request was running during several crashes of endpoints.
     Quarantined,
+    /// Requests with one of its prompt's parts were running during several crashes of endpoints.
+    PartQuarantined,
 }
 
 impl RefusalCause {
@@ -108,6 +110,7 @@
             Self::Overload => "overload",
             Self::OverShare => "over_share",
             Self::Quarantined => "quarantined",
+            Self::PartQuarantined => "part_quarantined",
         }
     }
 }
@@ -362,6 +365,14 @@
                 expected_ms: 0.0,
             };
         }
+        let parts = PartIds::of(request.prompt);
+        if let Some((_, retry_after)) = self.quarantine.refused_part(now, &parts) {
+            return Admission::Refuse {
+                cause: RefusalCause::PartQuarantined,
+                retry_after,
+                expected_ms: 0.0,
+            };
+        }
         let engine = request.shape.and_then(|shape| shape.engine);
         let Some(placement) = self.find_placement(now, request, engine) else {
             return self.refuse_without_endpoint(now, request);
@@ -504,6 +515,7 @@
         placement: &Placement,
     ) -> Admission {
         let hold_ms = self.hold_ms(request.service);
+        let parts = PartIds::of(request.prompt);
         let Some(row) = self.endpoints.get_mut(&placement.endpoint) else {
             return Admission::Refuse {
                 cause: RefusalCause::NoEndpoint,
@@ -542,7 +554,8 @@
             reread: placement.reread,
             queued: row.total_pending(),
             fingerprint: request.fingerprint,
-            parts: PartIds::of(request.prompt),
+            parts,
+            output: None,
             placed_at: now,
             is_prefilling: true,
             last_activity: row.health.last_activity.clone(),
--- a/src/gateway/decide/crash_report.rs
+++ b/src/gateway/decide/crash_report.rs
@@ -9,6 +9,8 @@
 use crate::units::RequestFingerprint;
 use crate::units::TimeSpan;
 
+use super::super::protocol::PartId;
+
 /// Maximum numbers accepted from one message: the limits on sending bind only routers that run this
 /// code, and a message could list any number.
 const MAX_RECEIVED_SUSPECTS: usize = 64;
@@ -36,6 +38,37 @@
     pub left: TimeSpan,
 }
 
+/// A part of a lost request's prompt that may have caused a crash.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PartSuspect {
+    /// Hash of the endpoint process that ended.
+    pub process: u64,
+    /// The part.
+    pub part: PartId,
+    /// Its place in the prompt, counted from 0.
+    pub place: u32,
+}
+
+/// A part that is refused since it was in too many crashes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RefusedPart {
+    /// The part.
+    pub part: PartId,
+    /// Time for which it is still refused, in whole seconds, rounded down.
+    pub left: TimeSpan,
+}
+
+/// What one router reports of prompts' parts.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct PartReport {
+    /// Suspects of recent crashes.
+    pub suspects: Vec<PartSuspect>,
+    /// Parts that are refused.
+    pub refused: Vec<RefusedPart>,
+    /// Suspects on which an endpoint has answered since.
+    pub answered: Vec<PartId>,
+}
+
 /// One router's report.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct CrashReport {
@@ -47,6 +80,8 @@
     pub refused: Vec<RefusedRequest>,
     /// Suspects that were answered whole since.
     pub answered: Vec<RequestFingerprint>,
+    /// The same of parts of prompts.
+    pub parts: PartReport,
 }
 
 impl CrashReport {
@@ -57,6 +92,9 @@
         self.ended.truncate(MAX_RECEIVED_ENDS);
         self.refused.truncate(MAX_RECEIVED_REFUSALS);
         self.answered.truncate(MAX_RECEIVED_ANSWERED);
+        self.parts.suspects.truncate(MAX_RECEIVED_SUSPECTS);
+        self.parts.refused.truncate(MAX_RECEIVED_REFUSALS);
+        self.parts.answered.truncate(MAX_RECEIVED_ANSWERED);
         self
     }
 }
--- a/src/gateway/decide/endpoints.rs
+++ b/src/gateway/decide/endpoints.rs
@@ -10,6 +10,7 @@
 
 use super::super::follow::StoreRevision;
 use super::super::protocol::EndpointAnnouncement;
+use super::super::protocol::PartId;
 use super::super::routes::EndpointEntry;
 use super::super::routes::EndpointKey;
 use super::super::routes::EndpointState;
@@ -88,7 +89,7 @@
     /// Consecutive failed connections.
     failed_connections: u32,
     /// When this router last sent each shared prompt part to the endpoint.
-    pub parts: BTreeMap<u64, Moment>,
+    pub parts: BTreeMap<PartId, Moment>,
 }
 
 impl EndpointRow {
--- a/src/gateway/decide/placement.rs
+++ b/src/gateway/decide/placement.rs
@@ -15,6 +15,7 @@
 use crate::units::Moment;
 use crate::units::TimeSpan;
 
+use super::super::protocol::PartId;
 use super::super::protocol::PromptShape;
 use super::super::routes::EndpointKey;
 use super::super::routes::EngineShape;
@@ -111,18 +112,18 @@
 }
 
 /// Returns the endpoint's hash for a part; the largest comes first in the rendezvous order.
-fn rank_of(row: &EndpointRow, part: u64) -> u64 {
-    xxh3_64_with_seed(&row.hash.to_le_bytes(), part)
+fn rank_of(row: &EndpointRow, part: PartId) -> u64 {
+    xxh3_64_with_seed(&row.hash.to_le_bytes(), part.0)
 }
 
 /// The first endpoints in a part's rendezvous order, by rank.
 struct HomeRanks {
-    part: u64,
+    part: PartId,
     best: [u64; HOME_PROBABILITIES.len()],
 }
 
 impl HomeRanks {
-    fn of(rows: &[&EndpointRow], part: u64) -> Self {
+    fn of(rows: &[&EndpointRow], part: PartId) -> Self {
         let mut best = [0; HOME_PROBABILITIES.len()];
         for row in rows {
             let mut rank = rank_of(row, part);
--- a/src/gateway/decide/process_ends.rs
+++ b/src/gateway/decide/process_ends.rs
@@ -18,13 +18,14 @@
 //! The caller of this module leaves out signs and losses of endpoints that are known to be leaving.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 
 use crate::units::EndpointId;
 use crate::units::Moment;
 use crate::units::RequestFingerprint;
 use crate::units::TimeSpan;
 
+use super::super::protocol::PartIds;
+
 /// Time for which a loss waits for a sign: the registration of a silent process ends after three
 /// heartbeats, and the list that shows it arrives within seconds of that.
 const LOSS_RETENTION: TimeSpan = TimeSpan::from_millis(8_000);
@@ -80,10 +81,20 @@
     }
 }
 
+/// A lost attempt that waits for a sign.
+#[derive(Debug)]
+struct LostAttempt {
+    at: Moment,
+    parts: PartIds,
+}
+
+/// Requests that were lost in a crash, with the parts of their prompts that are suspected of it.
+pub type LostRequests = BTreeMap<RequestFingerprint, PartIds>;
+
 #[derive(Debug, Default)]
 struct ProcessLosses {
     endpoint: EndpointId,
-    lost: BTreeMap<RequestFingerprint, Moment>,
+    lost: BTreeMap<RequestFingerprint, LostAttempt>,
     /// When this router last opened a connection to find out whether the process has ended.
     checked_at: Option<Moment>,
 }
@@ -114,11 +125,12 @@
         now: Moment,
         process: u64,
         endpoint: EndpointId,
-        fingerprint: RequestFingerprint,
+        (fingerprint, parts): (RequestFingerprint, PartIds),
     ) {
         let losses = self.losses.entry(process).or_default();
         losses.endpoint = endpoint;
-        losses.lost.insert(fingerprint, now);
+        let lost = LostAttempt { at: now, parts };
+        losses.lost.insert(fingerprint, lost);
     }
 
     /// Returns true if it should be found out whether a process has ended: losses wait for a sign,
@@ -137,12 +149,7 @@
     }
 
     /// Records a sign that a process ended. Returns the requests that were lost there.
-    pub fn record_sign(
-        &mut self,
-        now: Moment,
-        process: u64,
-        sign: EndSign,
-    ) -> BTreeSet<RequestFingerprint> {
+    pub fn record_sign(&mut self, now: Moment, process: u64, sign: EndSign) -> LostRequests {
         match sign {
             EndSign::Refused | EndSign::Replaced => {
                 self.record_end(now, process);
@@ -156,11 +163,7 @@
 
     /// Records an end that another router reports. Returns the requests that were lost there and
     /// their endpoint; none if the end was known before.
-    pub fn record_reported_end(
-        &mut self,
-        now: Moment,
-        process: u64,
-    ) -> (EndpointId, BTreeSet<RequestFingerprint>) {
+    pub fn record_reported_end(&mut self, now: Moment, process: u64) -> (EndpointId, LostRequests) {
         if !self.record_end(now, process) {
             return Default::default();
         }
@@ -183,18 +186,12 @@
         true
     }
 
-    fn take_losses(
-        &mut self,
-        now: Moment,
-        process: u64,
-    ) -> (EndpointId, BTreeSet<RequestFingerprint>) {
+    fn take_losses(&mut self, now: Moment, process: u64) -> (EndpointId, LostRequests) {
         let ProcessLosses { endpoint, lost, .. } = self.losses.remove(&process).unwrap_or_default();
         let recent = lost.into_iter();
-        let recent = recent.filter(|(_, at)| now.since(*at) <= LOSS_RETENTION);
-        (
-            endpoint,
-            recent.map(|(fingerprint, _)| fingerprint).collect(),
-        )
+        let recent = recent.filter(|(_, lost)| now.since(lost.at) <= LOSS_RETENTION);
+        let requests = recent.map(|(fingerprint, lost)| (fingerprint, lost.parts));
+        (endpoint, requests.collect())
     }
 
     /// Forgets the losses of a request that was answered whole since.
@@ -210,7 +207,9 @@
         let mut unexplained = 0;
         self.losses.retain(|_, losses| {
             let before = losses.lost.len();
-            losses.lost.retain(|_, at| now.since(*at) <= LOSS_RETENTION);
+            losses
+                .lost
+                .retain(|_, lost| now.since(lost.at) <= LOSS_RETENTION);
             unexplained += before - losses.lost.len();
             !losses.lost.is_empty()
         });
--- a/src/gateway/decide/quarantine.rs
+++ b/src/gateway/decide/quarantine.rs
@@ -5,12 +5,13 @@
 //! the endpoint's process ended ([`super::process_ends`]), it makes the request a suspect of that
 //! crash. Routers exchange what they know ([`super::crash_report`]), and all of them refuse a
 //! request that was running in three crashes, unless an endpoint answered it whole
-//! ([`super::answered`]). The limit is three because other requests run beside the one that causes
+//! ([`super::answered`]). Requests that share no more than one part of their prompts are judged by
+//! that part ([`super::part_crashes`]). The limit is three because other requests run beside the one that causes
 //! the crash: of 64 requests that were running at one crash, few are running at a second one and
 //! hardly any at a third, while each further engine lost costs the work of all its requests.
 
 use std::cmp::Reverse;
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 
 use crate::configs::quarantine::QuarantineConfig;
 use crate::core::tables::crashes::CrashEvidence;
@@ -20,14 +21,17 @@
 use crate::units::RequestFingerprint;
 use crate::units::TimeSpan;
 
+use super::super::protocol::PartId;
 use super::super::protocol::PartIds;
 use super::super::routes::EndpointEntry;
-use super::answered::AnsweredRequests;
+use super::answered::RecentAnswers;
 use super::crash_report::CrashReport;
 use super::crash_report::CrashSuspect;
 use super::crash_report::MessageTurns;
 use super::crash_report::RefusedRequest;
+use super::part_crashes::PartCrashes;
 use super::process_ends::EndSign;
+use super::process_ends::LostRequests;
 use super::process_ends::ProcessEnds;
 
 /// Crashes after which a request is refused.
@@ -51,6 +55,13 @@
 /// Maximum number of answered requests in one message, 128 bytes of it.
 const MAX_SENT_ANSWERED: usize = 16;
 
+/// Time for which an answer clears a request. Signs of a crash arrive within eight seconds of it.
+const ANSWER_RETENTION: TimeSpan = TimeSpan::from_millis(10_000);
+
+/// Maximum number of answered requests that are remembered, about 100 KB. At 54 answers a second, as
+/// in the largest fleet that is designed for, ten seconds hold an eighth of it.
+const MAX_ANSWERED: usize = 4_096;
+
 /// Crashes from which on a suspect's count is logged. Most suspects are in one crash only.
 const LOGGED_CRASHES: usize = 2;
 
@@ -78,7 +89,8 @@
     config: QuarantineConfig,
     table: CrashTable,
     ends: ProcessEnds,
-    answered: AnsweredRequests,
+    answered: RecentAnswers<RequestFingerprint>,
+    parts: PartCrashes,
     suspect_turns: MessageTurns,
     refusal_turns: MessageTurns,
     answered_turns: MessageTurns,
@@ -96,7 +108,8 @@
             config,
             table: CrashTable::default(),
             ends: ProcessEnds::default(),
-            answered: AnsweredRequests::default(),
+            answered: RecentAnswers::new(ANSWER_RETENTION, MAX_ANSWERED),
+            parts: PartCrashes::default(),
             suspect_turns: MessageTurns::default(),
             refusal_turns: MessageTurns::default(),
             answered_turns: MessageTurns::default(),
@@ -132,8 +145,9 @@
             "quarantine: endpoint={} fingerprint={fingerprint} parts={parts} lost end=unknown",
             entry.key
         );
+        let lost = (fingerprint, parts.clone());
         self.ends
-            .keep_loss(now, entry.life().hash(), endpoint_id(entry), fingerprint);
+            .keep_loss(now, entry.life().hash(), endpoint_id(entry), lost);
     }
 
     /// Records an attempt that was lost in a crash.
@@ -148,8 +162,8 @@
             "quarantine: endpoint={} fingerprint={fingerprint} parts={parts} lost end=known",
             entry.key
         );
-        let record = self.find_or_add_record(now, endpoint_id(entry), entry.life().hash());
-        self.suspect(now, record, fingerprint, SuspectSource::Own);
+        let lost = BTreeMap::from([(fingerprint, parts.clone())]);
+        self.suspect_all(now, endpoint_id(entry), entry.life().hash(), lost);
     }
 
     /// Returns true if a connection should be opened to find out whether an endpoint's process has
@@ -164,7 +178,7 @@
         let (endpoint, process) = (endpoint_id(entry), entry.life().hash());
         let losses = self.ends.record_sign(now, process, sign);
         spdlog::info!(
-            "quarantine: endpoint={} ended sign={} losses={}",
+            "quarantine: endpoint={} process={process:x} ended sign={} losses={}",
             entry.key,
             sign.label(),
             losses.len()
@@ -177,17 +191,27 @@
         now: Moment,
         endpoint: EndpointId,
         process: u64,
-        losses: BTreeSet<RequestFingerprint>,
+        losses: LostRequests,
     ) {
         if losses.is_empty() {
             return;
         }
         let record = self.find_or_add_record(now, endpoint, process);
-        for fingerprint in losses {
-            self.suspect(now, record, fingerprint, SuspectSource::Own);
+        let mut is_news = false;
+        for (fingerprint, parts) in losses {
+            is_news |= self.suspect(now, record, fingerprint, SuspectSource::Own);
+            is_news |= self.parts.suspect_all(now, process, &parts);
+        }
+        if is_news {
+            self.judge_parts(now);
         }
     }
 
+    fn judge_parts(&mut self, now: Moment) {
+        self.parts.set_explained(self.table.explained_lives(now));
+        self.parts.judge(now);
+    }
+
     /// Returns the number of the crash's record, which is added if it is missing.
     fn find_or_add_record(&mut self, now: Moment, endpoint: EndpointId, life: u64) -> u64 {
         let window = TimeSpan::from_millis(self.config.evidence_ms);
@@ -198,15 +222,16 @@
         })
     }
 
+    /// Returns true if the request is refused from now on.
     fn suspect(
         &mut self,
         now: Moment,
         record: u64,
         fingerprint: RequestFingerprint,
         source: SuspectSource,
-    ) {
+    ) -> bool {
         if self.answered.clears(fingerprint) {
-            return;
+            return false;
         }
         let before = self.table.crash_count(fingerprint);
         let was_refused = self.table.quarantined_until(fingerprint, now).is_some();
@@ -224,6 +249,7 @@
                 "quarantine: fingerprint={fingerprint} suspect crashes={crashes} source={source}"
             );
         }
+        is_refused
     }
 
     /// Returns the time for which a request is still refused; `None` if it is not refused.
@@ -233,6 +259,18 @@
         Some(until.since(now))
     }
 
+    /// Returns a refused part of a prompt, with the time for which it is still refused; `None` if it
+    /// has none.
+    #[must_use]
+    pub fn refused_part(&self, now: Moment, parts: &PartIds) -> Option<(PartId, TimeSpan)> {
+        self.parts.refused_among(now, parts)
+    }
+
+    /// Clears the parts of a prompt on which an endpoint wrote an answer without a crash.
+    pub fn record_part_answer(&mut self, now: Moment, parts: &PartIds) {
+        self.parts.record_answer(now, parts);
+    }
+
     /// Clears a request that an endpoint answered whole, see [`super::answered`].
     pub fn record_answer(&mut self, now: Moment, fingerprint: RequestFingerprint, status: u16) {
         let is_accused = self.clear(fingerprint, SuspectSource::Own);
@@ -280,6 +318,7 @@
             ended: self.ends.ends_to_send(now),
             refused: self.refusals_to_send(now),
             answered: self.answers_to_send(now),
+            parts: self.parts.report(now),
         }
     }
 
@@ -334,8 +373,12 @@
         let report = report.bounded();
         self.apply_answers(now, report.answered);
         self.apply_ends(now, report.ended);
-        self.merge_suspects(now, report.suspects);
+        let mut is_news = self.merge_suspects(now, report.suspects);
         self.adopt_refusals(now, report.refused);
+        is_news |= self.parts.apply(now, report.parts);
+        if is_news {
+            self.judge_parts(now);
+        }
     }
 
     fn apply_ends(&mut self, now: Moment, ended: Vec<u64>) {
@@ -349,11 +392,14 @@
         }
     }
 
-    fn merge_suspects(&mut self, now: Moment, suspects: Vec<CrashSuspect>) {
+    /// Returns true if one of the requests is refused from now on.
+    fn merge_suspects(&mut self, now: Moment, suspects: Vec<CrashSuspect>) -> bool {
+        let mut is_news = false;
         for suspect in suspects {
             let record = self.find_or_add_record(now, suspect.endpoint, suspect.life);
-            self.suspect(now, record, suspect.fingerprint, SuspectSource::Peer);
+            is_news |= self.suspect(now, record, suspect.fingerprint, SuspectSource::Peer);
         }
+        is_news
     }
 
     /// Returns suspects of recent crashes for the next message, in rotation, and drops old records.
--- a/src/gateway/digest.rs
+++ b/src/gateway/digest.rs
@@ -22,8 +22,12 @@
 
 use super::decide::crash_report::CrashReport;
 use super::decide::crash_report::CrashSuspect;
+use super::decide::crash_report::PartReport;
+use super::decide::crash_report::PartSuspect;
+use super::decide::crash_report::RefusedPart;
 use super::decide::crash_report::RefusedRequest;
 use super::decide::shares::TeamFlow;
+use super::protocol::PartId;
 use super::routes::TeamKey;
 use super::stream_messages::BegunStreams;
 use super::stream_messages::MixedEntry;
@@ -293,10 +297,9 @@
 
 impl RefusedEntry {
     fn of(request: &RefusedRequest) -> Self {
-        let seconds = request.left.as_millis() / 1_000;
         Self {
             fingerprint: request.fingerprint.0,
-            left_s: u32::try_from(seconds).unwrap_or(u32::MAX),
+            left_s: whole_seconds(request.left),
         }
     }
 
@@ -308,6 +311,69 @@
     }
 }
 
+/// A part of a lost request's prompt that may have caused a crash.
+#[derive(Clone, PartialEq, Message)]
+pub struct PartSuspectEntry {
+    /// Process hash of the endpoint's process that crashed.
+    #[prost(fixed64, tag = "1")]
+    pub process_hash: u64,
+    /// Identifier of the part.
+    #[prost(fixed64, tag = "2")]
+    pub part: u64,
+    /// Its place in the prompt, counted from 0.
+    #[prost(uint32, tag = "3")]
+    pub place: u32,
+}
+
+impl PartSuspectEntry {
+    fn of(suspect: &PartSuspect) -> Self {
+        Self {
+            process_hash: suspect.process,
+            part: suspect.part.0,
+            place: suspect.place,
+        }
+    }
+
+    fn decode(&self) -> PartSuspect {
+        PartSuspect {
+            process: self.process_hash,
+            part: PartId(self.part),
+            place: self.place,
+        }
+    }
+}
+
+/// A part that is refused since it was in too many crashes.
+#[derive(Clone, PartialEq, Message)]
+pub struct RefusedPartEntry {
+    /// Identifier of the part.
+    #[prost(fixed64, tag = "1")]
+    pub part: u64,
+    /// Seconds for which it is still refused, rounded down.
+    #[prost(uint32, tag = "2")]
+    pub left_s: u32,
+}
+
+impl RefusedPartEntry {
+    fn of(refused: &RefusedPart) -> Self {
+        Self {
+            part: refused.part.0,
+            left_s: whole_seconds(refused.left),
+        }
+    }
+
+    fn decode(&self) -> RefusedPart {
+        RefusedPart {
+            part: PartId(self.part),
+            left: TimeSpan::from_millis(u64::from(self.left_s) * 1_000),
+        }
+    }
+}
+
+fn whole_seconds(span: TimeSpan) -> u32 {
+    u32::try_from(span.as_millis() / 1_000).unwrap_or(u32::MAX)
+}
+
 /// The content of one gossip datagram.
 ///
 /// A message without an incarnation and a sequence number only tells of streams: fields 20 to 23.
@@ -394,6 +460,15 @@
     /// Numbers of the streams that the sender was asked for and doesn't know.
     #[prost(fixed64, repeated, tag = "23")]
     pub unknown_streams: Vec<u64>,
+    /// Parts of prompts that are suspected of recent crashes.
+    #[prost(message, repeated, tag = "24")]
+    pub part_suspects: Vec<PartSuspectEntry>,
+    /// Parts that are refused since they were in too many crashes.
+    #[prost(message, repeated, tag = "25")]
+    pub refused_parts: Vec<RefusedPartEntry>,
+    /// Identifiers of suspected parts on which an endpoint has answered since.
+    #[prost(fixed64, repeated, tag = "26")]
+    pub answered_parts: Vec<u64>,
 }
 
 impl RouterDigest {
@@ -406,11 +481,15 @@
     /// Returns this digest with a report on crashes.
     #[must_use]
     pub fn with_crash_report(self, report: &CrashReport) -> Self {
+        let parts = &report.parts;
         Self {
             suspects: report.suspects.iter().map(SuspectEntry::of).collect(),
             ended: report.ended.clone(),
             refused: report.refused.iter().map(RefusedEntry::of).collect(),
             answered: report.answered.iter().map(|request| request.0).collect(),
+            part_suspects: parts.suspects.iter().map(PartSuspectEntry::of).collect(),
+            refused_parts: parts.refused.iter().map(RefusedPartEntry::of).collect(),
+            answered_parts: parts.answered.iter().map(|part| part.0).collect(),
             ..self
         }
     }
@@ -428,6 +507,17 @@
                 .copied()
                 .map(RequestFingerprint)
                 .collect(),
+            parts: self.part_report(),
+        }
+    }
+
+    fn part_report(&self) -> PartReport {
+        let suspects = self.part_suspects.iter().map(PartSuspectEntry::decode);
+        let refused = self.refused_parts.iter().map(RefusedPartEntry::decode);
+        PartReport {
+            suspects: suspects.collect(),
+            refused: refused.collect(),
+            answered: self.answered_parts.iter().copied().map(PartId).collect(),
         }
     }
 }
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -3,6 +3,8 @@
 
 use std::fmt;
 use std::net::SocketAddr;
+use std::num::ParseIntError;
+use std::str::FromStr;
 use std::time::Duration;
 
 use smol_str::SmolStr;
@@ -13,18 +15,37 @@
 use super::http::ResponseHead;
 use super::routes::EndpointKey;
 
+/// Identifier of a prompt part's text; equal texts have equal identifiers.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct PartId(pub u64);
+
+impl fmt::Display for PartId {
+    /// Writes the identifier in hexadecimal, as callers send it.
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:x}", self.0)
+    }
+}
+
+impl FromStr for PartId {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u64::from_str_radix(text, 16).map(Self)
+    }
+}
+
 /// A part of a prompt that other requests may share.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PromptPart {
-    /// Identifier of the part's text; equal texts have equal identifiers.
-    pub id: u64,
+    /// Identifier of the part's text.
+    pub id: PartId,
     /// Number of tokens in the part.
     pub tokens: u32,
 }
 
 /// Identifiers of a prompt's shared parts, in order.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct PartIds(pub Vec<u64>);
+pub struct PartIds(pub Vec<PartId>);
 
 impl PartIds {
     /// The shared parts of a prompt; empty for a request without one.
@@ -36,14 +57,14 @@
 }
 
 impl fmt::Display for PartIds {
-    /// Writes the identifiers in hexadecimal, as callers send them, or `-` if there are none.
+    /// Writes the identifiers, separated by commas, or `-` if there are none.
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         if self.0.is_empty() {
             return formatter.write_str("-");
         }
         for (index, part) in self.0.iter().enumerate() {
             let comma = if index > 0 { "," } else { "" };
-            write!(formatter, "{comma}{part:x}")?;
+            write!(formatter, "{comma}{part}")?;
         }
         Ok(())
     }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -18,6 +18,7 @@
 use super::call_state::StreamOrigin;
 use super::decide::AttemptTicket;
 use super::front::TrafficState;
+use super::http::BodyFraming;
 use super::http::ResponseHead;
 use super::http::WireStream;
 use super::protocol::CallProtocol;
@@ -32,6 +33,26 @@
 /// working engine is silent for far less than a second.
 const STREAM_STALL: Duration = Duration::from_millis(1_500);
 
+/// How the end of an answer is recognised.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AnswerEnd {
+    /// By its length or its last chunk.
+    Framed,
+    /// By the close of its connection, which the end of the endpoint's process looks like.
+    Closed,
+}
+
+impl AnswerEnd {
+    /// Returns how the end of a body with this framing is recognised.
+    #[must_use]
+    pub fn of(framing: BodyFraming) -> Self {
+        match framing {
+            BodyFraming::Length(_) | BodyFraming::Chunked => Self::Framed,
+            BodyFraming::UntilClose => Self::Closed,
+        }
+    }
+}
+
 /// A complete answer that is not a stream.
 #[derive(Debug)]
 pub struct BufferedAnswer {
@@ -42,6 +63,8 @@
     /// Whether the endpoint proves that it made the answer, see
     /// [`is_proven`](super::protocol::AnswerFacts::is_proven).
     pub is_proven: bool,
+    /// How its end was recognised.
+    pub end: AnswerEnd,
 }
 
 /// Relays an answer: a successful answer of a streaming route is passed on as it arrives, any other
@@ -64,7 +87,7 @@
     };
     let done = matches!(
         outcome,
-        AttemptOutcome::Delivered(_) | AttemptOutcome::Answer(_)
+        AttemptOutcome::Delivered(..) | AttemptOutcome::Answer(_)
     );
     // Bytes after a complete answer belong to no request, so such a connection is dropped.
     if let Some(limit) = start.reuse
@@ -107,6 +130,7 @@
                 head: start.head.clone(),
                 body: body.freeze(),
                 is_proven: start.is_proven,
+                end: start.end,
             });
         }
         match read_or_interrupt(endpoint, caller, ticket, bounds).await {
@@ -163,7 +187,7 @@
             return AttemptOutcome::CallerLeft;
         }
         if ends {
-            return AttemptOutcome::Delivered(start.head.status);
+            return AttemptOutcome::Delivered(start.head.status, start.end);
         }
         let silence_limit = if has_output {
             STREAM_STALL
--- a/tests/crashing/mod.rs
+++ b/tests/crashing/mod.rs
@@ -10,6 +10,10 @@
 use verbenaturn::gateway::decide::AttemptTicket;
 use verbenaturn::gateway::decide::GatewayCore;
 use verbenaturn::gateway::decide::RefusalCause;
+use verbenaturn::gateway::protocol::PartId;
+use verbenaturn::gateway::protocol::PartIds;
+use verbenaturn::gateway::protocol::PromptPart;
+use verbenaturn::gateway::protocol::PromptShape;
 use verbenaturn::gateway::routes::EndpointEntry;
 use verbenaturn::gateway::routes::EndpointKey;
 use verbenaturn::gateway::routes::ProcessStartTime;
@@ -87,6 +91,9 @@
     pub ends: BTreeMap<u64, u64>,
     /// Routers below this one receive nothing from the others, nor the others from them.
     pub cut_below: usize,
+    /// Shared parts of the prompts of requests that have several, or such that others have as well. A
+    /// request that is not listed has one part that no other has.
+    pub parts: BTreeMap<RequestFingerprint, Vec<u64>>,
     next_key: usize,
     next_fingerprint: u64,
 }
@@ -104,6 +111,7 @@
             events: Vec::new(),
             ends: BTreeMap::new(),
             cut_below: 0,
+            parts: BTreeMap::new(),
             next_key: 0,
             next_fingerprint: 1_000,
         }
@@ -175,6 +183,30 @@
         }
     }
 
+    /// Returns the prompt of a request.
+    fn prompt(&self, fingerprint: RequestFingerprint) -> PromptShape {
+        let own = vec![fingerprint.0];
+        let shared = self.parts.get(&fingerprint).unwrap_or(&own);
+        let mut prompt = prompt(0, 100, 10);
+        let last = prompt.parts.pop();
+        prompt.parts = shared
+            .iter()
+            .map(|part| PromptPart {
+                id: PartId(*part),
+                tokens: 100,
+            })
+            .chain(last)
+            .collect();
+        prompt
+    }
+
+    /// A request with these shared parts that is like no other.
+    pub fn fresh_with(&mut self, parts: &[u64]) -> RequestFingerprint {
+        let fingerprint = self.fresh();
+        self.parts.insert(fingerprint, parts.to_vec());
+        fingerprint
+    }
+
     /// A fingerprint that no other request has.
     pub fn fresh(&mut self) -> RequestFingerprint {
         self.next_fingerprint += 1;
@@ -188,7 +220,7 @@
         tried: &[EndpointKey],
     ) -> Admission {
         let (route, service, shape, team) = (route("r", 800), service(), engine_service(), nadi());
-        let prompt = prompt(fingerprint.0, 100, 10);
+        let prompt = self.prompt(fingerprint);
         let call = AdmissionRequest {
             fingerprint,
             tried,
@@ -215,7 +247,7 @@
                 }
                 Admission::Send(ticket) => return Some(ticket),
                 Admission::Refuse {
-                    cause: RefusalCause::Quarantined,
+                    cause: RefusalCause::Quarantined | RefusalCause::PartQuarantined,
                     ..
                 } => return None,
                 refusal @ Admission::Refuse { .. } => panic!("{refusal:?}"),
@@ -259,9 +291,11 @@
         fingerprint: RequestFingerprint,
     ) {
         let now = ms(self.now);
+        let parts = PartIds::of(Some(&self.prompt(fingerprint)));
         let core = &mut self.routers[router];
         core.ended(now, ticket, AttemptEnd::Answered);
         core.quarantine.record_answer(now, fingerprint, 200);
+        core.quarantine.record_part_answer(now, &parts);
     }
 
     /// An engine to take the place of one that ended, under a new key.
--- a/tests/engines/mod.rs
+++ b/tests/engines/mod.rs
@@ -18,6 +18,7 @@
 use verbenaturn::gateway::decide::GatewayCore;
 use verbenaturn::gateway::decide::endpoints::PeerLoad;
 use verbenaturn::gateway::decide::shares::TeamFlow;
+use verbenaturn::gateway::protocol::PartId;
 use verbenaturn::gateway::protocol::PromptPart;
 use verbenaturn::gateway::protocol::PromptShape;
 use verbenaturn::gateway::routes::EndpointEntry;
@@ -308,11 +309,11 @@
     let own = u32::try_from(micros(own)).unwrap();
     let parts = vec![
         PromptPart {
-            id: part,
+            id: PartId(part),
             tokens: kind.shared_tokens,
         },
         PromptPart {
-            id: rng.random(),
+            id: PartId(rng.random()),
             tokens: own,
         },
     ];
@@ -419,10 +420,13 @@
         output_hint: None,
         parts: vec![
             PromptPart {
-                id: part,
+                id: PartId(part),
                 tokens: shared,
             },
-            PromptPart { id: 0, tokens: own },
+            PromptPart {
+                id: PartId(0),
+                tokens: own,
+            },
         ],
     }
 }
--- a/tests/gateway_health.rs
+++ b/tests/gateway_health.rs
@@ -9,6 +9,7 @@
 use verbenaturn::gateway::decide::GatewayCore;
 use verbenaturn::gateway::decide::endpoints::PeerLoad;
 use verbenaturn::gateway::decide::health::PeerHealth;
+use verbenaturn::gateway::protocol::PartId;
 use verbenaturn::gateway::protocol::PromptPart;
 use verbenaturn::gateway::protocol::PromptShape;
 use verbenaturn::gateway::routes::EndpointKey;
@@ -37,7 +38,7 @@
         output_limit: 100,
         output_hint: None,
         parts: vec![PromptPart {
-            id: 1_000 + number,
+            id: PartId(1_000 + number),
             tokens: 500,
         }],
     };
--- a/tests/gateway_lives.rs
+++ b/tests/gateway_lives.rs
@@ -15,6 +15,7 @@
 use verbenaturn::gateway::endpoint_view::EndpointView;
 use verbenaturn::gateway::follow::StoreRevision;
 use verbenaturn::gateway::metrics::GatewayMetrics;
+use verbenaturn::gateway::protocol::PartId;
 use verbenaturn::gateway::protocol::PromptPart;
 use verbenaturn::gateway::protocol::PromptShape;
 use verbenaturn::gateway::routes::EndpointEntry;
@@ -59,11 +60,11 @@
         output_hint: None,
         parts: vec![
             PromptPart {
-                id: 1,
+                id: PartId(1),
                 tokens: 5_000,
             },
             PromptPart {
-                id: 2,
+                id: PartId(2),
                 tokens: 1_000,
             },
         ],
