A stream that ended with its endpoint's process is not taken for whole, and clears nothing

Callers saw streams without a length or chunks end as complete although events were missing: an engine that ends closes its connections in an orderly way, which is how such a stream ends.

Cause: the close of a connection counted as proof that the endpoint had finished. Class: an end that two causes bring about, taken for the one that is wished for.

The caller gets each event at once. The end is held back for 50 ms, until it is known whether the process runs: something else came from it, an idle connection is open, or a new one is made, which the next call uses. A refused connection means that the stream broke off: it goes on elsewhere or is cut. A stream without any event is broken off as well. What clears a request or a part: an end that the framing tells, or one that the process outlived; for parts only successes, since a failure may have been answered before anything was written on the prompt.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -12,6 +12,8 @@
 use super::call_state::CallState;
 use super::decide::AttemptEnd;
 use super::decide::AttemptTicket;
+use super::decide::answered::AnswerEnd;
+use super::decide::answered::AnswerEvidence;
 use super::front::TrafficState;
 use super::http::BodyDecoder;
 use super::http::BodyFraming;
@@ -21,7 +23,6 @@
 use super::protocol::AttemptFacts;
 use super::protocol::CallProtocol;
 use super::relay;
-use super::relay::AnswerEnd;
 use super::relay::BufferedAnswer;
 use super::reply::endpoint_request;
 use super::routes::EndpointEntry;
@@ -70,15 +71,20 @@
 }
 
 impl AttemptOutcome {
-    /// Returns the status of an answer, and how its end was recognised, if the endpoint ran the
-    /// request to its end and proves that it answered. Streams are passed on only with proof.
+    /// Returns what an answer tells about its request, if the endpoint ran the request to its end and
+    /// proves that it answered. Streams are passed on only with proof.
     #[must_use]
-    pub fn proven_answer(&self) -> Option<(u16, AnswerEnd)> {
-        match self {
-            Self::Delivered(status, end) => Some((*status, *end)),
-            Self::Answer(answer) => answer.is_proven.then_some((answer.head.status, answer.end)),
-            Self::NotRun(_) | Self::Broken(_) | Self::CallerLeft | Self::TimeUp => None,
-        }
+    pub fn proven_answer(&self) -> Option<AnswerEvidence> {
+        let (status, end) = match self {
+            Self::Delivered(status, end) => (*status, *end),
+            Self::Answer(answer) if answer.is_proven => (answer.head.status, answer.end),
+            Self::Answer(_)
+            | Self::NotRun(_)
+            | Self::Broken(_)
+            | Self::CallerLeft
+            | Self::TimeUp => return None,
+        };
+        Some(AnswerEvidence { status, end })
     }
 
     /// What the decision core records about the endpoint for this outcome.
@@ -188,7 +194,7 @@
     /// Whether the endpoint proves that it made the answer, see
     /// [`is_proven`](super::protocol::AnswerFacts::is_proven).
     pub is_proven: bool,
-    /// How the end of the answer will be recognised.
+    /// How the end of the answer is recognised, as far as its framing tells.
     pub end: AnswerEnd,
     /// How long the connection may be idle afterwards; `None` if it can't be reused.
     pub reuse: Option<Duration>,
@@ -367,7 +373,10 @@
         return Ok(AnswerStart {
             reuse: reuse_limit(&head, default_limit).filter(|_| keeps),
             is_proven: facts.is_proven,
-            end: AnswerEnd::of(framing),
+            end: match framing {
+                BodyFraming::Length(_) | BodyFraming::Chunked => AnswerEnd::Framed,
+                BodyFraming::UntilClose => AnswerEnd::Closed,
+            },
             head,
             decoder,
         });
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -39,7 +39,6 @@
 use super::protocol::CallFacts;
 use super::protocol::CallProtocol;
 use super::protocol::PartIds;
-use super::relay::AnswerEnd;
 use super::relay::BufferedAnswer;
 use super::reply::OwnReply;
 use super::reply::OwnStatus;
@@ -279,14 +278,12 @@
     outcome: AttemptOutcome,
 ) -> Option<CallEnd> {
     call.tried.push(endpoint);
-    if let Some((status, end)) = outcome.proven_answer() {
+    if let Some(evidence) = outcome.proven_answer() {
         let now = traffic.shared.clock.now();
+        let parts = PartIds::of(call.facts.prompt.as_ref());
         let mut core = traffic.shared.core();
-        core.quarantine.record_answer(now, call.fingerprint, status);
-        if (200..300).contains(&status) && end == AnswerEnd::Framed {
-            let parts = PartIds::of(call.facts.prompt.as_ref());
-            core.quarantine.record_part_answer(now, &parts);
-        }
+        core.quarantine
+            .record_answer(now, call.fingerprint, &parts, evidence);
         if call.head_sent {
             core.origins.end(stream_number(call));
         }
--- a/src/gateway/decide/answered.rs
+++ b/src/gateway/decide/answered.rs
@@ -13,6 +13,41 @@
 use crate::units::Moment;
 use crate::units::TimeSpan;
 
+/// How the end of an answer is recognised.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AnswerEnd {
+    /// By its length or its last chunk.
+    Framed,
+    /// By the close of its connection, after which the endpoint's process was still running.
+    Survived,
+    /// By the close of its connection, which the end of the endpoint's process looks like.
+    Closed,
+}
+
+/// What a proven answer tells about its request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AnswerEvidence {
+    /// HTTP status of the answer.
+    pub status: u16,
+    /// How its end was recognised.
+    pub end: AnswerEnd,
+}
+
+impl AnswerEvidence {
+    /// Returns true if the endpoint outlived the answer to this request.
+    #[must_use]
+    pub fn clears_request(self) -> bool {
+        self.end != AnswerEnd::Closed
+    }
+
+    /// Returns true if the endpoint wrote a successful answer and outlived it. A failure may have been
+    /// answered before anything was written on the prompt.
+    #[must_use]
+    pub fn clears_parts(self) -> bool {
+        self.clears_request() && (200..300).contains(&self.status)
+    }
+}
+
 /// Items answered whole recently: requests, or parts of prompts.
 #[derive(Debug)]
 pub struct RecentAnswers<K> {
--- a/src/gateway/decide/attempts.rs
+++ b/src/gateway/decide/attempts.rs
@@ -82,6 +82,12 @@
         }
     }
 
+    /// Returns true if data arrived from the endpoint, for any attempt, later than `moment`.
+    #[must_use]
+    pub fn has_activity_since(&self, moment: Moment) -> bool {
+        self.last_activity.last() > moment
+    }
+
     /// Returns true if output went on for long enough to show that the prompt does not crash the
     /// endpoint.
     fn has_sound_output(&self) -> bool {
--- a/src/gateway/decide/quarantine.rs
+++ b/src/gateway/decide/quarantine.rs
@@ -24,6 +24,7 @@
 use super::super::protocol::PartId;
 use super::super::protocol::PartIds;
 use super::super::routes::EndpointEntry;
+use super::answered::AnswerEvidence;
 use super::answered::RecentAnswers;
 use super::crash_report::CrashReport;
 use super::crash_report::CrashSuspect;
@@ -266,15 +267,29 @@
         self.parts.refused_among(now, parts)
     }
 
-    /// Clears the parts of a prompt on which an endpoint wrote an answer without a crash.
+    /// Clears the parts of a prompt on which an endpoint wrote for long without a crash.
     pub fn record_part_answer(&mut self, now: Moment, parts: &PartIds) {
         self.parts.record_answer(now, parts);
     }
 
-    /// Clears a request that an endpoint answered whole, see [`super::answered`].
-    pub fn record_answer(&mut self, now: Moment, fingerprint: RequestFingerprint, status: u16) {
+    /// Clears a request that an endpoint answered whole, and the parts of its prompt, as far as the
+    /// answer is evidence for them; see [`super::answered`].
+    pub fn record_answer(
+        &mut self,
+        now: Moment,
+        fingerprint: RequestFingerprint,
+        parts: &PartIds,
+        evidence: AnswerEvidence,
+    ) {
+        if evidence.clears_parts() {
+            self.parts.record_answer(now, parts);
+        }
+        if !evidence.clears_request() {
+            return;
+        }
         let is_accused = self.clear(fingerprint, SuspectSource::Own);
         if is_accused {
+            let status = evidence.status;
             spdlog::info!("quarantine: fingerprint={fingerprint} answered status={status}");
         }
         self.answered.record_here(now, fingerprint, is_accused);
--- a/src/gateway/end_check.rs
+++ b/src/gateway/end_check.rs
@@ -1,4 +1,5 @@
-//! Finds out whether an endpoint's process has ended after a request was lost there.
+//! Finds out whether an endpoint's process has ended after a request was lost there, or after a stream
+//! without a length or chunks ended with its connection.
 //!
 //! Load pattern: in a quiet hour, a request ends the process of each endpoint that runs it, and no
 //! other call goes there before its registration lapses seconds later. By then the caller has sent
@@ -9,35 +10,87 @@
 use std::time::Duration;
 
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 use super::attempt::NotRunCause;
 use super::attempt::open_connection;
+use super::decide::AttemptTicket;
 use super::front::TrafficState;
 use super::protocol::CallProtocol;
 use super::routes::EndpointEntry;
 
-/// Time from the loss to the connection. A process that ends may break its connections a little
-/// before it stops listening.
+/// Time from the loss, or the close, to the connection. A process that ends may break its connections
+/// a little before it stops listening.
 const CHECK_DELAY: Duration = Duration::from_millis(50);
 
+/// Time after the close from which data shows that the process still runs. Before that it may have
+/// been on its way when the process ended.
+const IN_FLIGHT_TIME: Duration = Duration::from_millis(25);
+
+/// Longest wait for the connection with which the end of a stream is confirmed. Its caller has all
+/// events by then and waits for the end only.
+const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Whether an endpoint's process runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ProcessStatus {
+    /// A connection to it is open, or it sent something else since.
+    Running,
+    /// Its address refuses connections.
+    Ended,
+    /// It is leaving, or a connection failed in another way, which tells nothing about the process.
+    Unknown,
+}
+
 /// Opens a connection to an endpoint at which a request was lost, unless an idle one is still open.
 /// If it is refused, the decision core is told; if it is made, it serves the next call.
 pub async fn check_end<P: CallProtocol>(traffic: Rc<TrafficState<P>>, entry: EndpointEntry) {
     sleep(CHECK_DELAY).await;
+    probe(&traffic, &entry).await;
+}
+
+/// Finds out whether the process of an endpoint runs that has just closed the connection of a stream.
+///
+/// A connection is opened only if nothing else comes from the endpoint meanwhile and no idle one is
+/// open. An endpoint that is leaving may end its process right after its last stream.
+pub async fn find_process_status<P: CallProtocol>(
+    traffic: &TrafficState<P>,
+    ticket: &AttemptTicket,
+) -> ProcessStatus {
+    let shared = &traffic.shared;
+    sleep(IN_FLIGHT_TIME).await;
+    let arrived_by = shared.clock.now();
+    sleep(CHECK_DELAY - IN_FLIGHT_TIME).await;
+    if ticket.has_activity_since(arrived_by) {
+        return ProcessStatus::Running;
+    }
+    let takes_work = shared
+        .core()
+        .endpoints
+        .takes_work(shared.clock.now(), &ticket.entry);
+    if !takes_work {
+        return ProcessStatus::Unknown;
+    }
+    let status = timeout(CONFIRMATION_TIMEOUT, probe(traffic, &ticket.entry));
+    status.await.unwrap_or(ProcessStatus::Unknown)
+}
+
+async fn probe<P: CallProtocol>(traffic: &TrafficState<P>, entry: &EndpointEntry) -> ProcessStatus {
     // The connections of a process that has ended are closed, idle ones as well.
     if traffic.pool.has_open(&entry.life()) {
-        return;
+        return ProcessStatus::Running;
     }
-    match open_connection(&traffic, &entry).await {
+    match open_connection(traffic, entry).await {
         Ok(stream) => {
             let idle_limit = Duration::from_millis(traffic.shared.config.idle_reuse_ms);
             traffic.pool.put(&entry.life(), stream, idle_limit);
+            ProcessStatus::Running
         }
         Err(NotRunCause::Gone) => {
             let now = traffic.shared.clock.now();
-            traffic.shared.core().connection_refused(now, &entry);
+            traffic.shared.core().connection_refused(now, entry);
+            ProcessStatus::Ended
         }
-        // A connection that fails in another way tells nothing about the process.
-        Err(_) => {}
+        Err(_) => ProcessStatus::Unknown,
     }
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -17,8 +17,10 @@
 use super::call_state::CallState;
 use super::call_state::StreamOrigin;
 use super::decide::AttemptTicket;
+use super::decide::answered::AnswerEnd;
+use super::end_check::ProcessStatus;
+use super::end_check::find_process_status;
 use super::front::TrafficState;
-use super::http::BodyFraming;
 use super::http::ResponseHead;
 use super::http::WireStream;
 use super::protocol::CallProtocol;
@@ -33,26 +35,6 @@
 /// working engine is silent for far less than a second.
 const STREAM_STALL: Duration = Duration::from_millis(1_500);
 
-/// How the end of an answer is recognised.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum AnswerEnd {
-    /// By its length or its last chunk.
-    Framed,
-    /// By the close of its connection, which the end of the endpoint's process looks like.
-    Closed,
-}
-
-impl AnswerEnd {
-    /// Returns how the end of a body with this framing is recognised.
-    #[must_use]
-    pub fn of(framing: BodyFraming) -> Self {
-        match framing {
-            BodyFraming::Length(_) | BodyFraming::Chunked => Self::Framed,
-            BodyFraming::UntilClose => Self::Closed,
-        }
-    }
-}
-
 /// A complete answer that is not a stream.
 #[derive(Debug)]
 pub struct BufferedAnswer {
@@ -163,7 +145,7 @@
             return AttemptOutcome::Broken("malformed stream");
         }
         let before = call.last_event();
-        let events = call.splitter.take();
+        let mut events = call.splitter.take();
         if !events.is_empty() && !has_output {
             has_output = true;
             record_stream_part(traffic, call, ticket, before);
@@ -180,6 +162,20 @@
         if ends && call.splitter.is_inside_event() {
             return AttemptOutcome::Broken("stream ended inside an event");
         }
+        // The caller has the last event before the endpoint is looked at, but not yet the end.
+        if ends && start.end == AnswerEnd::Closed {
+            if deliver(caller, call, &start.head, &events, false)
+                .await
+                .is_err()
+            {
+                return AttemptOutcome::CallerLeft;
+            }
+            events.clear();
+            match end_of_closed_stream(traffic, call, ticket, has_output).await {
+                Ok(end) => start.end = end,
+                Err(cause) => return AttemptOutcome::Broken(cause),
+            }
+        }
         if deliver(caller, call, &start.head, &events, ends)
             .await
             .is_err()
@@ -209,6 +205,27 @@
     }
 }
 
+/// Finds out whether a stream that ended with its connection is complete: the end of the endpoint's
+/// process closes its connections as well, also between two events.
+///
+/// # Errors
+/// The cause if the stream was broken off.
+async fn end_of_closed_stream<P: CallProtocol>(
+    traffic: &TrafficState<P>,
+    call: &CallState,
+    ticket: &AttemptTicket,
+    has_output: bool,
+) -> Result<AnswerEnd, &'static str> {
+    if !has_output && call.last_event().is_none() {
+        return Err("stream ended without an event");
+    }
+    match find_process_status(traffic, ticket).await {
+        ProcessStatus::Running => Ok(AnswerEnd::Survived),
+        ProcessStatus::Ended => Err("stream ended with its endpoint"),
+        ProcessStatus::Unknown => Ok(AnswerEnd::Closed),
+    }
+}
+
 /// Records which software version the stream begins at, or which one it goes on at; `before` is the
 /// last event that the caller had.
 fn record_stream_part<P: CallProtocol>(
--- a/tests/crashing/mod.rs
+++ b/tests/crashing/mod.rs
@@ -10,6 +10,8 @@
 use verbenaturn::gateway::decide::AttemptTicket;
 use verbenaturn::gateway::decide::GatewayCore;
 use verbenaturn::gateway::decide::RefusalCause;
+use verbenaturn::gateway::decide::answered::AnswerEnd;
+use verbenaturn::gateway::decide::answered::AnswerEvidence;
 use verbenaturn::gateway::protocol::PartId;
 use verbenaturn::gateway::protocol::PartIds;
 use verbenaturn::gateway::protocol::PromptPart;
@@ -47,6 +49,12 @@
 /// Sorts behind all others, so that messages which list requests in order list it last.
 pub const CRASHING: RequestFingerprint = RequestFingerprint(u64::MAX);
 
+/// A successful answer whose end its framing tells.
+pub const WHOLE: AnswerEvidence = AnswerEvidence {
+    status: 200,
+    end: AnswerEnd::Framed,
+};
+
 /// What the routers see of an engine that a request crashed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CrashSign {
@@ -294,8 +302,8 @@
         let parts = PartIds::of(Some(&self.prompt(fingerprint)));
         let core = &mut self.routers[router];
         core.ended(now, ticket, AttemptEnd::Answered);
-        core.quarantine.record_answer(now, fingerprint, 200);
-        core.quarantine.record_part_answer(now, &parts);
+        core.quarantine
+            .record_answer(now, fingerprint, &parts, WHOLE);
     }
 
     /// An engine to take the place of one that ended, under a new key.
--- a/tests/gateway_crash_parts.rs
+++ b/tests/gateway_crash_parts.rs
@@ -7,7 +7,11 @@
 
 use verbenaturn::gateway::decide::AttemptEnd;
 use verbenaturn::gateway::decide::AttemptTicket;
+use verbenaturn::gateway::decide::answered::AnswerEnd;
+use verbenaturn::gateway::decide::answered::AnswerEvidence;
 use verbenaturn::gateway::decide::crash_report::CrashReport;
+use verbenaturn::gateway::protocol::PartId;
+use verbenaturn::gateway::protocol::PartIds;
 use verbenaturn::units::RequestFingerprint;
 
 mod crashing;
@@ -410,3 +414,31 @@
     let crashes = crash_in_turn(&mut fleet, &[SECOND_PART], CrashSign::RefusedHere, 300);
     assert!(crashes >= 2, "{crashes}");
 }
+
+/// Guards against an answer that clears a crashing part although the engine didn't outlive it, or failed
+/// before it wrote anything.
+#[test]
+fn answers_that_end_with_their_connection_or_fail_clear_no_part() {
+    for (status, end) in [
+        (200, AnswerEnd::Closed),
+        (500, AnswerEnd::Framed),
+        (504, AnswerEnd::Framed),
+    ] {
+        let mut fleet = RouterFleet::new();
+        fleet.run_until(1_000);
+        let parts = PartIds(vec![PartId(CRASHING_PART)]);
+        for turn in 0..CRASHES_ALLOWED {
+            let request = fleet.fresh_with(&[CRASHING_PART]);
+            let ticket = fleet.send(turn, request).unwrap();
+            fleet.crash(turn, ticket, CrashSign::RefusedHere, Vec::new());
+            fleet.run_until(fleet.now + 500);
+            let (now, evidence) = (ms(fleet.now), AnswerEvidence { status, end });
+            let quarantine = &mut fleet.routers[turn].quarantine;
+            quarantine.record_answer(now, request, &parts, evidence);
+        }
+        assert!(
+            is_refused_everywhere(&mut fleet, &[CRASHING_PART]),
+            "{status} {end:?}"
+        );
+    }
+}
--- a/tests/gateway_quarantine.rs
+++ b/tests/gateway_quarantine.rs
@@ -12,8 +12,11 @@
 use verbenaturn::gateway::decide::AttemptTicket;
 use verbenaturn::gateway::decide::GatewayCore;
 use verbenaturn::gateway::decide::RefusalCause;
+use verbenaturn::gateway::decide::answered::AnswerEnd;
+use verbenaturn::gateway::decide::answered::AnswerEvidence;
 use verbenaturn::gateway::decide::crash_report::CrashReport;
 use verbenaturn::gateway::decide::crash_report::CrashSuspect;
+use verbenaturn::gateway::protocol::PartIds;
 use verbenaturn::gateway::protocol::PromptShape;
 use verbenaturn::gateway::routes::EndpointEntry;
 use verbenaturn::gateway::routes::EndpointKey;
@@ -131,7 +134,13 @@
     let mut core = router();
     crash(&mut core, 1_000, CRASHING);
     crash(&mut core, 3_000, CRASHING);
-    core.quarantine.record_answer(ms(4_000), CRASHING, 200);
+    let evidence = AnswerEvidence {
+        status: 200,
+        end: AnswerEnd::Framed,
+    };
+    let parts = PartIds::default();
+    core.quarantine
+        .record_answer(ms(4_000), CRASHING, &parts, evidence);
     crash(&mut core, 5_000, CRASHING);
     drop(sent(&mut core, ms(6_000), CRASHING));
 }
