--- a/src/gateway/end_check.rs
+++ b/src/gateway/end_check.rs
@@ -27,6 +27,10 @@
 /// been on its way when the process ended.
 const IN_FLIGHT_TIME: Duration = Duration::from_millis(25);
 
+/// Time after that in which data from a running process usually arrives. With the former time it makes
+/// as long a wait as before the connection after a loss.
+const SURVIVAL_TIME: Duration = Duration::from_millis(25);
+
 /// Longest wait for the connection with which the end of a stream is confirmed. Its caller has all
 /// events by then and waits for the end only.
 const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(250);
@@ -60,7 +64,7 @@
     let shared = &traffic.shared;
     sleep(IN_FLIGHT_TIME).await;
     let arrived_by = shared.clock.now();
-    sleep(CHECK_DELAY - IN_FLIGHT_TIME).await;
+    sleep(SURVIVAL_TIME).await;
     if ticket.has_activity_since(arrived_by) {
         return ProcessStatus::Running;
     }
