The first processes of a system have half of their part of the retry slack at once

Callers saw a stream cut in the first tenths of a second of a new router although another engine could resume it: a process earns its part of the slack over a window, since the one before it may have spent that, and a lone router's first fifth is 1.6 retries.

Cause: a process could not tell its first start from a later one. Then nothing was spent before, and the first process may have more at once; what it spends before the first kill stays within one part, as the reckoning of series of kills has it, so the budget holds (that test now begins with first starts).

Tried before and not kept: a quarter in place of a fifth, or two retries at least, at every start; both break the reckoning.

--- a/src/gateway/config.rs
+++ b/src/gateway/config.rs
@@ -86,6 +86,9 @@
     pub retry_slack: f64,
     /// The retry window, in s.
     pub retry_window_s: f64,
+    /// Whether the whole system starts for the first time, so that no former process of this host has
+    /// spent retries; false if that is not known.
+    pub first_start: bool,
     /// Time over which teams' demand is measured, in s.
     pub share_window_s: f64,
     /// Prompt tokens that an engine is expected to prefill per ms while it also generates, until
@@ -170,6 +173,7 @@
             retry_ratio: 0.1,
             retry_slack: 16.0,
             retry_window_s: 10.0,
+            first_start: false,
             share_window_s: 4.0,
             reading_tokens_per_ms: 50.0,
             first_hold_ms: 3_000.0,
--- a/src/gateway/decide/budget.rs
+++ b/src/gateway/decide/budget.rs
@@ -32,6 +32,10 @@
 /// of a new router can be retried as well.
 const FIRST_FRACTION: f64 = 0.2;
 
+/// The same at the first start of the whole system, when no process before it has spent anything. The
+/// rest waits until the other routers are known.
+const FIRST_START_FRACTION: f64 = 0.5;
+
 /// Least number of retries that a process has from its start on, unless its part of the slack is
 /// smaller.
 const FIRST_RETRIES: f64 = 1.0;
@@ -57,6 +61,8 @@
 #[derive(Debug)]
 pub struct RetryBudget {
     bounds: RetryBounds,
+    /// Fraction of the slack that this process has from its start on.
+    first_fraction: f64,
     services: BTreeMap<ServiceKey, ServiceCounts>,
 }
 
@@ -66,10 +72,20 @@
     pub fn new(bounds: RetryBounds) -> Self {
         Self {
             bounds,
+            first_fraction: FIRST_FRACTION,
             services: BTreeMap::new(),
         }
     }
 
+    /// Creates the budget of a process that no other one of its host has preceded.
+    #[must_use]
+    pub fn of_first_start(bounds: RetryBounds) -> Self {
+        Self {
+            first_fraction: FIRST_START_FRACTION,
+            ..Self::new(bounds)
+        }
+    }
+
     fn counts(&mut self, service: &ServiceKey) -> &mut ServiceCounts {
         let window = self.bounds.window;
         self.services
@@ -91,7 +107,7 @@
         let RetryBounds { slack, window, .. } = self.bounds;
         let part = SLACK_FRACTION * slack / routers.max(1) as f64;
         let age = (now.0 as f64 / window.0.max(1) as f64).min(1.0);
-        let earned = FIRST_FRACTION + (1.0 - FIRST_FRACTION) * age;
+        let earned = self.first_fraction + (1.0 - self.first_fraction) * age;
         (part * earned).max(part.min(FIRST_RETRIES))
     }
 
--- a/src/gateway/decide/core.rs
+++ b/src/gateway/decide/core.rs
@@ -179,6 +179,11 @@
             slack: config.retry_slack,
             window: seconds(config.retry_window_s),
         };
+        let budget = if config.first_start {
+            RetryBudget::of_first_start(bounds)
+        } else {
+            RetryBudget::new(bounds)
+        };
         let stream_memory = TimeSpan::from_millis(config.stream_memory_ms);
         Self {
             versions: VersionHistory::new(stream_memory),
@@ -189,7 +194,7 @@
             accounts: TeamAccounts::default(),
             teams_logged_at: Moment(0),
             quarantine: CrashQuarantine::default(),
-            budget: RetryBudget::new(bounds),
+            budget,
             sizes: SizeTable::default(),
             mean_hold_ms: BTreeMap::new(),
             fleet: FleetSize::default(),
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -238,7 +238,9 @@
     let service = service();
     for pause in [1_000, 2_000, 4_000, 9_000] {
         let mut started = 0;
-        let mut routers: Vec<RetryBudget> = (0..8).map(|_| RetryBudget::new(bounds)).collect();
+        let mut routers: Vec<RetryBudget> = (0..8)
+            .map(|_| RetryBudget::of_first_start(bounds))
+            .collect();
         let (mut requests, mut repeats) = (Vec::new(), Vec::new());
         for step in 0..4_000_u64 {
             let at = step * 10;
