--- a/src/gateway/decide/core.rs
+++ b/src/gateway/decide/core.rs
@@ -370,8 +370,10 @@
                 expected_ms: 0.0,
             };
         }
-        let parts = PartIds::of(request.prompt);
-        if let Some((_, retry_after)) = self.quarantine.refused_part(now, &parts) {
+        let prompt = request.prompt;
+        if let Some(retry_after) =
+            prompt.and_then(|prompt| self.quarantine.prompt_refused_for(now, prompt))
+        {
             return Admission::Refuse {
                 cause: RefusalCause::PartQuarantined,
                 retry_after,
--- a/src/gateway/decide/part_crashes.rs
+++ b/src/gateway/decide/part_crashes.rs
@@ -20,6 +20,7 @@
 
 use super::super::protocol::PartId;
 use super::super::protocol::PartIds;
+use super::super::protocol::PromptPart;
 use super::answered::RecentAnswers;
 use super::crash_report::MessageTurns;
 use super::crash_report::PartReport;
@@ -251,16 +252,12 @@
         refusals.filter(move |(_, until)| *until > now)
     }
 
-    /// Returns the refused part among these, with the time for which it is still refused.
+    /// Returns the time for which one of these parts is still refused; `None` if none is.
     #[must_use]
-    pub fn refused_among(&self, now: Moment, parts: &PartIds) -> Option<(PartId, TimeSpan)> {
-        if self.refusals.is_empty() {
-            return None;
-        }
-        let mut parts = parts.0.iter().copied();
-        let part = parts.find(|part| self.is_refused(now, *part))?;
-        let until = self.refusals.get(&part)?;
-        Some((part, until.since(now)))
+    pub fn refused_for(&self, now: Moment, parts: &[PromptPart]) -> Option<TimeSpan> {
+        let ends = parts.iter().filter_map(|part| self.refusals.get(&part.id));
+        let until = ends.filter(|until| **until > now).max()?;
+        Some(until.since(now))
     }
 
     /// Clears the parts of a prompt on which an engine wrote an answer without a crash.
--- a/src/gateway/decide/quarantine.rs
+++ b/src/gateway/decide/quarantine.rs
@@ -21,8 +21,8 @@
 use crate::units::RequestFingerprint;
 use crate::units::TimeSpan;
 
-use super::super::protocol::PartId;
 use super::super::protocol::PartIds;
+use super::super::protocol::PromptShape;
 use super::super::routes::EndpointEntry;
 use super::answered::AnswerEvidence;
 use super::answered::RecentAnswers;
@@ -260,11 +260,11 @@
         Some(until.since(now))
     }
 
-    /// Returns a refused part of a prompt, with the time for which it is still refused; `None` if it
-    /// has none.
+    /// Returns the time for which a prompt is still refused because of one of its parts; `None` if it
+    /// is not refused.
     #[must_use]
-    pub fn refused_part(&self, now: Moment, parts: &PartIds) -> Option<(PartId, TimeSpan)> {
-        self.parts.refused_among(now, parts)
+    pub fn prompt_refused_for(&self, now: Moment, prompt: &PromptShape) -> Option<TimeSpan> {
+        self.parts.refused_for(now, prompt.shared_parts())
     }
 
     /// Clears the parts of a prompt on which an endpoint wrote for long without a crash.
