--- a/src/core/tables/entry_pool.rs
+++ b/src/core/tables/entry_pool.rs
@@ -134,7 +134,7 @@
     pub held: u32,
     /// Total number of running attempts.
     pub busy: u32,
-    /// True while the pool's demand exceeds its slots according to the owner.
+    /// True while the pool's demand exceeds its slots and the owner wants spare ones back.
     pub scarce: bool,
     /// The pool's virtual time according to the owner, in units of 1 / [`VIRTUAL_SCALE`] of a
     /// service unit for a team of share 1.
--- a/tests/differential.rs
+++ b/tests/differential.rs
@@ -110,7 +110,7 @@
 /// because its owner's other pool uses up the message budget.
 #[test]
 fn short_calls_do_not_wait_beside_another_pool_s_long_queues() {
-    for seed in [38, 114] {
+    for seed in [38, 105, 114] {
         run_seed("leaving", REGISTRY, seed);
     }
 }
