Routers tell of an answered suspect for ten seconds after its last accusation

Found by reading: what was accused once and is answered all the time, as a popular first part is, was told to all routers with each message for ever after one crash, 8 bytes each and sixteen a message. And beyond 4,096 answers in the memory those with the lowest identifiers were forgotten first, so such a part would be a suspect in each crash however often it is answered.

Accusations carry their time, and the oldest answers are forgotten first. Both tests fail with the former lines put back.

--- a/src/gateway/decide/answered.rs
+++ b/src/gateway/decide/answered.rs
@@ -8,11 +8,14 @@
 //! only by routers that answered it, so that an answer is not passed on for ever.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 
 use crate::units::Moment;
 use crate::units::TimeSpan;
 
+/// Time after the last accusation for which an answer is told to other routers: crashes' suspects are
+/// told as long, and routers that have cleared an item suspect it no more.
+const ACCUSATION_REPORT_TIME: TimeSpan = TimeSpan::from_millis(10_000);
+
 /// How the end of an answer is recognised.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AnswerEnd {
@@ -55,8 +58,8 @@
     here: BTreeMap<K, Moment>,
     /// By other routers, as they report.
     elsewhere: BTreeMap<K, Moment>,
-    /// Items answered here that some router suspects.
-    accused: BTreeSet<K>,
+    /// Items answered here that some router suspects, with the last time when one did.
+    accused: BTreeMap<K, Moment>,
     /// Time for which an answer clears an item.
     retention: TimeSpan,
     /// Maximum number of items that are remembered of each kind of answers.
@@ -70,7 +73,7 @@
         Self {
             here: BTreeMap::new(),
             elsewhere: BTreeMap::new(),
-            accused: BTreeSet::new(),
+            accused: BTreeMap::new(),
             retention,
             most,
         }
@@ -80,7 +83,7 @@
     pub fn record_here(&mut self, now: Moment, item: K, is_accused: bool) {
         self.here.insert(item, now);
         if is_accused {
-            self.accused.insert(item);
+            self.accused.insert(item, now);
         }
     }
 
@@ -90,9 +93,9 @@
     }
 
     /// Returns true if an item that is accused now was answered whole recently.
-    pub fn clears(&mut self, item: K) -> bool {
+    pub fn clears(&mut self, now: Moment, item: K) -> bool {
         if self.here.contains_key(&item) {
-            self.accused.insert(item);
+            self.accused.insert(item, now);
             return true;
         }
         self.elsewhere.contains_key(&item)
@@ -101,17 +104,29 @@
     /// Returns the items to report to other routers.
     #[must_use]
     pub fn accused(&self) -> Vec<K> {
-        self.accused.iter().copied().collect()
+        self.accused.keys().copied().collect()
     }
 
     /// Drops old answers.
     pub fn shrink(&mut self, now: Moment) {
         for answers in [&mut self.here, &mut self.elsewhere] {
             answers.retain(|_, at| now.since(*at) < self.retention);
-            while answers.len() > self.most {
-                answers.pop_first();
-            }
+            drop_oldest(answers, self.most);
         }
-        self.accused.retain(|item| self.here.contains_key(item));
+        self.accused.retain(|item, at| {
+            self.here.contains_key(item) && now.since(*at) < ACCUSATION_REPORT_TIME
+        });
+    }
+}
+
+/// Drops the oldest answers beyond `most`.
+fn drop_oldest<K: Copy + Ord>(answers: &mut BTreeMap<K, Moment>, most: usize) {
+    let excess = answers.len().saturating_sub(most);
+    if excess == 0 {
+        return;
     }
+    let mut times: Vec<Moment> = answers.values().copied().collect();
+    times.sort_unstable();
+    let last_dropped = times[excess - 1];
+    answers.retain(|_, at| *at > last_dropped);
 }
--- a/src/gateway/decide/part_crashes.rs
+++ b/src/gateway/decide/part_crashes.rs
@@ -81,7 +81,7 @@
     parts: BTreeMap<PartId, u32>,
 }
 
-/// What speaks against a part.
+/// What speaks against a part. The greatest case is the one to refuse first.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
 struct PartCase {
     crashes: usize,
@@ -144,7 +144,7 @@
             part,
             place,
         } = suspect;
-        if self.answered.clears(part) {
+        if self.answered.clears(now, part) {
             return false;
         }
         let crash = self.crashes.entry(process).or_insert_with(|| PartCrash {
@@ -348,7 +348,7 @@
         let RefusedPart { part, left } = refused;
         let until = now + left.min(REFUSE_TIME);
         let is_known = self.refusals.get(&part).is_some_and(|known| *known > now);
-        if until <= now || is_known || self.answered.clears(part) {
+        if until <= now || is_known || self.answered.clears(now, part) {
             return;
         }
         if self.has_other_cause(now, part) || self.refusals.len() >= MAX_REFUSALS {
--- a/src/gateway/decide/quarantine.rs
+++ b/src/gateway/decide/quarantine.rs
@@ -231,7 +231,7 @@
         fingerprint: RequestFingerprint,
         source: SuspectSource,
     ) -> bool {
-        if self.answered.clears(fingerprint) {
+        if self.answered.clears(now, fingerprint) {
             return false;
         }
         let before = self.table.crash_count(fingerprint);
@@ -366,7 +366,7 @@
         let longest = TimeSpan::from_millis(self.config.refuse_ms);
         for request in refused {
             let (fingerprint, left) = (request.fingerprint, request.left.min(longest));
-            if self.answered.clears(fingerprint) {
+            if self.answered.clears(now, fingerprint) {
                 // The sender has not heard of the answer yet.
                 continue;
             }
--- a/tests/gateway_crash_parts.rs
+++ b/tests/gateway_crash_parts.rs
@@ -9,10 +9,12 @@
 use verbenaturn::gateway::decide::AttemptTicket;
 use verbenaturn::gateway::decide::answered::AnswerEnd;
 use verbenaturn::gateway::decide::answered::AnswerEvidence;
+use verbenaturn::gateway::decide::answered::RecentAnswers;
 use verbenaturn::gateway::decide::crash_report::CrashReport;
 use verbenaturn::gateway::protocol::PartId;
 use verbenaturn::gateway::protocol::PartIds;
 use verbenaturn::units::RequestFingerprint;
+use verbenaturn::units::TimeSpan;
 
 mod crashing;
 mod engines;
@@ -442,3 +444,37 @@
         );
     }
 }
+
+/// Guards against messages that tell of a popular part for ever after one crash: it is answered all the
+/// time, and was accused once.
+#[test]
+fn a_popular_part_is_told_of_for_a_while_after_its_last_accusation() {
+    let mut fleet = RouterFleet::new();
+    for second in 1..60 {
+        fleet.run_until(second * 1_000);
+        answer_everywhere(&mut fleet, &[FIRST_PART]);
+        if second == 5 {
+            let request = fleet.fresh_with(&[FIRST_PART]);
+            let ticket = fleet.send(0, request).unwrap();
+            fleet.crash(0, ticket, CrashSign::RefusedHere, Vec::new());
+        }
+    }
+    for core in &mut fleet.routers {
+        assert_eq!(core.quarantine.report(ms(60_000)), CrashReport::default());
+    }
+}
+
+/// Guards against answers that are forgotten by their identifiers: a part with a low one would be a
+/// suspect in each crash, however often it is answered.
+#[test]
+fn the_oldest_answers_are_forgotten_first() {
+    let mut answers = RecentAnswers::new(TimeSpan::from_millis(10_000), 3);
+    for (at, item) in [(1, 5), (2, 4), (3, 3), (4, 2), (5, 1)] {
+        answers.record_here(ms(at), item, false);
+    }
+    answers.shrink(ms(6));
+    let known: Vec<u64> = (1..=5)
+        .filter(|item| answers.clears(ms(6), *item))
+        .collect();
+    assert_eq!(known, [1, 2, 3]);
+}
