Quarantined calls are no demand of their team

A team's share was then measured by calls that nobody runs, and what it could not use was kept from other teams. No caller reported it.

--- a/src/gateway/decide/core.rs
+++ b/src/gateway/decide/core.rs
@@ -250,8 +250,15 @@
     }
 
     /// Counts an arriving call and returns whether it is within its team's share.
+    ///
+    /// A quarantined call is no demand. Otherwise a team whose callers go on sending a part that crashes
+    /// endpoints would exceed its share with calls that nobody runs, and its other calls would be
+    /// refused for it.
     pub fn arrived(&mut self, now: Moment, request: &AdmissionRequest<'_>) -> ShareStanding {
         self.budget.request(now, request.service);
+        if self.quarantine_refusal(now, request).is_some() {
+            return ShareStanding::Within;
+        }
         if let Some(prompt) = request.prompt {
             let tokens = f64::from(prompt.prompt_tokens);
             self.sizes
@@ -356,6 +363,20 @@
         }
     }
 
+    /// Returns why a call is quarantined, and for how long; `None` if it is not.
+    fn quarantine_refusal(
+        &self,
+        now: Moment,
+        request: &AdmissionRequest<'_>,
+    ) -> Option<(RefusalCause, TimeSpan)> {
+        let request_left = self.quarantine.refused_for(now, request.fingerprint);
+        if let Some(left) = request_left {
+            return Some((RefusalCause::Quarantined, left));
+        }
+        let left = self.quarantine.prompt_refused_for(now, request.prompt?)?;
+        Some((RefusalCause::PartQuarantined, left))
+    }
+
     /// Decides which endpoint gets a call, or refuses it.
     pub fn admit(
         &mut self,
@@ -363,19 +384,9 @@
         request: &AdmissionRequest<'_>,
         standing: ShareStanding,
     ) -> Admission {
-        if let Some(retry_after) = self.quarantine.refused_for(now, request.fingerprint) {
+        if let Some((cause, retry_after)) = self.quarantine_refusal(now, request) {
             return Admission::Refuse {
-                cause: RefusalCause::Quarantined,
-                retry_after,
-                expected_ms: 0.0,
-            };
-        }
-        let prompt = request.prompt;
-        if let Some(retry_after) =
-            prompt.and_then(|prompt| self.quarantine.prompt_refused_for(now, prompt))
-        {
-            return Admission::Refuse {
-                cause: RefusalCause::PartQuarantined,
+                cause,
                 retry_after,
                 expected_ms: 0.0,
             };
--- a/tests/crashing/mod.rs
+++ b/tests/crashing/mod.rs
@@ -12,6 +12,7 @@
 use verbenaturn::gateway::decide::RefusalCause;
 use verbenaturn::gateway::decide::answered::AnswerEnd;
 use verbenaturn::gateway::decide::answered::AnswerEvidence;
+use verbenaturn::gateway::decide::shares::ShareStanding;
 use verbenaturn::gateway::protocol::PartId;
 use verbenaturn::gateway::protocol::PartIds;
 use verbenaturn::gateway::protocol::PromptPart;
@@ -239,6 +240,23 @@
         core.admit(ms(self.now), &call, standing)
     }
 
+    /// Runs a request that is answered whole, and returns whether it was within its team's share.
+    pub fn answer_within_share(&mut self, router: usize, fingerprint: RequestFingerprint) -> bool {
+        let (route, service, shape, team) = (route("r", 800), service(), engine_service(), nadi());
+        let prompt = self.prompt(fingerprint);
+        let call = AdmissionRequest {
+            fingerprint,
+            ..ask(&route, &service, &shape, &team, &prompt)
+        };
+        let now = ms(self.now);
+        let core = &mut self.routers[router];
+        let standing = core.arrived(now, &call);
+        if let Admission::Send(ticket) = core.admit(now, &call, standing) {
+            self.answered(router, ticket, fingerprint);
+        }
+        standing == ShareStanding::Within
+    }
+
     /// Sends a request through a router; `None` if it is refused as one that crashes endpoints.
     /// Where a process has ended, the connection is refused and the next engine is tried.
     pub fn send(
--- a/tests/gateway_crash_parts.rs
+++ b/tests/gateway_crash_parts.rs
@@ -1,6 +1,8 @@
 //! Parts of prompts that crash each engine that begins to write an answer on them, at several routers
 //! without a network.
 
+use std::collections::BTreeMap;
+
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -478,3 +480,33 @@
         .collect();
     assert_eq!(known, [1, 2, 3]);
 }
+
+/// Guards against a team whose other requests are refused as beyond its share since its callers go on
+/// sending a part that is refused.
+#[test]
+fn requests_with_a_refused_part_are_no_demand_of_their_team() {
+    const RATE: f64 = 60_000.0;
+    let mut fleet = RouterFleet::new();
+    fleet.run_until(1_000);
+    answer_everywhere(&mut fleet, &[FIRST_PART]);
+    crash_in_turn(
+        &mut fleet,
+        &[FIRST_PART, CRASHING_PART],
+        CrashSign::RefusedHere,
+        500,
+    );
+    let mut beyond = 0;
+    for _ in 0..400 {
+        fleet.run_until(fleet.now + 10);
+        let now = ms(fleet.now);
+        let core = &mut fleet.routers[0];
+        core.share_out(now, RATE, &BTreeMap::new(), 0.0);
+        for _ in 0..10 {
+            let request = fleet.fresh_with(&[FIRST_PART, CRASHING_PART]);
+            assert!(fleet.send(0, request).is_none());
+        }
+        let request = fleet.fresh_with(&[FIRST_PART]);
+        beyond += usize::from(!fleet.answer_within_share(0, request));
+    }
+    assert_eq!(beyond, 0);
+}
