--- a/src/core/systems/ownership/allotments.rs
+++ b/src/core/systems/ownership/allotments.rs
@@ -24,8 +24,8 @@
     let now = state.now;
     let refresh = TimeSpan::from_millis(state.config.ownership.refresh_ms);
     let epoch = epoch_of(state.identity.incarnation);
-    // While the budget is closed, a slot that is given back lies idle until the next refresh; a router
-    // that keeps it uses it for its next request.
+    // While the budget is closed, a slot that is given back lies idle until the next refresh; a
+    // router that keeps it uses it for its next request.
     let is_open = state.allotment_budget.is_open() || pool.budget.is_open();
     let (clock, scarce) = (pool.clock, pool.scarce && is_open);
     let hosts: Vec<HostName> = pool.members.keys().cloned().collect();
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -71,8 +71,8 @@
 }
 
 impl AttemptOutcome {
-    /// Returns what an answer tells about its request, if the endpoint ran the request to its end and
-    /// proves that it answered. Streams are passed on only with proof.
+    /// Returns what an answer tells about its request, if the endpoint ran the request to its end
+    /// and proves that it answered. Streams are passed on only with proof.
     #[must_use]
     pub fn proven_answer(&self) -> Option<AnswerEvidence> {
         let (status, end) = match self {
--- a/src/gateway/config.rs
+++ b/src/gateway/config.rs
@@ -86,8 +86,8 @@
     pub retry_slack: f64,
     /// The retry window, in s.
     pub retry_window_s: f64,
-    /// Whether the whole system starts for the first time, so that no former process of this host has
-    /// spent retries; false if that is not known.
+    /// Whether the whole system starts for the first time, so that no former process of this host
+    /// has spent retries; false if that is not known.
     pub first_start: bool,
     /// Time over which teams' demand is measured, in s.
     pub share_window_s: f64,
--- a/src/gateway/decide/answered.rs
+++ b/src/gateway/decide/answered.rs
@@ -12,8 +12,8 @@
 use crate::units::Moment;
 use crate::units::TimeSpan;
 
-/// Time after the last accusation for which an answer is told to other routers: crashes' suspects are
-/// told as long, and routers that have cleared an item suspect it no more.
+/// Time after the last accusation for which an answer is told to other routers: crashes' suspects
+/// are told as long, and routers that have cleared an item suspect it no more.
 const ACCUSATION_REPORT_TIME: TimeSpan = TimeSpan::from_millis(10_000);
 
 /// How the end of an answer is recognised.
@@ -43,8 +43,8 @@
         self.end != AnswerEnd::Closed
     }
 
-    /// Returns true if the endpoint wrote a successful answer and outlived it. A failure may have been
-    /// answered before anything was written on the prompt.
+    /// Returns true if the endpoint wrote a successful answer and outlived it. A failure may have
+    /// been answered before anything was written on the prompt.
     #[must_use]
     pub fn clears_parts(self) -> bool {
         self.clears_request() && (200..300).contains(&self.status)
--- a/src/gateway/decide/attempts.rs
+++ b/src/gateway/decide/attempts.rs
@@ -22,8 +22,8 @@
 /// so nothing is learned from it.
 const MIN_LEARNING_TOKENS: f64 = 2_000.0;
 
-/// Time for which an answer has to go on after its first output to show that its prompt does not crash
-/// the endpoint: a part that does so ends it when the answer begins.
+/// Time for which an answer has to go on after its first output to show that its prompt does not
+/// crash the endpoint: a part that does so ends it when the answer begins.
 const SOUND_OUTPUT_TIME: TimeSpan = TimeSpan::from_millis(1_000);
 
 /// The time in which output arrived.
--- a/src/gateway/decide/budget.rs
+++ b/src/gateway/decide/budget.rs
@@ -32,8 +32,8 @@
 /// of a new router can be retried as well.
 const FIRST_FRACTION: f64 = 0.2;
 
-/// The same at the first start of the whole system, when no process before it has spent anything. The
-/// rest waits until the other routers are known.
+/// The same at the first start of the whole system, when no process before it has spent anything.
+/// The rest waits until the other routers are known.
 const FIRST_START_FRACTION: f64 = 0.5;
 
 /// Least number of retries that a process has from its start on, unless its part of the slack is
--- a/src/gateway/decide/core.rs
+++ b/src/gateway/decide/core.rs
@@ -251,9 +251,9 @@
 
     /// Counts an arriving call and returns whether it is within its team's share.
     ///
-    /// A quarantined call is no demand. Otherwise a team whose callers go on sending a part that crashes
-    /// endpoints would exceed its share with calls that nobody runs, and its other calls would be
-    /// refused for it.
+    /// A quarantined call is no demand. Otherwise a team whose callers go on sending a part that
+    /// crashes endpoints would exceed its share with calls that nobody runs, and its other calls
+    /// would be refused for it.
     pub fn arrived(&mut self, now: Moment, request: &AdmissionRequest<'_>) -> ShareStanding {
         self.budget.request(now, request.service);
         if self.quarantine_refusal(now, request).is_some() {
--- a/src/gateway/decide/part_crashes.rs
+++ b/src/gateway/decide/part_crashes.rs
@@ -3,13 +3,12 @@
 //! Load pattern: requests with one part in common come at all routers, no two alike, so that each
 //! of them is in one crash only, or in a few if it is sent again. Beside them run sound requests
 //! that share the caller and all other parts; one crash loses dozens of them, each with some
-//! parts. A part is refused when it was in [`CRASH_LIMIT`] crashes and in no whole answer of the
-//! last [`ANSWER_RETENTION`].
+//! parts. A part is refused when it was in three crashes and in no whole answer of late.
 //!
-//! A crash has one cause. Where several causes fit, the one that fits most crashes is chosen, and of those
-//! that fit the same crashes the narrowest: a single request before a part, a later part before an
-//! earlier one, which more requests share. What that leaves unexplained counts on, so a wrong choice is
-//! corrected by the next crash, and a part that a wider cause explains is released.
+//! A crash has one cause. Where several causes fit, the one that fits most crashes is chosen, and
+//! of those that fit the same crashes the narrowest: a single request before a part, a later part
+//! before an earlier one, which more requests share. What that leaves unexplained counts on, so a
+//! wrong choice is corrected by the next crash, and a part that a wider cause explains is released.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -51,15 +50,15 @@
 /// Maximum number of crashes that are remembered, the latest ones.
 const MAX_CRASHES: usize = 256;
 
-/// Maximum number of parts that are suspected of one crash: an engine runs up to 64 requests, and few
-/// of them have parts that were not answered lately.
+/// Maximum number of parts that are suspected of one crash: an engine runs up to 64 requests, and
+/// few of them have parts that were not answered lately.
 const MAX_CRASH_PARTS: usize = 64;
 
 /// Maximum number of refused parts.
 const MAX_REFUSALS: usize = 256;
 
-/// Maximum number of suspects in one message, 24 bytes each: half of them those in most crashes, the
-/// others in turn.
+/// Maximum number of suspects in one message, 24 bytes each: half of them those in most crashes,
+/// the others in turn.
 const MAX_SENT_SUSPECTS: usize = 12;
 
 /// Maximum number of refusals in one message, 16 bytes each; the others take turns.
@@ -96,7 +95,7 @@
 pub struct PartCrashes {
     /// By process hash.
     crashes: BTreeMap<u64, PartCrash>,
-    /// Ends of refusals; kept for [`REFUSE_TIME`] longer.
+    /// Ends of refusals; kept for `REFUSE_TIME` longer.
     refusals: BTreeMap<PartId, Moment>,
     /// Processes whose crashes a refused request explains.
     explained: BTreeSet<u64>,
--- a/src/gateway/decide/quarantine.rs
+++ b/src/gateway/decide/quarantine.rs
@@ -6,9 +6,10 @@
 //! crash. Routers exchange what they know ([`super::crash_report`]), and all of them refuse a
 //! request that was running in three crashes, unless an endpoint answered it whole
 //! ([`super::answered`]). Requests that share no more than one part of their prompts are judged by
-//! that part ([`super::part_crashes`]). The limit is three because other requests run beside the one that causes
-//! the crash: of 64 requests that were running at one crash, few are running at a second one and
-//! hardly any at a third, while each further engine lost costs the work of all its requests.
+//! that part ([`super::part_crashes`]). The limit is three because other requests run beside the
+//! one that causes the crash: of 64 requests that were running at one crash, few are running at a
+//! second one and hardly any at a third, while each further engine lost costs the work of all its
+//! requests.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -59,8 +60,8 @@
 /// Time for which an answer clears a request. Signs of a crash arrive within eight seconds of it.
 const ANSWER_RETENTION: TimeSpan = TimeSpan::from_millis(10_000);
 
-/// Maximum number of answered requests that are remembered, about 100 KB. At 54 answers a second, as
-/// in the largest fleet that is designed for, ten seconds hold an eighth of it.
+/// Maximum number of answered requests that are remembered, about 100 KB. At 54 answers a second,
+/// as in the largest fleet that is designed for, ten seconds hold an eighth of it.
 const MAX_ANSWERED: usize = 4_096;
 
 /// Crashes from which on a suspect's count is logged. Most suspects are in one crash only.
@@ -260,8 +261,8 @@
         Some(until.since(now))
     }
 
-    /// Returns the time for which a prompt is still refused because of one of its parts; `None` if it
-    /// is not refused.
+    /// Returns the time for which a prompt is still refused because of one of its parts; `None` if
+    /// it is not refused.
     #[must_use]
     pub fn prompt_refused_for(&self, now: Moment, prompt: &PromptShape) -> Option<TimeSpan> {
         self.parts.refused_for(now, prompt.shared_parts())
--- a/src/gateway/end_check.rs
+++ b/src/gateway/end_check.rs
@@ -1,5 +1,5 @@
-//! Finds out whether an endpoint's process has ended after a request was lost there, or after a stream
-//! without a length or chunks ended with its connection.
+//! Finds out whether an endpoint's process has ended after a request was lost there, or after a
+//! stream without a length or chunks ended with its connection.
 //!
 //! Load pattern: in a quiet hour, a request ends the process of each endpoint that runs it, and no
 //! other call goes there before its registration lapses seconds later. By then the caller has sent
@@ -19,16 +19,16 @@
 use super::protocol::CallProtocol;
 use super::routes::EndpointEntry;
 
-/// Time from the loss, or the close, to the connection. A process that ends may break its connections
-/// a little before it stops listening.
+/// Time from the loss, or the close, to the connection. A process that ends may break its
+/// connections a little before it stops listening.
 const CHECK_DELAY: Duration = Duration::from_millis(50);
 
 /// Time after the close from which data shows that the process still runs. Before that it may have
 /// been on its way when the process ended.
 const IN_FLIGHT_TIME: Duration = Duration::from_millis(25);
 
-/// Time after that in which data from a running process usually arrives. With the former time it makes
-/// as long a wait as before the connection after a loss.
+/// Time after that in which data from a running process usually arrives. With the former time it
+/// makes as long a wait as before the connection after a loss.
 const SURVIVAL_TIME: Duration = Duration::from_millis(25);
 
 /// Longest wait for the connection with which the end of a stream is confirmed. Its caller has all
@@ -53,7 +53,8 @@
     probe(&traffic, &entry).await;
 }
 
-/// Finds out whether the process of an endpoint runs that has just closed the connection of a stream.
+/// Finds out whether the process of an endpoint runs that has just closed the connection of a
+/// stream.
 ///
 /// A connection is opened only if nothing else comes from the endpoint meanwhile and no idle one is
 /// open. An endpoint that is leaving may end its process right after its last stream.
--- a/src/wire/allotment.rs
+++ b/src/wire/allotment.rs
@@ -39,8 +39,8 @@
     /// Slots of the team's fair share that fall to this router, per entry of `teams`.
     #[prost(uint32, repeated, tag = "14")]
     pub quota: Vec<u32>,
-    /// True while requests wait anywhere for lack of slots and the owner can grant returned slots at
-    /// once; the router must then return its spare slots.
+    /// True while requests wait anywhere for lack of slots and the owner can grant returned slots
+    /// at once; the router must then return its spare slots.
     #[prost(bool, tag = "10")]
     pub scarce: bool,
     /// The pool's virtual time in `VIRTUAL_TIME_STEP` units.
--- a/tests/crashing/mod.rs
+++ b/tests/crashing/mod.rs
@@ -100,8 +100,8 @@
     pub ends: BTreeMap<u64, u64>,
     /// Routers below this one receive nothing from the others, nor the others from them.
     pub cut_below: usize,
-    /// Shared parts of the prompts of requests that have several, or such that others have as well. A
-    /// request that is not listed has one part that no other has.
+    /// Shared parts of the prompts of requests that have several, or such that others have as well.
+    /// A request that is not listed has one part that no other has.
     pub parts: BTreeMap<RequestFingerprint, Vec<u64>>,
     next_key: usize,
     next_fingerprint: u64,
--- a/tests/gateway_crash_parts.rs
+++ b/tests/gateway_crash_parts.rs
@@ -1,5 +1,5 @@
-//! Parts of prompts that crash each engine that begins to write an answer on them, at several routers
-//! without a network.
+//! Parts of prompts that crash each engine that begins to write an answer on them, at several
+//! routers without a network.
 
 use std::collections::BTreeMap;
 
@@ -38,8 +38,8 @@
 /// A second part.
 const SECOND_PART: u64 = 0xab;
 
-/// Sends requests with these parts, no two alike, through each router in turn until one is refused, and
-/// returns how many crashed an engine.
+/// Sends requests with these parts, no two alike, through each router in turn until one is refused,
+/// and returns how many crashed an engine.
 fn crash_in_turn(fleet: &mut RouterFleet, parts: &[u64], sign: CrashSign, pause_ms: u64) -> usize {
     for turn in 0..20 {
         let request = fleet.fresh_with(parts);
@@ -68,8 +68,8 @@
     })
 }
 
-/// Guards against one part that crashes engine after engine because requests with it are no two alike,
-/// whatever the routers see of each crash.
+/// Guards against one part that crashes engine after engine because requests with it are no two
+/// alike, whatever the routers see of each crash.
 #[test]
 fn a_part_in_three_crashes_is_refused_by_every_router() {
     for sign in [
@@ -123,8 +123,8 @@
     answer_everywhere(&mut fleet, &[FIRST_PART, SECOND_PART]);
 }
 
-/// Guards against a part that is taken for sound since a request with it is in three crashes of its own
-/// and is blamed alone: the next request with the part decides.
+/// Guards against a part that is taken for sound since a request with it is in three crashes of its
+/// own and is blamed alone: the next request with the part decides.
 #[test]
 fn a_part_is_refused_after_a_request_with_it_was() {
     let mut fleet = RouterFleet::new();
@@ -163,8 +163,8 @@
     answer_everywhere(&mut fleet, &[FIRST_PART]);
 }
 
-/// Guards against a crashing part that long answers, broken off by crashes, keep in doubt: an answer that
-/// went on for a second speaks for its parts, one that has just begun does not.
+/// Guards against a crashing part that long answers, broken off by crashes, keep in doubt: an
+/// answer that went on for a second speaks for its parts, one that has just begun does not.
 #[test]
 fn parts_of_an_answer_that_went_on_are_no_suspects() {
     let mut fleet = RouterFleet::new();
@@ -189,8 +189,8 @@
     answer_everywhere(&mut fleet, &[SECOND_PART]);
 }
 
-/// Guards against a router that starts after the refusal, knows nothing of it and sends the part to one
-/// more engine.
+/// Guards against a router that starts after the refusal, knows nothing of it and sends the part to
+/// one more engine.
 #[test]
 fn a_router_that_starts_later_refuses_the_part() {
     let mut fleet = RouterFleet::new();
@@ -204,8 +204,8 @@
     assert!(fleet.send(5, request).is_none());
 }
 
-/// Guards against a refusal that never ends, and against one after which the part has to crash three
-/// engines again.
+/// Guards against a refusal that never ends, and against one after which the part has to crash
+/// three engines again.
 #[test]
 fn a_refused_part_is_tried_again_after_ten_minutes_and_one_crash_refuses_it() {
     let mut fleet = RouterFleet::new();
@@ -349,8 +349,8 @@
     }
 }
 
-/// Guards against sound parts that are refused for minutes on a day of crashes that have other causes,
-/// the first of them within the first second.
+/// Guards against sound parts that are refused for minutes on a day of crashes that have other
+/// causes, the first of them within the first second.
 #[test]
 fn sound_parts_are_not_refused_on_days_of_ordinary_crashes() {
     let (mut sent, mut refused) = (0, 0);
@@ -370,8 +370,8 @@
     assert_eq!(refused, 0, "of {sent}");
 }
 
-/// Guards against both faults in one run: the crashing part goes on to reach engines, or sound requests
-/// beside it are refused.
+/// Guards against both faults in one run: the crashing part goes on to reach engines, or sound
+/// requests beside it are refused.
 #[test]
 fn a_crashing_part_is_refused_beside_sound_requests_and_they_are_not() {
     let (mut sent, mut refused, mut most) = (0, 0, 0);
@@ -397,7 +397,8 @@
     assert_eq!(refused, 0, "of {sent}; most engines ended: {most}");
 }
 
-/// Guards against an attempt that was abandoned as its engine wrote for long: it speaks for its parts.
+/// Guards against an attempt that was abandoned as its engine wrote for long: it speaks for its
+/// parts.
 #[test]
 fn a_caller_that_leaves_a_long_answer_clears_its_parts() {
     let mut fleet = RouterFleet::new();
@@ -419,8 +420,8 @@
     assert!(crashes >= 2, "{crashes}");
 }
 
-/// Guards against an answer that clears a crashing part although the engine didn't outlive it, or failed
-/// before it wrote anything.
+/// Guards against an answer that clears a crashing part although the engine didn't outlive it, or
+/// failed before it wrote anything.
 #[test]
 fn answers_that_end_with_their_connection_or_fail_clear_no_part() {
     for (status, end) in [
@@ -447,8 +448,8 @@
     }
 }
 
-/// Guards against messages that tell of a popular part for ever after one crash: it is answered all the
-/// time, and was accused once.
+/// Guards against messages that tell of a popular part for ever after one crash: it is answered all
+/// the time, and was accused once.
 #[test]
 fn a_popular_part_is_told_of_for_a_while_after_its_last_accusation() {
     let mut fleet = RouterFleet::new();
@@ -481,8 +482,8 @@
     assert_eq!(known, [1, 2, 3]);
 }
 
-/// Guards against a team whose other requests are refused as beyond its share since its callers go on
-/// sending a part that is refused.
+/// Guards against a team whose other requests are refused as beyond its share since its callers go
+/// on sending a part that is refused.
 #[test]
 fn requests_with_a_refused_part_are_no_demand_of_their_team() {
     const RATE: f64 = 60_000.0;
