A stream that ended with a leaving endpoint's process is not taken for whole either

Both ends look alike, and an end that looks whole and is not is the worse error: a resumable stream now goes on elsewhere, with nothing left to send if it was whole, any other is cut.

a_stream_that_ends_with_its_engine_does_not_look_whole and a_resumable_stream_that_ends_with_its_engine_goes_on failed before for leaving engines and pass.

--- a/src/gateway/end_check.rs
+++ b/src/gateway/end_check.rs
@@ -42,7 +42,7 @@
     Running,
     /// Its address refuses connections.
     Ended,
-    /// It is leaving, or a connection failed in another way, which tells nothing about the process.
+    /// A connection failed in another way, which tells nothing about the process.
     Unknown,
 }
 
@@ -54,10 +54,12 @@
 }
 
 /// Finds out whether the process of an endpoint runs that has just closed the connection of a
-/// stream.
+/// stream. A connection is opened only if nothing else comes from the endpoint meanwhile and no idle
+/// one is open.
 ///
-/// A connection is opened only if nothing else comes from the endpoint meanwhile and no idle one is
-/// open. An endpoint that is leaving may end its process right after its last stream.
+/// This holds for endpoints that are leaving as well. One that ends in an orderly way right after
+/// its last stream counts as having ended too soon: the stream then goes on elsewhere with nothing
+/// left to send, or is cut, which is better than an end that looks whole and is not.
 pub async fn find_process_status<P: CallProtocol>(
     traffic: &TrafficState<P>,
     ticket: &AttemptTicket,
@@ -69,13 +71,6 @@
     if ticket.has_activity_since(arrived_by) {
         return ProcessStatus::Running;
     }
-    let takes_work = shared
-        .core()
-        .endpoints
-        .takes_work(shared.clock.now(), &ticket.entry);
-    if !takes_work {
-        return ProcessStatus::Unknown;
-    }
     let status = timeout(CONFIRMATION_TIMEOUT, probe(traffic, &ticket.entry));
     status.await.unwrap_or(ProcessStatus::Unknown)
 }
