Outcomes of teams' requests are logged once a second, and margins can count what began

Nothing told why a team's requests were refused: by a router that lags, for a used-up allowance, for endpoints that are not idle enough, or for full ones; nor how much of what was sent lay beyond the share, nor how much of it began.

No decision changes.

--- a/src/ctl/command.rs
+++ b/src/ctl/command.rs
@@ -185,6 +185,12 @@
                 .default_value("6")
                 .help("Seconds over which teams are compared"),
         )
+        .arg(
+            Arg::new("begun")
+                .long("begun")
+                .action(ArgAction::SetTrue)
+                .help("Compare the tokens of requests whose output began, not of those sent"),
+        )
 }
 
 fn completions_command() -> Command {
--- a/src/ctl/logs.rs
+++ b/src/ctl/logs.rs
@@ -13,6 +13,7 @@
 use crate::report::calls::LossRow;
 use crate::report::calls::explain_call;
 use crate::report::calls::losses as count_losses;
+use crate::report::shares::ServiceCount;
 use crate::report::shares::ShareMargin;
 use crate::report::shares::share_margins;
 
@@ -113,7 +114,12 @@
 /// If a log can't be read.
 pub fn margins(matches: &ArgMatches, writer: &mut OutputWriter) -> Result<ExitKind, CtlError> {
     let span_s = matches.get_one::<u32>("span").copied().unwrap_or(6);
-    let margins = share_margins(&lines(matches)?, span_s);
+    let count = if matches.get_flag("begun") {
+        ServiceCount::Begun
+    } else {
+        ServiceCount::Sent
+    };
+    let margins = share_margins(&lines(matches)?, span_s, count);
     writer.value(&margins, |margins, format| margins_text(margins, format))?;
     Ok(ExitKind::Good)
 }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -26,6 +26,7 @@
 use super::decide::AttemptEnd;
 use super::decide::AttemptTicket;
 use super::decide::RefusalCause;
+use super::decide::outcomes::RequestOutcome;
 use super::decide::shares::ShareStanding;
 use super::end_check::check_end;
 use super::front::TrafficState;
@@ -195,6 +196,10 @@
     call.decided.is_over_share = standing != ShareStanding::Within;
     if standing != ShareStanding::Within && traffic.callers.lag(call.arrived) >= LagLevel::Late {
         let wait = TimeSpan::from_millis(traffic.shared.config.retry_after_ms);
+        traffic.shared.core().record_refused(
+            &admission_request(call, table),
+            RequestOutcome::RouterLagging,
+        );
         return reply_refused(traffic, caller, call, RefusalCause::OverShare, wait).await;
     }
     loop {
--- a/src/gateway/decide/attempts.rs
+++ b/src/gateway/decide/attempts.rs
@@ -10,8 +10,10 @@
 
 use super::super::protocol::PartIds;
 use super::super::routes::EndpointEntry;
+use super::super::routes::TeamKey;
 use super::core::GatewayCore;
 use super::health::ActivityClock;
+use super::outcomes::RequestOutcome;
 use super::process_ends::EndSign;
 
 /// Weight of a new measurement in the moving average of a service's request duration. The last
@@ -53,6 +55,8 @@
     pub(super) fingerprint: RequestFingerprint,
     /// Shared parts of the request's prompt.
     pub(super) parts: PartIds,
+    /// The team and the tokens that count for its share.
+    pub(super) team_tokens: Option<(TeamKey, f64)>,
     /// When the first output and the last bytes since then arrived.
     pub(super) output: Option<OutputSpan>,
     pub(super) placed_at: Moment,
@@ -125,6 +129,11 @@
     #[allow(clippy::cast_precision_loss)]
     pub fn first_output(&mut self, now: Moment, ticket: &mut AttemptTicket) {
         self.finish_prefill(ticket);
+        if ticket.output.is_none()
+            && let Some((team, tokens)) = &ticket.team_tokens
+        {
+            self.outcomes.count(team, RequestOutcome::Begun, *tokens);
+        }
         ticket.output.get_or_insert(OutputSpan {
             first: now,
             last: now,
--- a/src/gateway/decide/core.rs
+++ b/src/gateway/decide/core.rs
@@ -29,6 +29,8 @@
 use super::endpoints::EndpointTable;
 use super::endpoints::PeerLoad;
 use super::fleet_size::FleetSize;
+use super::outcomes::RequestOutcome;
+use super::outcomes::TeamOutcomes;
 use super::placement;
 use super::placement::EngineModel;
 use super::placement::Placement;
@@ -134,6 +136,14 @@
     },
 }
 
+impl AdmissionRequest<'_> {
+    /// The team and the tokens that count for its share; `None` if the call has no team or prompt.
+    fn team_tokens(&self) -> Option<(TeamKey, f64)> {
+        let tokens = self.prompt?.share_tokens();
+        Some((self.team?.clone(), tokens))
+    }
+}
+
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
 fn seconds(seconds: f64) -> TimeSpan {
     TimeSpan((seconds * 1e6) as u64)
@@ -150,6 +160,7 @@
     pub shares: ShareTable,
     capacity: CapacityEstimate,
     accounts: TeamAccounts,
+    pub(super) outcomes: TeamOutcomes,
     /// When the teams' counts were last logged.
     teams_logged_at: Moment,
     /// Software versions of each service's endpoints.
@@ -192,6 +203,7 @@
             shares: ShareTable::new(seconds(config.share_window_s)),
             capacity: CapacityEstimate::default(),
             accounts: TeamAccounts::default(),
+            outcomes: TeamOutcomes::default(),
             teams_logged_at: Moment(0),
             quarantine: CrashQuarantine::default(),
             budget,
@@ -278,8 +290,18 @@
     /// logged but does not count as demand when shares are set: a router would be assigned a part
     /// of the team's share for it, which it can't use and other routers then lack.
     pub fn record_refused_late(&mut self, team: &TeamKey, prompt: &PromptShape) {
-        self.accounts.ask(team, prompt.share_tokens());
+        let tokens = prompt.share_tokens();
+        self.accounts.ask(team, tokens);
         self.accounts.count_unserved(team);
+        self.outcomes
+            .count(team, RequestOutcome::RouterFull, tokens);
+    }
+
+    /// Counts the reason for which a model call was refused, for the logs.
+    pub fn record_refused(&mut self, request: &AdmissionRequest<'_>, outcome: RequestOutcome) {
+        if let (Some(team), Some(prompt)) = (request.team, request.prompt) {
+            self.outcomes.count(team, outcome, prompt.share_tokens());
+        }
     }
 
     /// Takes one retry from this router's part of the budget. Returns false if it is used up.
@@ -338,6 +360,9 @@
         if let Some(line) = self.accounts.take() {
             spdlog::info!("teams: span_ms={} {line}", passed.as_millis());
         }
+        if let Some(line) = self.outcomes.take() {
+            spdlog::info!("outcomes: span_ms={} {line}", passed.as_millis());
+        }
     }
 
     /// Logs the demand, service and allowance of teams that are limited to their shares.
@@ -407,13 +432,14 @@
                 }
                 ShareStanding::Beyond(_) => RefusalCause::OverShare,
             };
+            self.record_refused(request, standing.refusal_outcome());
             return Admission::Refuse {
                 cause,
                 retry_after: self.retry_after(expected - limit),
                 expected_ms: expected,
             };
         }
-        self.place_attempt(now, request, &placement)
+        self.place_attempt(now, request, standing, &placement)
     }
 
     /// Refuses a call that no endpoint can take. The caller should retry when the first pause ends:
@@ -530,6 +556,7 @@
         &mut self,
         now: Moment,
         request: &AdmissionRequest<'_>,
+        standing: ShareStanding,
         placement: &Placement,
     ) -> Admission {
         let hold_ms = self.hold_ms(request.service);
@@ -558,6 +585,10 @@
             if let Some(team) = request.team {
                 let tokens = prompt.share_tokens();
                 self.accounts.send(team, tokens);
+                if standing != ShareStanding::Within {
+                    self.outcomes
+                        .count(team, RequestOutcome::SentBeyond, tokens);
+                }
                 self.shares.serve(now, team, tokens);
             }
             for part in prompt.shared_parts() {
@@ -573,6 +604,7 @@
             queued: row.total_pending(),
             fingerprint: request.fingerprint,
             parts,
+            team_tokens: request.team_tokens(),
             output: None,
             placed_at: now,
             is_prefilling: true,
--- a/src/gateway/decide/mod.rs
+++ b/src/gateway/decide/mod.rs
@@ -24,6 +24,7 @@
 pub mod health;
 pub mod levels;
 pub mod notices;
+pub mod outcomes;
 pub mod part_crashes;
 pub mod placement;
 pub mod process_ends;
--- a/src/gateway/decide/shares.rs
+++ b/src/gateway/decide/shares.rs
@@ -28,6 +28,7 @@
 use super::levels::correction;
 use super::levels::least_served;
 use super::levels::max_min_level;
+use super::outcomes::RequestOutcome;
 use super::surge::SurgeDetector;
 use super::surge::TeamDemand;
 use super::window::WindowCount;
@@ -69,6 +70,19 @@
     Beyond(f64),
 }
 
+impl ShareStanding {
+    /// The outcome of a request with this standing that is refused because the predicted time to
+    /// its first output exceeds the limit.
+    #[must_use]
+    pub fn refusal_outcome(self) -> RequestOutcome {
+        match self {
+            Self::Within => RequestOutcome::EndpointsFull,
+            Self::Beyond(ratio) if ratio.is_infinite() => RequestOutcome::AllowanceUsedUp,
+            Self::Beyond(_) => RequestOutcome::EndpointsBusy,
+        }
+    }
+}
+
 /// Demand and service of a team, in tokens a second.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct TeamFlow {
--- a/src/report/shares.rs
+++ b/src/report/shares.rs
@@ -3,7 +3,8 @@
 //!
 //! A team with unserved requests in every second of a span is compared with each other team. It is
 //! owed half of the sum over these seconds of what it asked for or what the other team got,
-//! whichever is less. Three of the largest requests are subtracted, because only whole requests can
+//! whichever is less. What a team got is counted when its requests are sent to endpoints, or when
+//! their output begins. Three of the largest requests are subtracted, because only whole requests can
 //! be served and the comparison may be off by that much.
 
 use std::collections::BTreeMap;
@@ -11,6 +12,8 @@
 use serde::Serialize;
 use smol_str::SmolStr;
 
+use crate::gateway::decide::outcomes::OUTCOMES;
+
 use super::calls::LogLine;
 
 /// Tolerance of a comparison, in requests of the largest size.
@@ -30,9 +33,9 @@
     pub from_s: i64,
     /// Tokens of the team's requests.
     pub asked: f64,
-    /// Tokens of its requests that were sent to endpoints.
+    /// Tokens of its requests that were served, see [`ServiceCount`].
     pub got: f64,
-    /// Tokens of the other team's requests that were sent to endpoints.
+    /// Tokens of the other team's requests that were served.
     pub other_got: f64,
     /// Tokens that the team was owed.
     pub owed: f64,
@@ -40,10 +43,19 @@
     pub margin: f64,
 }
 
+/// Which requests count as served.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ServiceCount {
+    /// Those that were sent to endpoints, from the routers' `teams:` lines.
+    Sent,
+    /// Those whose output began, from the routers' `outcomes:` lines.
+    Begun,
+}
+
 #[derive(Debug, Clone, Copy, Default)]
 struct TeamSecond {
     asked: f64,
-    sent: f64,
+    got: f64,
     short: u64,
 }
 
@@ -56,31 +68,44 @@
 }
 
 impl AccountTable {
-    fn add(&mut self, line: &LogLine) {
+    fn add(&mut self, line: &LogLine, count: ServiceCount) {
         let (Some(flows), Some(span_ms)) = (line.field("flows"), line.number("span_ms")) else {
             return;
         };
         #[allow(clippy::cast_possible_truncation)]
         let middle_ms = line.day_ms() - (span_ms / 2.0) as i64;
         let second = middle_ms.div_euclid(1_000);
+        match (line.part.as_str(), count) {
+            ("teams", _) => self.add_account(line, second, flows, count),
+            ("outcomes", ServiceCount::Begun) => self.add_begun(second, flows),
+            _ => {}
+        }
+    }
+
+    fn add_account(&mut self, line: &LogLine, second: i64, flows: &str, count: ServiceCount) {
         let largest = line.number("largest").unwrap_or_default();
         self.largest = self.largest.max(largest);
         let (first, last) = self.seconds.unwrap_or((second, second));
         self.seconds = Some((first.min(second), last.max(second)));
-        for flow in flows.split(',') {
-            self.add_flow(second, flow);
+        for (team, counts) in flows.split(',').filter_map(read_flow) {
+            let sum = self.row(team, second);
+            sum.asked += counts.asked;
+            sum.short += counts.short;
+            if count == ServiceCount::Sent {
+                sum.got += counts.got;
+            }
         }
     }
 
-    fn add_flow(&mut self, second: i64, flow: &str) {
-        let Some((team, counts)) = read_flow(flow) else {
-            return;
-        };
+    fn add_begun(&mut self, second: i64, flows: &str) {
+        for (team, begun) in flows.split(',').filter_map(read_begun) {
+            self.row(team, second).got += begun;
+        }
+    }
+
+    fn row(&mut self, team: SmolStr, second: i64) -> &mut TeamSecond {
         let seconds = self.teams.entry(team).or_default();
-        let sum: &mut TeamSecond = seconds.entry(second).or_default();
-        sum.asked += counts.asked;
-        sum.sent += counts.sent;
-        sum.short += counts.short;
+        seconds.entry(second).or_default()
     }
 
     fn at(&self, team: &SmolStr, second: i64) -> TeamSecond {
@@ -106,10 +131,10 @@
         let mut other_got = 0.0;
         for second in from..from + span_s {
             let (own, other) = (self.at(team, second), self.at(against, second));
-            lesser += own.asked.min(other.sent);
+            lesser += own.asked.min(other.got);
             asked += own.asked;
-            got += own.sent;
-            other_got += other.sent;
+            got += own.got;
+            other_got += other.got;
         }
         let owed = OWED_FRACTION * lesser - SLACK_REQUESTS * self.largest;
         (owed > 0.0).then(|| ShareMargin {
@@ -141,19 +166,28 @@
 fn read_flow(flow: &str) -> Option<(SmolStr, TeamSecond)> {
     let mut fields = flow.rsplitn(4, ':');
     let short = fields.next()?.parse().ok()?;
-    let sent = fields.next()?.parse().ok()?;
+    let got = fields.next()?.parse().ok()?;
     let asked = fields.next()?.parse().ok()?;
     let team = SmolStr::new(fields.next()?);
-    Some((team, TeamSecond { asked, sent, short }))
+    Some((team, TeamSecond { asked, got, short }))
+}
+
+/// Parses the team and the first count, the begun tokens, of an entry of an
+/// [`OutcomeLine`](crate::gateway::decide::outcomes::OutcomeLine).
+fn read_begun(flow: &str) -> Option<(SmolStr, f64)> {
+    let mut fields = flow.rsplitn(OUTCOMES + 1, ':');
+    let begun = fields.nth(OUTCOMES - 1)?.parse().ok()?;
+    let team = SmolStr::new(fields.next()?);
+    Some((team, begun))
 }
 
 /// Returns the smallest margin of each team that had unserved requests in every second of a span of
 /// `span_s` seconds. The smallest margin comes first.
 #[must_use]
-pub fn share_margins(lines: &[LogLine], span_s: u32) -> Vec<ShareMargin> {
+pub fn share_margins(lines: &[LogLine], span_s: u32, count: ServiceCount) -> Vec<ShareMargin> {
     let mut table = AccountTable::default();
-    for line in lines.iter().filter(|line| line.part == "teams") {
-        table.add(line);
+    for line in lines {
+        table.add(line, count);
     }
     let teams = table.teams.keys();
     let mut margins: Vec<ShareMargin> = teams
