Failing tests: teams whose routers lag by turns, and shares that pay for idle endpoints

The model counts what a lagging router refuses with ShareTable::count_unseen, which so far only shows in lines of shares.

--- a/src/gateway/decide/core.rs
+++ b/src/gateway/decide/core.rs
@@ -289,8 +289,9 @@
     /// Counts a model call that this router refused because its own tasks were delayed. The call is
     /// logged but does not count as demand when shares are set: a router would be assigned a part
     /// of the team's share for it, which it can't use and other routers then lack.
-    pub fn record_refused_late(&mut self, team: &TeamKey, prompt: &PromptShape) {
+    pub fn record_refused_late(&mut self, now: Moment, team: &TeamKey, prompt: &PromptShape) {
         let tokens = prompt.share_tokens();
+        self.shares.count_unseen(now, team, tokens);
         self.accounts.ask(team, tokens);
         self.accounts.count_unserved(team);
         self.outcomes
@@ -375,13 +376,14 @@
                 flow,
                 asked_here,
                 allowed_here,
+                unseen_here,
                 since,
             } = held;
             let held_ms = now.since(*since).as_millis();
             spdlog::info!(
                 "shares: team={team} held_ms={held_ms} level={level:.0} asked={:.0} served={:.0} \
-                 asked_here={asked_here:.0} allowed_here={allowed_here:.0} held={count} \
-                 rate={rate:.0}",
+                 asked_here={asked_here:.0} unseen_here={unseen_here:.0} \
+                 allowed_here={allowed_here:.0} held={count} rate={rate:.0}",
                 flow.asked,
                 flow.served,
             );
--- a/src/gateway/decide/shares.rs
+++ b/src/gateway/decide/shares.rs
@@ -113,6 +113,8 @@
     pub asked_here: f64,
     /// Rate that this router may serve within the share.
     pub allowed_here: f64,
+    /// Demand at this router in the last [`RECENT_WINDOW`] that it refused without looking at it.
+    pub unseen_here: f64,
     /// Start of the limit.
     pub since: Moment,
 }
@@ -121,6 +123,8 @@
 struct TeamCounts {
     asked: WindowCount,
     asked_recently: WindowCount,
+    /// Demand that this router refused without looking at it, since it lagged.
+    unseen: WindowCount,
     /// Demand over the share window with request sizes capped as in `asked_recently`.
     asked_capped: WindowCount,
     served: WindowCount,
@@ -142,6 +146,8 @@
     flow: TeamFlow,
     /// Demand at this router at that time.
     asked_here: f64,
+    /// Demand at this router at that time that it refused without looking at it.
+    unseen_here: f64,
     /// The product of two ratios. The first is the team's service by all routers divided by its
     /// share; it is weighted by [`ShareTerms::coverage`], so it is closer to 1 until the counts
     /// cover the share window. The second, used if above 1, is the team's service divided by that
@@ -172,6 +178,7 @@
         Self {
             asked: WindowCount::new(window),
             asked_recently: WindowCount::new(RECENT_WINDOW),
+            unseen: WindowCount::new(RECENT_WINDOW),
             asked_capped: WindowCount::new(window),
             served: WindowCount::new(window),
             surge: SurgeDetector::default(),
@@ -183,6 +190,7 @@
             limited_since: None,
             flow: TeamFlow::default(),
             asked_here: 0.0,
+            unseen_here: 0.0,
             service_ratio: 0.0,
         }
     }
@@ -359,6 +367,11 @@
         }
     }
 
+    /// Counts a request that this router refused without looking at it, since it lagged.
+    pub fn count_unseen(&mut self, now: Moment, team: &TeamKey, tokens: f64) {
+        self.counts(now, team).unseen.add(now, tokens);
+    }
+
     /// Counts a request within its team's share that was refused because the predicted time to its
     /// first output exceeded the limit.
     pub fn turn_away(&mut self, now: Moment, tokens: f64) {
@@ -388,15 +401,13 @@
     pub fn flows(&mut self, now: Moment) -> BTreeMap<TeamKey, TeamFlow> {
         let (begun, window) = (self.begun, self.window);
         let asked_s = counted_s(now, begun, window);
-        #[allow(clippy::cast_precision_loss)]
-        let recent_s = RECENT_WINDOW.0 as f64 / 1e6;
         self.teams
             .iter_mut()
             .map(|(team, counts)| {
                 let served_s = counted_s(now, counts.limited_since.or(begun), window);
                 let flow = TeamFlow {
                     asked: counts.asked.sum(now) / asked_s,
-                    asked_recently: counts.asked_recently.sum(now) / recent_s,
+                    asked_recently: counts.asked_recently.sum(now) / recent_s(),
                     served: counts.served.sum(now) / served_s,
                 };
                 (team.clone(), flow)
@@ -420,6 +431,7 @@
                 flow: counts.flow,
                 asked_here: counts.asked_here,
                 allowed_here: counts.allowed?,
+                unseen_here: counts.unseen_here,
                 since: counts.limited_since?,
             })
         });
@@ -457,6 +469,7 @@
             let demand = demands.get(&team.hash()).copied().unwrap_or_default();
             counts.flow = all;
             counts.asked_here = own.get(team).map_or(0.0, |flow| flow.asked);
+            counts.unseen_here = counts.unseen.sum(now) / recent_s();
             counts.set_share(now, &terms, demand);
         }
         self.terms = Some(terms);
@@ -493,6 +506,12 @@
     }
 }
 
+/// [`RECENT_WINDOW`] in seconds.
+#[allow(clippy::cast_precision_loss)]
+fn recent_s() -> f64 {
+    RECENT_WINDOW.0 as f64 / 1e6
+}
+
 /// Returns the credit in tokens after a refill at `rate` tokens a second. The refill stops at
 /// [`BURST_S`] seconds of the rate; a credit that is already higher, from a higher rate, is kept.
 fn refilled(credit: f64, rate: f64, passed_s: f64) -> f64 {
--- a/src/gateway/late.rs
+++ b/src/gateway/late.rs
@@ -30,7 +30,8 @@
         .as_ref()
         .and_then(|table| key.and_then(|key| table.team(key)));
     if let (Some(team), Some(prompt)) = (team, &facts.prompt) {
-        shared.core().record_refused_late(team, prompt);
+        let now = shared.clock.now();
+        shared.core().record_refused_late(now, team, prompt);
     }
     let wait = Duration::from_millis(shared.config.elsewhere_retry_ms);
     OwnReply::with_retry_after(OwnStatus::Unavailable, wait)
--- a/tests/floods/mod.rs
+++ b/tests/floods/mod.rs
@@ -4,6 +4,8 @@
 //!
 //! Load pattern: a few teams ask many times their shares, each through its own routers, and begin
 //! at different moments. Prompt sizes have a heavy tail.
+// Each test file that includes this module uses a part of it.
+#![allow(dead_code)]
 
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
@@ -180,6 +182,46 @@
     }
 }
 
+/// A router that lags by turns and then refuses all requests without looking at them.
+#[derive(Debug, Clone, Copy)]
+pub struct LateRouter {
+    /// Index of the router.
+    pub router: usize,
+    /// It lags at the start of each period, in ms.
+    pub period_ms: u64,
+    /// Time for which it lags in each period, in ms.
+    pub late_ms: u64,
+    /// Offset of its periods, in ms.
+    pub phase_ms: u64,
+}
+
+impl LateRouter {
+    fn is_late(&self, ms: u64) -> bool {
+        (ms + self.phase_ms) % self.period_ms < self.late_ms
+    }
+}
+
+/// Faults of a simulation.
+#[derive(Debug, Clone, Default)]
+pub struct FleetFaults {
+    /// Routers that lag.
+    pub late: Vec<LateRouter>,
+    /// From which ms on the engines can start how many tokens a second.
+    pub engines: Vec<(u64, f64)>,
+}
+
+impl FleetFaults {
+    fn is_late(&self, router: usize, ms: u64) -> bool {
+        let mut late = self.late.iter();
+        late.any(|late| late.router == router && late.is_late(ms))
+    }
+
+    fn engines(&self, fleet: FleetShape, ms: u64) -> f64 {
+        let begun = self.engines.iter().rev().find(|(from, _)| *from <= ms);
+        begun.map_or(fleet.engines, |(_, rate)| *rate)
+    }
+}
+
 /// Simulates a load as [`simulate`] does, with engines that may have capacity beyond the published
 /// rate.
 pub fn simulate_with(
@@ -188,6 +230,25 @@
     loads: &[TeamLoad],
     length_ms: u64,
     seed: u64,
+) -> Vec<TeamTrace> {
+    simulate_faults(
+        fleet,
+        spare,
+        &FleetFaults::default(),
+        loads,
+        length_ms,
+        seed,
+    )
+}
+
+/// Simulates a load as [`simulate_with`] does, with faults.
+pub fn simulate_faults(
+    fleet: FleetShape,
+    spare: SpareRoom,
+    faults: &FleetFaults,
+    loads: &[TeamLoad],
+    length_ms: u64,
+    seed: u64,
 ) -> Vec<TeamTrace> {
     let mut rng = StdRng::seed_from_u64(seed);
     let mut fleet_routers = routers(fleet.routers);
@@ -202,8 +263,9 @@
     for ms in 0..length_ms {
         let now = Moment(ms * 1_000);
         let bucket = usize::try_from(ms / BUCKET_MS).unwrap();
-        let most_room = fleet.engines * FULL_QUEUE_MS / 1e3;
-        room = (room + fleet.engines / 1e3).min(most_room);
+        let engines = faults.engines(fleet, ms);
+        let most_room = engines * FULL_QUEUE_MS / 1e3;
+        room = (room + engines / 1e3).min(most_room);
         gossip_round(&mut fleet_routers, ms, fleet.published);
         for (index, load) in loads.iter().enumerate() {
             let expected = load.rate(ms) / MEAN_TOKENS / 1e3;
@@ -215,10 +277,15 @@
                 let receiver = (first + rng.random_range(0..count)) % fleet.routers;
                 let router = &mut fleet_routers[receiver];
                 let team = team_key(index);
-                router.recent_tokens += size;
-                let standing = router.shares.ask(now, &team, size);
                 let trace = &mut traces[index];
                 trace.asked[bucket] += size;
+                if faults.is_late(receiver, ms) {
+                    router.shares.count_unseen(now, &team, size);
+                    trace.refused[bucket] += 1;
+                    continue;
+                }
+                router.recent_tokens += size;
+                let standing = router.shares.ask(now, &team, size);
                 if spare.takes(standing, room / most_room, size) {
                     room -= size;
                     router.shares.serve(now, &team, size);
@@ -292,30 +359,37 @@
 /// Teams that had requests refused in each of six seconds and got less than half of their demand or
 /// of the best served team's service, whichever is less.
 pub fn short_teams(traces: &[TeamTrace], warm_ms: u64) -> Vec<ShortTeam> {
+    spans(traces, warm_ms)
+        .filter(|span| span.figures.1 < span.owed())
+        .collect()
+}
+
+impl ShortTeam {
+    /// The tokens that the team is owed in the span.
+    fn owed(&self) -> f64 {
+        let (asked, _, best) = self.figures;
+        asked.min(best) / 2.0 - SLACK_REQUESTS * MOST_TOKENS
+    }
+}
+
+/// All spans of [`SPAN_MS`] in which a team had requests refused in each second.
+fn spans(traces: &[TeamTrace], warm_ms: u64) -> impl Iterator<Item = ShortTeam> + '_ {
     let span = usize::try_from(SPAN_MS / BUCKET_MS).unwrap();
     let second = usize::try_from(1_000 / BUCKET_MS).unwrap();
     let first = usize::try_from(warm_ms / BUCKET_MS).unwrap();
     let length = traces.first().map_or(0, |trace| trace.asked.len());
-    let mut short = Vec::new();
-    for from in first..=length.saturating_sub(span) {
-        let sum = |values: &[f64]| values[from..from + span].iter().sum::<f64>();
-        let served: Vec<f64> = traces.iter().map(|trace| sum(&trace.served)).collect();
-        let best = served.iter().copied().fold(0.0, f64::max);
-        for (team, trace) in traces.iter().enumerate() {
-            let refused = &trace.refused[from..from + span];
-            let waits = refused
-                .chunks(second)
-                .all(|second| second.iter().sum::<u32>() > 0);
-            let asked = sum(&trace.asked);
-            let due = asked.min(best) / 2.0 - SLACK_REQUESTS * MOST_TOKENS;
-            if waits && served[team] < due {
-                short.push(ShortTeam {
-                    team,
-                    from_ms: from as u64 * BUCKET_MS,
-                    figures: (asked, served[team], best),
-                });
-            }
-        }
-    }
-    short
+    (first..=length.saturating_sub(span)).flat_map(move |from| {
+        let sum = move |values: &[f64]| values[from..from + span].iter().sum::<f64>();
+        let best = traces.iter().map(|trace| sum(&trace.served));
+        let best = best.fold(0.0, f64::max);
+        let waiting = traces.iter().enumerate().filter(move |(_, trace)| {
+            let mut seconds = trace.refused[from..from + span].chunks(second);
+            seconds.all(|second| second.iter().sum::<u32>() > 0)
+        });
+        waiting.map(move |(team, trace)| ShortTeam {
+            team,
+            from_ms: from as u64 * BUCKET_MS,
+            figures: (sum(&trace.asked), sum(&trace.served), best),
+        })
+    })
 }
--- /dev/null
+++ b/tests/gateway_unequal_hosts.rs
@@ -0,0 +1,111 @@
+//! Fairness between teams whose routers are unequal, or whose floods begin at different moments, without
+//! a network.
+
+use std::collections::BTreeMap;
+
+use smol_str::SmolStr;
+
+use verbenaturn::gateway::decide::shares::ShareStanding;
+use verbenaturn::gateway::decide::shares::ShareTable;
+use verbenaturn::gateway::routes::TeamKey;
+use verbenaturn::units::Moment;
+use verbenaturn::units::TimeSpan;
+
+mod floods;
+
+use self::floods::FleetFaults;
+use self::floods::FleetShape;
+use self::floods::LateRouter;
+use self::floods::SpareRoom;
+use self::floods::TeamLoad;
+use self::floods::short_teams;
+use self::floods::simulate_faults;
+
+/// Ninety routers, and engines that can start a little more than the published rate.
+const FLEET: FleetShape = FleetShape {
+    routers: 90,
+    published: 2_700_000.0,
+    engines: 3_300_000.0,
+};
+
+/// Length of a simulation, in ms, and its warm-up that is not checked, in ms.
+const LENGTH_MS: u64 = 18_000;
+const WARM_MS: u64 = 4_000;
+
+/// Twelve normal teams; a flood through two routers; and floods through two others and through all.
+fn floods_through_few_and_all() -> Vec<TeamLoad> {
+    let all = (0, FLEET.routers);
+    let normal = (0..12).map(|_| TeamLoad::steady(all, 110_000.0));
+    let floods = [
+        TeamLoad::flood((14, 2), 100_000.0, 3_000, 15_000_000.0),
+        TeamLoad::flood((40, 2), 100_000.0, 5_000, 2_000_000.0),
+        TeamLoad::flood(all, 100_000.0, 4_000, 6_000_000.0),
+        TeamLoad::flood(all, 100_000.0, 9_000, 5_000_000.0),
+    ];
+    normal.chain(floods).collect()
+}
+
+/// Guards against a team that gets a third of what others get, since the routers that all its callers
+/// use lag by turns: what they did not look at for a moment counted as the end of its flood.
+#[test]
+fn a_team_whose_routers_lag_by_turns_gets_half_of_what_others_get() {
+    let mut shortages = Vec::new();
+    for (period_ms, late_ms) in [(3_000, 2_600), (2_000, 1_800)] {
+        let late = |router, phase_ms| LateRouter {
+            router,
+            period_ms,
+            late_ms,
+            phase_ms,
+        };
+        let faults = FleetFaults {
+            late: vec![late(14, 0), late(15, period_ms / 2)],
+            ..FleetFaults::default()
+        };
+        let (spare, loads) = (SpareRoom::ByQueue, floods_through_few_and_all());
+        let traces = simulate_faults(FLEET, spare, &faults, &loads, LENGTH_MS, 1);
+        let short = short_teams(&traces, WARM_MS);
+        shortages.extend(short.iter().map(|short| format!("{late_ms}: {short:?}")));
+    }
+    assert!(shortages.is_empty(), "{shortages:#?}");
+}
+
+/// Guards against a team that pays from its share for what idle endpoints served it before: as soon as
+/// they are busy it gets half of its share for seconds, while a flood that just began gets all of its own.
+#[test]
+fn service_by_idle_endpoints_is_not_deducted_from_the_share() {
+    let teams = ["early", "other"].map(|name| TeamKey(SmolStr::new(name)));
+    let mut shares = ShareTable::new(TimeSpan::from_millis(4_000));
+    let mut beyond = 0.0;
+    let mut within = 0.0;
+    for ms in 0..9_000_u64 {
+        let now = Moment(ms * 1_000);
+        if ms % 100 == 0 {
+            shares.share_out(now, 200_000.0, &BTreeMap::new());
+        }
+        for team in &teams {
+            let standing = shares.ask(now, team, 1_000.0);
+            let are_endpoints_idle = ms < 6_000;
+            match standing {
+                ShareStanding::Within => {
+                    shares.serve(now, team, 1_000.0);
+                    if !are_endpoints_idle && *team == teams[0] {
+                        within += 1_000.0;
+                    }
+                }
+                ShareStanding::Beyond(_) if are_endpoints_idle && beyond < ms_share(ms) => {
+                    shares.serve(now, team, 1_000.0);
+                    beyond += 1_000.0;
+                }
+                ShareStanding::Beyond(_) => {}
+            }
+        }
+    }
+    // A share is 100,000 tokens a second.
+    assert!(within > 0.9 * 300_000.0, "{within}");
+}
+
+/// Tokens that idle endpoints serve beyond the shares up to this ms: as much as both shares together.
+#[allow(clippy::cast_precision_loss)]
+fn ms_share(ms: u64) -> f64 {
+    ms as f64 * 200.0
+}
