What a lagging router refuses unseen is no end of its team's flood

Cause: a lagging router refuses requests unseen, so demand of the last 0.3 s drops to nothing. That counted as the end of the flood: the routers' parts of the share then follow recent demand, which was nothing, and the team was left out when teams that wait are compared. With both of a team's routers late by turns the parts of one share added up to 0, 0.2 or 0.7 of it (lines of shares: 137, 284, 272, 0, 0, 200, 200 and 64 thousand of 380).

Routers now tell what they refuse unseen, in a column of its own. While that is much, parts follow the share window, which only counts what is seen, so a late router's part does not grow with its flood; and the team still counts as waiting.

--- a/src/gateway/decide/levels.rs
+++ b/src/gateway/decide/levels.rs
@@ -36,13 +36,14 @@
 const SPARE_GROWTH: f64 = 1.5;
 
 /// Returns the flows of the teams whose demand is above the level, both over the share window and
-/// over [`super::shares::RECENT_WINDOW`].
+/// over [`super::shares::RECENT_WINDOW`]. What lagging routers refused unseen is recent demand too:
+/// a team all of whose routers lag is still waiting.
 pub fn teams_above_level(
     level: f64,
     flows: &BTreeMap<u64, TeamFlow>,
 ) -> impl Iterator<Item = &TeamFlow> {
     let flows = flows.values();
-    flows.filter(move |flow| flow.asked > level && flow.asked_recently > level)
+    flows.filter(move |flow| flow.asked > level && flow.asked_recently + flow.unseen > level)
 }
 
 /// Returns the rate that each team above the level may get beyond it, in tokens a second; `None` if
--- a/src/gateway/decide/shares.rs
+++ b/src/gateway/decide/shares.rs
@@ -90,6 +90,9 @@
     pub asked: f64,
     /// Demand over [`RECENT_WINDOW`], where the size of a request is capped at twice the mean.
     pub asked_recently: f64,
+    /// Demand over [`RECENT_WINDOW`] that routers refused without looking at it, since they lagged.
+    /// `asked` and `asked_recently` leave it out.
+    pub unseen: f64,
     /// Service, that is the tokens of requests that were sent, over the share window.
     pub served: f64,
 }
@@ -98,6 +101,7 @@
     fn add_assign(&mut self, other: Self) {
         self.asked += other.asked;
         self.asked_recently += other.asked_recently;
+        self.unseen += other.unseen;
         self.served += other.served;
     }
 }
@@ -408,6 +412,7 @@
                 let flow = TeamFlow {
                     asked: counts.asked.sum(now) / asked_s,
                     asked_recently: counts.asked_recently.sum(now) / recent_s(),
+                    unseen: counts.unseen.sum(now) / recent_s(),
                     served: counts.served.sum(now) / served_s,
                 };
                 (team.clone(), flow)
@@ -468,8 +473,9 @@
             let all = flows.get(&team.hash()).copied().unwrap_or_default();
             let demand = demands.get(&team.hash()).copied().unwrap_or_default();
             counts.flow = all;
-            counts.asked_here = own.get(team).map_or(0.0, |flow| flow.asked);
-            counts.unseen_here = counts.unseen.sum(now) / recent_s();
+            let here = own.get(team).copied().unwrap_or_default();
+            counts.asked_here = here.asked;
+            counts.unseen_here = here.unseen;
             counts.set_share(now, &terms, demand);
         }
         self.terms = Some(terms);
--- a/src/gateway/decide/surge.rs
+++ b/src/gateway/decide/surge.rs
@@ -11,6 +11,10 @@
 //! from its own mean divided by the sum of all means; the means reported by other routers are older
 //! and even higher, so the parts add up to only half of the share. A team whose demand is below its
 //! share by then would be refused most of its requests.
+//!
+//! A lagging router refuses requests unseen. Recent demand then drops to nothing and comes back within
+//! a second, and parts of the share that follow it lie where nothing is asked, or nowhere. While much
+//! of a team's demand is unseen, its parts follow the mean over the share window.
 
 use super::shares::TeamFlow;
 
@@ -50,6 +54,10 @@
 /// sends only the longest requests, of twenty times the mean size, keeps a tenth.
 const MAX_CAPPED_PART: f64 = 0.95;
 
+/// Ratio of the fast-decaying peak of unseen demand to the mean of seen demand above which recent
+/// demand says little about where a team asks.
+const UNSEEN_PART: f64 = 0.5;
+
 /// Demand of a team from which its share is computed.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct TeamDemand {
@@ -68,6 +76,8 @@
     /// Peak of recent demand with a faster decay, in tokens a second.
     fast_peak: f64,
     is_falling: bool,
+    /// Peak of unseen demand with the same decay, in tokens a second.
+    unseen_peak: f64,
     /// Fraction of the mean that recent demand omits because of the size cap on requests, from 0 to
     /// 1.
     capped_part: f64,
@@ -95,7 +105,18 @@
             (SURGE_BEGINS * all.asked).max(SURGE_LEVELS * level)
         };
         self.is_surging = self.peak > bound;
-        if self.update_falling(all) && all.asked > level {
+        let is_falling = self.update_falling(all);
+        if self.is_partly_unseen(all) {
+            return TeamDemand {
+                asked: if self.is_surging {
+                    self.peak
+                } else {
+                    all.asked
+                },
+                part: part_of(own.asked, all.asked),
+            };
+        }
+        if is_falling && all.asked > level {
             let part = own.asked_recently / all.asked_recently.max(1.0);
             return TeamDemand {
                 asked: (self.fast_peak / (1.0 - self.capped_part)).min(all.asked),
@@ -109,8 +130,16 @@
         } else {
             (all.asked, own.asked)
         };
-        let part = if asked > 0.0 { here / asked } else { 0.0 };
-        TeamDemand { asked, part }
+        TeamDemand {
+            asked,
+            part: part_of(here, asked),
+        }
+    }
+
+    /// Updates the peak of unseen demand and returns whether much of the demand is unseen.
+    fn is_partly_unseen(&mut self, all: TeamFlow) -> bool {
+        self.unseen_peak = all.unseen.max(self.unseen_peak * FAST_PEAK_DECAY);
+        self.unseen_peak > UNSEEN_PART * all.asked
     }
 
     /// Updates and returns whether recent demand is far below the mean over the share window.
@@ -126,3 +155,7 @@
         self.is_falling
     }
 }
+
+fn part_of(here: f64, all: f64) -> f64 {
+    if all > 0.0 { here / all } else { 0.0 }
+}
--- a/src/gateway/digest.rs
+++ b/src/gateway/digest.rs
@@ -13,6 +13,7 @@
 //! its processes).
 
 use std::collections::BTreeMap;
+use std::iter::repeat;
 
 use prost::Message;
 
@@ -138,6 +139,8 @@
     pub served_per_s: u32,
     /// Tokens per second requested within [`super::decide::shares::RECENT_WINDOW`].
     pub recent_per_s: u32,
+    /// Tokens per second refused unseen within that window, since the router lagged.
+    pub unseen_per_s: u32,
 }
 
 /// The demands at one router, one column per field; rates are in units of `RATE_STEP`.
@@ -151,21 +154,28 @@
     served: Vec<u32>,
     #[prost(uint32, repeated, tag = "6")]
     asked_recently: Vec<u32>,
+    /// Empty if nothing was refused unseen, as at most routers at most times.
+    #[prost(uint32, repeated, tag = "7")]
+    unseen: Vec<u32>,
 }
 
 impl DemandColumns {
-    /// Encodes the teams' flows at a router. Teams whose demand rounds to zero are left out.
+    /// Encodes the teams' flows at a router. Teams whose demand rounds to zero, seen and unseen, are
+    /// left out.
     #[must_use]
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     pub fn of(flows: &BTreeMap<TeamKey, TeamFlow>) -> Self {
         let least = f64::from(RATE_STEP) / 2.0;
-        let asking = flows.iter().filter(|(_, flow)| flow.asked >= least);
+        let asking = flows
+            .iter()
+            .filter(|(_, flow)| flow.asked >= least || flow.unseen >= least);
         asking
             .map(|(team, flow)| DemandEntry {
                 team: team.hash(),
                 tokens_per_s: flow.asked as u32,
                 served_per_s: flow.served as u32,
                 recent_per_s: flow.asked_recently as u32,
+                unseen_per_s: flow.unseen as u32,
             })
             .collect()
     }
@@ -174,15 +184,16 @@
     pub fn entries(&self) -> impl Iterator<Item = DemandEntry> + '_ {
         let asked = self.asked.iter().zip(&self.asked_recently);
         let rates = asked.zip(&self.served);
-        self.teams
-            .iter()
-            .zip(rates)
-            .map(|(team, ((asked, recent), served))| DemandEntry {
+        let unseen = self.unseen.iter().copied().chain(repeat(0));
+        self.teams.iter().zip(rates).zip(unseen).map(
+            |((team, ((asked, recent), served)), unseen)| DemandEntry {
                 team: *team,
                 tokens_per_s: asked.saturating_mul(RATE_STEP),
                 served_per_s: served.saturating_mul(RATE_STEP),
                 recent_per_s: recent.saturating_mul(RATE_STEP),
-            })
+                unseen_per_s: unseen.saturating_mul(RATE_STEP),
+            },
+        )
     }
 }
 
@@ -198,6 +209,10 @@
             columns.asked.push(rate_steps(entry.tokens_per_s));
             columns.served.push(rate_steps(entry.served_per_s));
             columns.asked_recently.push(rate_steps(entry.recent_per_s));
+            columns.unseen.push(rate_steps(entry.unseen_per_s));
+        }
+        if columns.unseen.iter().all(|steps| *steps == 0) {
+            columns.unseen.clear();
         }
         columns
     }
--- a/src/gateway/peer_table.rs
+++ b/src/gateway/peer_table.rs
@@ -226,6 +226,7 @@
                 *sums.entry(demand.team).or_default() += TeamFlow {
                     asked: f64::from(demand.tokens_per_s),
                     asked_recently: f64::from(demand.recent_per_s) * weight,
+                    unseen: f64::from(demand.unseen_per_s) * weight,
                     served: f64::from(demand.served_per_s),
                 };
             }
--- a/tests/gateway_floods.rs
+++ b/tests/gateway_floods.rs
@@ -189,6 +189,7 @@
         asked: 20_000.0,
         asked_recently: 80_000.0,
         served: 20_000.0,
+        ..TeamFlow::default()
     };
     let fits = detector.update(burst, burst, f64::INFINITY);
     assert!(!detector.is_surging());
@@ -216,6 +217,7 @@
         asked: 20_000.0,
         asked_recently: recent,
         served: 0.0,
+        ..TeamFlow::default()
     };
     detector.update(flow(10_000.0), flow(400_000.0), 50_000.0);
     for _ in 0..3 {
@@ -236,6 +238,7 @@
             asked: 900_000.0,
             asked_recently: 900_000.0,
             served: 100_000.0,
+            ..TeamFlow::default()
         };
         let behind = TeamFlow {
             served: least,
@@ -283,6 +286,7 @@
                 asked: 10_000.0,
                 asked_recently: rate,
                 served: 0.0,
+                ..TeamFlow::default()
             },
         )])),
         ..RouterDigest::default()
--- a/tests/gateway_load.rs
+++ b/tests/gateway_load.rs
@@ -190,6 +190,7 @@
         tokens_per_s: 15_000,
         served_per_s: 9_000,
         recent_per_s: 15_000,
+        unseen_per_s: 0,
     };
     RouterDigest {
         incarnation: 1,
--- a/tests/gateway_shares.rs
+++ b/tests/gateway_shares.rs
@@ -187,6 +187,7 @@
         asked: 900_000.0,
         asked_recently: 900_000.0,
         served,
+        ..TeamFlow::default()
     };
     let others = BTreeMap::from([(team.hash(), steady(served_elsewhere)), (1, steady(0.0))]);
     let mut used = 0.0;
@@ -294,11 +295,13 @@
         asked: 900_000.0,
         asked_recently: reported_recently,
         served: 20_000.0,
+        ..TeamFlow::default()
     };
     let normal_flow = TeamFlow {
         asked: 10_000.0,
         asked_recently: 10_000.0,
         served: 10_000.0,
+        ..TeamFlow::default()
     };
     let elsewhere = BTreeMap::from([(flood.hash(), flood_flow), (normal.hash(), normal_flow)]);
     shares.share_out(ms(0), 30_000.0, &elsewhere);
--- a/tests/gateway_unequal_hosts.rs
+++ b/tests/gateway_unequal_hosts.rs
@@ -7,6 +7,9 @@
 
 use verbenaturn::gateway::decide::shares::ShareStanding;
 use verbenaturn::gateway::decide::shares::ShareTable;
+use verbenaturn::gateway::decide::shares::TeamFlow;
+use verbenaturn::gateway::decide::surge::SurgeDetector;
+use verbenaturn::gateway::digest::DemandColumns;
 use verbenaturn::gateway::routes::TeamKey;
 use verbenaturn::units::Moment;
 use verbenaturn::units::TimeSpan;
@@ -109,3 +112,44 @@
 fn ms_share(ms: u64) -> f64 {
     ms as f64 * 200.0
 }
+
+/// Guards against a share that is nowhere while the routers of its team lag: what they refuse unseen is
+/// missing in recent demand, so the flood seemed to end, and no router had a part.
+#[test]
+fn routers_that_lag_keep_their_parts_of_the_share() {
+    for recently in [0.0, 3_000_000.0] {
+        let mut detector = SurgeDetector::default();
+        let own = TeamFlow {
+            asked: 800_000.0,
+            asked_recently: recently,
+            ..TeamFlow::default()
+        };
+        let all = TeamFlow {
+            asked: 2_000_000.0,
+            asked_recently: recently,
+            unseen: 9_000_000.0,
+            ..TeamFlow::default()
+        };
+        for _ in 0..20 {
+            let demand = detector.update(own, all, 400_000.0);
+            assert!((demand.part - 0.4).abs() < 1e-9, "{recently}: {demand:?}");
+            assert!(demand.asked > 1_900_000.0, "{recently}: {demand:?}");
+        }
+    }
+}
+
+/// Guards against a team that vanishes from the routers' comparisons while all that comes to its router
+/// is refused unseen.
+#[test]
+fn unseen_demand_is_told_to_other_routers() {
+    let team = TeamKey(SmolStr::new("suva"));
+    let flow = TeamFlow {
+        unseen: 1_280_000.0,
+        ..TeamFlow::default()
+    };
+    let columns = DemandColumns::of(&BTreeMap::from([(team.clone(), flow)]));
+    let entries: Vec<_> = columns.entries().collect();
+    assert_eq!(entries.len(), 1);
+    assert_eq!(entries[0].team, team.hash());
+    assert_eq!(entries[0].unseen_per_s, 1_280_000);
+}
