A team's share is not cut for what idle endpoints served it beyond it

Cause: a team's allowance within its share was corrected by all its service, also by what endpoints served it that would have idled. A team with 1.7 levels of service in four seconds was cut to 0.6 of its share for as long, and what was beyond the shares went to the flood that had just begun.

The correction is for parts of a share that don't add up, so it now goes by what was charged to the share, which routers tell in a column of its own.

--- a/src/gateway/decide/shares.rs
+++ b/src/gateway/decide/shares.rs
@@ -95,6 +95,8 @@
     pub unseen: f64,
     /// Service, that is the tokens of requests that were sent, over the share window.
     pub served: f64,
+    /// The subset of `served` that was charged to the share.
+    pub within: f64,
 }
 
 impl AddAssign for TeamFlow {
@@ -103,6 +105,7 @@
         self.asked_recently += other.asked_recently;
         self.unseen += other.unseen;
         self.served += other.served;
+        self.within += other.within;
     }
 }
 
@@ -132,6 +135,8 @@
     /// Demand over the share window with request sizes capped as in `asked_recently`.
     asked_capped: WindowCount,
     served: WindowCount,
+    /// The part of `served` that was charged to the share.
+    within: WindowCount,
     surge: SurgeDetector,
     /// Tokens that may be used within the share.
     credit: f64,
@@ -185,6 +190,7 @@
             unseen: WindowCount::new(RECENT_WINDOW),
             asked_capped: WindowCount::new(window),
             served: WindowCount::new(window),
+            within: WindowCount::new(window),
             surge: SurgeDetector::default(),
             credit: 0.0,
             credited_at: Moment(0),
@@ -223,7 +229,7 @@
             self.begin_limit(now, terms.window);
         }
         let served = self.flow.served;
-        self.allowed = Some(terms.level * demand.part * correction(terms.level, served));
+        self.allowed = Some(terms.level * demand.part * correction(terms.level, self.flow.within));
         self.spare = terms.spare.map(|spare| spare * demand.part);
         let service_ratio = served / terms.level.max(1.0);
         let ahead = (served / terms.least.max(1.0)).max(1.0);
@@ -272,6 +278,7 @@
         self.credited_at = now;
         self.limited_since = Some(now);
         self.served = WindowCount::new(window);
+        self.within = WindowCount::new(window);
     }
 }
 
@@ -366,6 +373,7 @@
         }
         if counts.credit > 0.0 {
             counts.credit -= tokens;
+            counts.within.add(now, tokens);
         } else if counts.spare.is_some() {
             counts.spare_credit -= tokens;
         }
@@ -414,6 +422,7 @@
                     asked_recently: counts.asked_recently.sum(now) / recent_s(),
                     unseen: counts.unseen.sum(now) / recent_s(),
                     served: counts.served.sum(now) / served_s,
+                    within: counts.within.sum(now) / served_s,
                 };
                 (team.clone(), flow)
             })
--- a/src/gateway/digest.rs
+++ b/src/gateway/digest.rs
@@ -141,6 +141,8 @@
     pub recent_per_s: u32,
     /// Tokens per second refused unseen within that window, since the router lagged.
     pub unseen_per_s: u32,
+    /// Tokens per second served within the team's share.
+    pub within_per_s: u32,
 }
 
 /// The demands at one router, one column per field; rates are in units of `RATE_STEP`.
@@ -157,6 +159,9 @@
     /// Empty if nothing was refused unseen, as at most routers at most times.
     #[prost(uint32, repeated, tag = "7")]
     unseen: Vec<u32>,
+    /// Empty if no team was limited to its share.
+    #[prost(uint32, repeated, tag = "8")]
+    within: Vec<u32>,
 }
 
 impl DemandColumns {
@@ -176,6 +181,7 @@
                 served_per_s: flow.served as u32,
                 recent_per_s: flow.asked_recently as u32,
                 unseen_per_s: flow.unseen as u32,
+                within_per_s: flow.within as u32,
             })
             .collect()
     }
@@ -184,19 +190,31 @@
     pub fn entries(&self) -> impl Iterator<Item = DemandEntry> + '_ {
         let asked = self.asked.iter().zip(&self.asked_recently);
         let rates = asked.zip(&self.served);
-        let unseen = self.unseen.iter().copied().chain(repeat(0));
-        self.teams.iter().zip(rates).zip(unseen).map(
-            |((team, ((asked, recent), served)), unseen)| DemandEntry {
+        let others = or_zeros(&self.unseen).zip(or_zeros(&self.within));
+        self.teams.iter().zip(rates).zip(others).map(
+            |((team, ((asked, recent), served)), (unseen, within))| DemandEntry {
                 team: *team,
                 tokens_per_s: asked.saturating_mul(RATE_STEP),
                 served_per_s: served.saturating_mul(RATE_STEP),
                 recent_per_s: recent.saturating_mul(RATE_STEP),
                 unseen_per_s: unseen.saturating_mul(RATE_STEP),
+                within_per_s: within.saturating_mul(RATE_STEP),
             },
         )
     }
 }
 
+/// The values of a column that is empty if all its values are zero.
+fn or_zeros(column: &[u32]) -> impl Iterator<Item = u32> + '_ {
+    column.iter().copied().chain(repeat(0))
+}
+
+fn clear_zeros(column: &mut Vec<u32>) {
+    if column.iter().all(|steps| *steps == 0) {
+        column.clear();
+    }
+}
+
 fn rate_steps(tokens_per_s: u32) -> u32 {
     tokens_per_s.saturating_add(RATE_STEP / 2) / RATE_STEP
 }
@@ -210,10 +228,10 @@
             columns.served.push(rate_steps(entry.served_per_s));
             columns.asked_recently.push(rate_steps(entry.recent_per_s));
             columns.unseen.push(rate_steps(entry.unseen_per_s));
+            columns.within.push(rate_steps(entry.within_per_s));
         }
-        if columns.unseen.iter().all(|steps| *steps == 0) {
-            columns.unseen.clear();
-        }
+        clear_zeros(&mut columns.unseen);
+        clear_zeros(&mut columns.within);
         columns
     }
 }
--- a/src/gateway/peer_table.rs
+++ b/src/gateway/peer_table.rs
@@ -228,6 +228,7 @@
                     asked_recently: f64::from(demand.recent_per_s) * weight,
                     unseen: f64::from(demand.unseen_per_s) * weight,
                     served: f64::from(demand.served_per_s),
+                    within: f64::from(demand.within_per_s),
                 };
             }
         }
--- a/tests/gateway_load.rs
+++ b/tests/gateway_load.rs
@@ -191,6 +191,7 @@
         served_per_s: 9_000,
         recent_per_s: 15_000,
         unseen_per_s: 0,
+        within_per_s: 9_000,
     };
     RouterDigest {
         incarnation: 1,
--- a/tests/gateway_shares.rs
+++ b/tests/gateway_shares.rs
@@ -187,6 +187,7 @@
         asked: 900_000.0,
         asked_recently: 900_000.0,
         served,
+        within: served,
         ..TeamFlow::default()
     };
     let others = BTreeMap::from([(team.hash(), steady(served_elsewhere)), (1, steady(0.0))]);
--- a/tests/gateway_unequal_hosts.rs
+++ b/tests/gateway_unequal_hosts.rs
@@ -141,10 +141,11 @@
 /// Guards against a team that vanishes from the routers' comparisons while all that comes to its router
 /// is refused unseen.
 #[test]
-fn unseen_demand_is_told_to_other_routers() {
+fn unseen_demand_and_service_within_the_share_are_told_to_other_routers() {
     let team = TeamKey(SmolStr::new("suva"));
     let flow = TeamFlow {
         unseen: 1_280_000.0,
+        within: 640_000.0,
         ..TeamFlow::default()
     };
     let columns = DemandColumns::of(&BTreeMap::from([(team.clone(), flow)]));
@@ -152,4 +153,5 @@
     assert_eq!(entries.len(), 1);
     assert_eq!(entries[0].team, team.hash());
     assert_eq!(entries[0].unseen_per_s, 1_280_000);
+    assert_eq!(entries[0].within_per_s, 640_000);
 }
