A lagging router keeps two seconds of its team's share

With parts of a share that add up, a team whose routers lag by turns for one to two and a half seconds still lost what its parts gathered in that time beyond one second, and the correction made up for no more than three tenths of it. A router keeps two seconds of its part now, and parts that lose service are raised by half at most.

--- a/src/gateway/decide/levels.rs
+++ b/src/gateway/decide/levels.rs
@@ -24,7 +24,7 @@
 /// for a whole window. The upper bound limits the rise at the other routers when some routers could
 /// not serve a team: without it those others would send too much at once.
 const MIN_CORRECTION: f64 = 0.6;
-const MAX_CORRECTION: f64 = 1.3;
+const MAX_CORRECTION: f64 = 1.5;
 
 /// Smallest allowance beyond the share of a team above the level, as a fraction of the share. A
 /// smaller one would leave endpoints idle that were full a moment ago.
--- a/src/gateway/decide/shares.rs
+++ b/src/gateway/decide/shares.rs
@@ -33,10 +33,13 @@
 use super::surge::TeamDemand;
 use super::window::WindowCount;
 
-/// Maximum unused allowance that a team can accumulate, in seconds of its allowance, as in a token
-/// bucket. One second lets a burst of arrivals through; the published share window is several
-/// seconds.
-const BURST_S: f64 = 1.0;
+/// Maximum unused part of the share that a team can accumulate at a router, in seconds of that part, as
+/// in a token bucket. A small host that gets a flood lags for one to two and a half seconds at a time; a
+/// team must get afterwards what it was owed meanwhile.
+const BURST_S: f64 = 2.0;
+
+/// The same for the allowance beyond the share.
+const SPARE_BURST_S: f64 = 1.0;
 
 /// Shortest period over which rates are averaged: long enough for a few requests of a large team.
 const LEAST_COUNTED: TimeSpan = TimeSpan::from_millis(500);
@@ -213,9 +216,9 @@
         let Some(allowed) = self.allowed else {
             return;
         };
-        self.credit = refilled(self.credit, allowed, passed_s);
+        self.credit = refilled(self.credit, allowed, passed_s, BURST_S);
         if let Some(spare) = self.spare {
-            self.spare_credit = refilled(self.spare_credit, spare, passed_s);
+            self.spare_credit = refilled(self.spare_credit, spare, passed_s, SPARE_BURST_S);
         }
     }
 
@@ -528,9 +531,9 @@
 }
 
 /// Returns the credit in tokens after a refill at `rate` tokens a second. The refill stops at
-/// [`BURST_S`] seconds of the rate; a credit that is already higher, from a higher rate, is kept.
-fn refilled(credit: f64, rate: f64, passed_s: f64) -> f64 {
-    let most = (rate * BURST_S).max(credit);
+/// `burst_s` seconds of the rate; a credit that is already higher, from a higher rate, is kept.
+fn refilled(credit: f64, rate: f64, passed_s: f64, burst_s: f64) -> f64 {
+    let most = (rate * burst_s).max(credit);
     (credit + rate * passed_s).min(most)
 }
 
