The allowance beyond a share has a bound, and is not saved up

Causes: the allowance followed the mean of all service beyond the shares, of which it is a part, so it had no bound; and ninety routers kept a second of it each while endpoints were busy, and used it all in the second after that.

It is now at most three quarters of the share, and a router keeps a quarter of a second of it. So a team that finds no idle endpoint gets at least four sevenths of what another one gets, if its share is served; the rule asks for half.

the_allowance_beyond_a_share_is_not_saved_up_and_has_a_bound failed before: 150,000 of 112,500 tokens.

--- a/src/gateway/decide/levels.rs
+++ b/src/gateway/decide/levels.rs
@@ -30,6 +30,10 @@
 /// smaller one would leave endpoints idle that were full a moment ago.
 const MIN_SPARE: f64 = 0.5;
 
+/// Largest allowance beyond the share, as a fraction of the share. A team that finds no idle endpoint
+/// gets its share at least, so no other team gets much more than one and three quarters of what it gets.
+const MAX_SPARE: f64 = 0.75;
+
 /// Allowance beyond the share, as a multiple of what the teams above the level are served beyond
 /// it, on average. The excess over 1 lets the routers find out that endpoints can do more, and
 /// makes up for the parts of allowances that lie at routers which do not use them.
@@ -64,7 +68,7 @@
         return None;
     }
     let mean = beyond.iter().sum::<f64>() / beyond.len() as f64;
-    Some((SPARE_GROWTH * mean).max(MIN_SPARE * level))
+    Some((SPARE_GROWTH * mean).clamp(MIN_SPARE * level, MAX_SPARE * level))
 }
 
 /// Returns the service of the least served team above the level, at least the level; infinite if no
--- a/src/gateway/decide/shares.rs
+++ b/src/gateway/decide/shares.rs
@@ -9,6 +9,12 @@
 //! teams are over their shares, each may do so only up to an *allowance* beyond its share (`spare`,
 //! see [`super::levels::allowance_beyond_level`]).
 //!
+//! The share and the allowance beyond it are two budgets, and neither pays for the other. What idle
+//! endpoints served a team does not lower its share, and a team that finds no idle endpoint still gets
+//! its share at all routers together, so another one gets at most one and three quarters of that, apart
+//! from what a flood gets before it is detected. A router that lags refuses requests unseen: it keeps
+//! its part of the share meanwhile, and the team still counts as waiting.
+//!
 //! Two floods that begin seconds apart must be served about the same in any period of six seconds.
 //! A team is therefore limited as soon as its recent demand rises ([`super::surge`]), and what it
 //! was served before that does not count against it.
@@ -38,8 +44,9 @@
 /// team must get afterwards what it was owed meanwhile.
 const BURST_S: f64 = 2.0;
 
-/// The same for the allowance beyond the share.
-const SPARE_BURST_S: f64 = 1.0;
+/// The same for the allowance beyond the share. It is for what is idle at the moment: saved up by
+/// ninety routers while endpoints are busy, it would all be used in the second after that.
+const SPARE_BURST_S: f64 = 0.25;
 
 /// Shortest period over which rates are averaged: long enough for a few requests of a large team.
 const LEAST_COUNTED: TimeSpan = TimeSpan::from_millis(500);
--- a/tests/gateway_unequal_hosts.rs
+++ b/tests/gateway_unequal_hosts.rs
@@ -155,3 +155,33 @@
     assert_eq!(entries[0].unseen_per_s, 1_280_000);
     assert_eq!(entries[0].within_per_s, 640_000);
 }
+
+/// Guards against a flood that takes in one second what its allowance beyond its share gathered while
+/// endpoints were busy, and so gets three times what a team gets that finds no idle endpoint.
+#[test]
+fn the_allowance_beyond_a_share_is_not_saved_up_and_has_a_bound() {
+    let teams = ["suva", "nadi"].map(|name| TeamKey(SmolStr::new(name)));
+    let mut shares = ShareTable::new(TimeSpan::from_millis(4_000));
+    let mut beyond = 0.0;
+    for ms in 0..5_500_u64 {
+        let now = Moment(ms * 1_000);
+        if ms % 100 == 0 {
+            shares.share_out(now, 200_000.0, &BTreeMap::new());
+        }
+        for team in &teams {
+            let are_endpoints_idle = ms >= 5_000;
+            match shares.ask(now, team, 1_000.0) {
+                ShareStanding::Within => shares.serve(now, team, 1_000.0),
+                ShareStanding::Beyond(ratio) if are_endpoints_idle && ratio.is_finite() => {
+                    shares.serve(now, team, 1_000.0);
+                    beyond += 1_000.0;
+                }
+                ShareStanding::Beyond(_) => {}
+            }
+        }
+    }
+    // Half a second of three quarters of two shares of 100,000 tokens a second, and as much for half
+    // as long that was kept.
+    assert!(beyond > 25_000.0, "{beyond}");
+    assert!(beyond < 0.75 * 200_000.0 * 0.75, "{beyond}");
+}
