A router that lagged keeps the allowance beyond the share as well

A router at which a team was refused unseen keeps two seconds.

a_router_that_lagged_keeps_the_allowance_beyond_the_share failed before (40,000 of 100,000).

--- a/src/gateway/decide/shares.rs
+++ b/src/gateway/decide/shares.rs
@@ -44,8 +44,9 @@
 /// team must get afterwards what it was owed meanwhile.
 const BURST_S: f64 = 2.0;
 
-/// The same for the allowance beyond the share. It is for what is idle at the moment: saved up by
-/// ninety routers while endpoints are busy, it would all be used in the second after that.
+/// The same for the allowance beyond the share, at a router that does not lag. That allowance is for
+/// what is idle at the moment: saved up by ninety routers while endpoints are busy, it would all be used
+/// in the second after that. A router that lags keeps as much of it as of the share.
 const SPARE_BURST_S: f64 = 0.25;
 
 /// Shortest period over which rates are averaged: long enough for a few requests of a large team.
@@ -225,7 +226,9 @@
         };
         self.credit = refilled(self.credit, allowed, passed_s, BURST_S);
         if let Some(spare) = self.spare {
-            self.spare_credit = refilled(self.spare_credit, spare, passed_s, SPARE_BURST_S);
+            let has_lagged = self.unseen.sum(now) > 0.0;
+            let burst_s = if has_lagged { BURST_S } else { SPARE_BURST_S };
+            self.spare_credit = refilled(self.spare_credit, spare, passed_s, burst_s);
         }
     }
 
--- a/tests/gateway_unequal_hosts.rs
+++ b/tests/gateway_unequal_hosts.rs
@@ -95,7 +95,9 @@
                         within += 1_000.0;
                     }
                 }
-                ShareStanding::Beyond(_) if are_endpoints_idle && beyond < ms_share(ms) => {
+                ShareStanding::Beyond(_)
+                    if are_endpoints_idle && beyond < idle_tokens_until(ms) =>
+                {
                     shares.serve(now, team, 1_000.0);
                     beyond += 1_000.0;
                 }
@@ -109,7 +111,7 @@
 
 /// Tokens that idle endpoints serve beyond the shares up to this ms: as much as both shares together.
 #[allow(clippy::cast_precision_loss)]
-fn ms_share(ms: u64) -> f64 {
+fn idle_tokens_until(ms: u64) -> f64 {
     ms as f64 * 200.0
 }
 
@@ -156,10 +158,9 @@
     assert_eq!(entries[0].within_per_s, 640_000);
 }
 
-/// Guards against a flood that takes in one second what its allowance beyond its share gathered while
-/// endpoints were busy, and so gets three times what a team gets that finds no idle endpoint.
-#[test]
-fn the_allowance_beyond_a_share_is_not_saved_up_and_has_a_bound() {
+/// Two teams press at one router and get their shares. Returns what both get beyond them in the half
+/// second after 5 s; until then endpoints are busy, and from `lags_from_ms` on the router lags as well.
+fn beyond_after_5_s(lags_from_ms: u64) -> f64 {
     let teams = ["suva", "nadi"].map(|name| TeamKey(SmolStr::new(name)));
     let mut shares = ShareTable::new(TimeSpan::from_millis(4_000));
     let mut beyond = 0.0;
@@ -168,8 +169,12 @@
         if ms % 100 == 0 {
             shares.share_out(now, 200_000.0, &BTreeMap::new());
         }
+        let are_endpoints_idle = ms >= 5_000;
         for team in &teams {
-            let are_endpoints_idle = ms >= 5_000;
+            if (lags_from_ms..5_000).contains(&ms) {
+                shares.count_unseen(now, team, 1_000.0);
+                continue;
+            }
             match shares.ask(now, team, 1_000.0) {
                 ShareStanding::Within => shares.serve(now, team, 1_000.0),
                 ShareStanding::Beyond(ratio) if are_endpoints_idle && ratio.is_finite() => {
@@ -180,8 +185,25 @@
             }
         }
     }
+    beyond
+}
+
+/// Guards against a flood that takes in one second what its allowance beyond its share gathered while
+/// endpoints were busy, and so gets three times what a team gets that finds no idle endpoint.
+#[test]
+fn the_allowance_beyond_a_share_is_not_saved_up_and_has_a_bound() {
+    let beyond = beyond_after_5_s(5_000);
     // Half a second of three quarters of two shares of 100,000 tokens a second, and as much for half
     // as long that was kept.
     assert!(beyond > 25_000.0, "{beyond}");
     assert!(beyond < 0.75 * 200_000.0 * 0.75, "{beyond}");
 }
+
+/// Guards against a team that gets its share only, since its router lagged whenever endpoints were idle.
+#[test]
+fn a_router_that_lagged_keeps_the_allowance_beyond_the_share() {
+    // Three seconds of lag, of which two are kept: a second of half of two shares at least.
+    let beyond = beyond_after_5_s(2_000);
+    assert!(beyond > 100_000.0, "{beyond}");
+    assert!(beyond < 0.75 * 200_000.0 * 2.5, "{beyond}");
+}
