Service beyond a share corrects the allowance for it

The share was corrected for that, the allowance beyond it was not.

service_beyond_the_share_by_all_routers_corrects_its_allowance failed before (57,000 tokens whether the team had twice its allowance already or nothing).

--- a/src/gateway/decide/levels.rs
+++ b/src/gateway/decide/levels.rs
@@ -85,7 +85,7 @@
 }
 
 /// Returns the factor for a team's allowance, from its share and its service within the share at all
-/// routers.
+/// routers; or from its allowance beyond the share and its service beyond it.
 ///
 /// Load pattern: two teams flood, one through many routers and one through a few small ones. An
 /// allowance that is not used in time at one router is not available at another, and demand counted
--- a/src/gateway/decide/shares.rs
+++ b/src/gateway/decide/shares.rs
@@ -243,7 +243,10 @@
         }
         let served = self.flow.served;
         self.allowed = Some(terms.level * demand.part * correction(terms.level, self.flow.within));
-        self.spare = terms.spare.map(|spare| spare * demand.part);
+        let beyond = (served - self.flow.within).max(0.0);
+        self.spare = terms
+            .spare
+            .map(|spare| spare * demand.part * correction(spare, beyond).min(1.0));
         let service_ratio = served / terms.level.max(1.0);
         let ahead = (served / terms.least.max(1.0)).max(1.0);
         self.service_ratio = (1.0 + terms.coverage * (service_ratio - 1.0)) * ahead;
--- a/tests/gateway_unequal_hosts.rs
+++ b/tests/gateway_unequal_hosts.rs
@@ -207,3 +207,46 @@
     assert!(beyond > 100_000.0, "{beyond}");
     assert!(beyond < 0.75 * 200_000.0 * 2.5, "{beyond}");
 }
+
+/// Tokens beyond its share that a team gets within eight seconds at a router with a tenth of its demand,
+/// while the other routers serve it and another team this much beyond their shares, in tokens a second.
+fn used_beyond(team_beyond: f64, other_beyond: f64) -> f64 {
+    let team = TeamKey(SmolStr::new("suva"));
+    let mut shares = ShareTable::new(TimeSpan::from_millis(4_000));
+    let steady = |beyond| TeamFlow {
+        asked: 900_000.0,
+        asked_recently: 900_000.0,
+        served: 100_000.0 + beyond,
+        within: 100_000.0,
+        ..TeamFlow::default()
+    };
+    let others = BTreeMap::from([
+        (team.hash(), steady(team_beyond)),
+        (1, steady(other_beyond)),
+    ]);
+    let mut used = 0.0;
+    for tick in 0..800 {
+        let now = Moment(tick * 10_000);
+        if tick % 10 == 0 {
+            shares.share_out(now, 200_000.0, &others);
+        }
+        match shares.ask(now, &team, 1_000.0) {
+            ShareStanding::Beyond(ratio) if ratio.is_infinite() => {}
+            ShareStanding::Beyond(_) => {
+                shares.serve(now, &team, 1_000.0);
+                used += 1_000.0;
+            }
+            ShareStanding::Within => shares.serve(now, &team, 1_000.0),
+        }
+    }
+    used
+}
+
+/// Guards against a growing flood through all routers that gets twice its allowance beyond its share for
+/// seconds: each router knows its own demand sooner than the others', so the parts add up to too much.
+#[test]
+fn service_beyond_the_share_by_all_routers_corrects_its_allowance() {
+    let (much, none) = (used_beyond(200_000.0, 0.0), used_beyond(0.0, 200_000.0));
+    assert!(none > 30_000.0, "{none}");
+    assert!(much < 0.7 * none, "{much} {none}");
+}
