--- a/src/gateway/decide/core.rs
+++ b/src/gateway/decide/core.rs
@@ -36,7 +36,6 @@
 use super::placement::Placement;
 use super::placement::PlacementRequest;
 use super::quarantine::CrashQuarantine;
-use super::shares::LimitedTeam;
 use super::shares::ShareStanding;
 use super::shares::ShareTable;
 use super::shares::TeamFlow;
@@ -44,13 +43,6 @@
 use super::stream_origins::StreamOrigins;
 use super::version_history::VersionHistory;
 
-/// Interval between two log lines with the teams' counts.
-const TEAM_LOG_INTERVAL: TimeSpan = TimeSpan::from_millis(1_000);
-
-/// Maximum number of teams over their share that are logged, those with the highest demand first.
-/// Only a few flood at a time.
-const MAX_LIMITED_TEAMS_LOGGED: usize = 4;
-
 /// A call that asks to be admitted.
 #[derive(Debug)]
 pub struct AdmissionRequest<'a> {
@@ -159,10 +151,10 @@
     /// The teams' shares.
     pub shares: ShareTable,
     capacity: CapacityEstimate,
-    accounts: TeamAccounts,
+    pub(super) accounts: TeamAccounts,
     pub(super) outcomes: TeamOutcomes,
     /// When the teams' counts were last logged.
-    teams_logged_at: Moment,
+    pub(super) teams_logged_at: Moment,
     /// Software versions of each service's endpoints.
     pub versions: VersionHistory,
     /// Where streams began.
@@ -286,25 +278,6 @@
         }
     }
 
-    /// Counts a model call that this router refused because its own tasks were delayed. The call is
-    /// logged but does not count as demand when shares are set: a router would be assigned a part
-    /// of the team's share for it, which it can't use and other routers then lack.
-    pub fn record_refused_late(&mut self, now: Moment, team: &TeamKey, prompt: &PromptShape) {
-        let tokens = prompt.share_tokens();
-        self.shares.count_unseen(now, team, tokens);
-        self.accounts.ask(team, tokens);
-        self.accounts.count_unserved(team);
-        self.outcomes
-            .count(team, RequestOutcome::RouterFull, tokens);
-    }
-
-    /// Counts the reason for which a model call was refused, for the logs.
-    pub fn record_refused(&mut self, request: &AdmissionRequest<'_>, outcome: RequestOutcome) {
-        if let (Some(team), Some(prompt)) = (request.team, request.prompt) {
-            self.outcomes.count(team, outcome, prompt.share_tokens());
-        }
-    }
-
     /// Takes one retry from this router's part of the budget. Returns false if it is used up.
     pub fn take_retry(&mut self, now: Moment, service: &ServiceKey) -> bool {
         self.budget.take(now, service, self.fleet.size())
@@ -343,51 +316,7 @@
             );
         }
         self.shares.share_out(now, rate, elsewhere);
-        let passed = now.since(self.teams_logged_at);
-        if passed >= TEAM_LOG_INTERVAL {
-            self.teams_logged_at = now;
-            self.log_teams(passed);
-            self.log_limited_teams(now, rate);
-        }
-    }
-
-    /// Counts a team's request that was refused or had no output in time.
-    pub fn record_unserved(&mut self, team: &TeamKey) {
-        self.accounts.count_unserved(team);
-    }
-
-    /// Logs the teams' demand, sent tokens and failed requests since the last log line.
-    fn log_teams(&mut self, passed: TimeSpan) {
-        if let Some(line) = self.accounts.take() {
-            spdlog::info!("teams: span_ms={} {line}", passed.as_millis());
-        }
-        if let Some(line) = self.outcomes.take() {
-            spdlog::info!("outcomes: span_ms={} {line}", passed.as_millis());
-        }
-    }
-
-    /// Logs the demand, service and allowance of teams that are limited to their shares.
-    fn log_limited_teams(&self, now: Moment, rate: f64) {
-        let limited = self.shares.limited();
-        let (count, level) = (limited.len(), self.shares.level());
-        for held in limited.iter().take(MAX_LIMITED_TEAMS_LOGGED) {
-            let LimitedTeam {
-                team,
-                flow,
-                asked_here,
-                allowed_here,
-                unseen_here,
-                since,
-            } = held;
-            let held_ms = now.since(*since).as_millis();
-            spdlog::info!(
-                "shares: team={team} held_ms={held_ms} level={level:.0} asked={:.0} served={:.0} \
-                 asked_here={asked_here:.0} unseen_here={unseen_here:.0} \
-                 allowed_here={allowed_here:.0} held={count} rate={rate:.0}",
-                flow.asked,
-                flow.served,
-            );
-        }
+        self.log_teams_when_due(now, rate);
     }
 
     /// Returns why a call is quarantined, and for how long; `None` if it is not.
--- a/src/gateway/decide/mod.rs
+++ b/src/gateway/decide/mod.rs
@@ -33,6 +33,7 @@
 pub mod sizes;
 pub mod stream_origins;
 pub mod surge;
+pub mod team_logs;
 pub mod version_history;
 pub mod window;
 
