Shares: one branch for a surging team's part, one flow for what a router counted, derived counts

The surge detector returned the same demand in two branches; a row kept two copies of fields of its flow; the correction's parameters named one of the two allowances that it serves; the number of outcomes stood beside its enum; team and tokens of a request were taken apart three times. No decision changes: the tests of shares, floods and unequal hosts hold unchanged.

--- a/src/gateway/decide/core.rs
+++ b/src/gateway/decide/core.rs
@@ -130,9 +130,8 @@
 
 impl AdmissionRequest<'_> {
     /// The team and the tokens that count for its share; `None` if the call has no team or prompt.
-    fn team_tokens(&self) -> Option<(TeamKey, f64)> {
-        let tokens = self.prompt?.share_tokens();
-        Some((self.team?.clone(), tokens))
+    pub(super) fn team_tokens(&self) -> Option<(&TeamKey, f64)> {
+        Some((self.team?, self.prompt?.share_tokens()))
     }
 }
 
@@ -268,14 +267,11 @@
             self.sizes
                 .count_received_request(now, &request.route.name, tokens);
         }
-        match (request.team, request.prompt) {
-            (Some(team), Some(prompt)) => {
-                let tokens = prompt.share_tokens();
-                self.accounts.ask(team, tokens);
-                self.shares.ask(now, team, tokens)
-            }
-            _ => ShareStanding::Within,
-        }
+        let Some((team, tokens)) = request.team_tokens() else {
+            return ShareStanding::Within;
+        };
+        self.accounts.ask(team, tokens);
+        self.shares.ask(now, team, tokens)
     }
 
     /// Takes one retry from this router's part of the budget. Returns false if it is used up.
@@ -535,7 +531,9 @@
             queued: row.total_pending(),
             fingerprint: request.fingerprint,
             parts,
-            team_tokens: request.team_tokens(),
+            team_tokens: request
+                .team_tokens()
+                .map(|(team, tokens)| (team.clone(), tokens)),
             output: None,
             placed_at: now,
             is_prefilling: true,
--- a/src/gateway/decide/levels.rs
+++ b/src/gateway/decide/levels.rs
@@ -84,20 +84,20 @@
     least.max(level)
 }
 
-/// Returns the factor for a team's allowance, from its share and its service within the share at all
-/// routers; or from its allowance beyond the share and its service beyond it.
+/// Returns the factor for one of a team's two allowances, within and beyond its share, from the whole of
+/// that allowance and the service at all routers that was charged to it.
 ///
 /// Load pattern: two teams flood, one through many routers and one through a few small ones. An
 /// allowance that is not used in time at one router is not available at another, and demand counted
 /// from messages is late, so that equal allowances gave one team twice the service of the other.
 /// The service of both is known, so the allowances are adjusted by it until the service is equal.
 ///
-/// Service beyond the share is left out. It comes from endpoints that would idle otherwise; if it were
-/// deducted, a team would pay with its share for what nobody else wanted, while the next flood takes
+/// The share is not corrected for service beyond it. That comes from endpoints that would idle otherwise;
+/// if it were deducted, a team would pay with its share for what nobody else wanted, while the next flood takes
 /// both its own share and what is idle then.
 #[must_use]
-pub fn correction(level: f64, within: f64) -> f64 {
-    let ratio = level / within.max(1.0);
+pub fn correction(allowance: f64, charged: f64) -> f64 {
+    let ratio = allowance / charged.max(1.0);
     ratio
         .powf(CORRECTION_POWER)
         .clamp(MIN_CORRECTION, MAX_CORRECTION)
--- a/src/gateway/decide/outcomes.rs
+++ b/src/gateway/decide/outcomes.rs
@@ -34,7 +34,7 @@
 }
 
 /// Number of the variants of [`RequestOutcome`].
-pub const OUTCOMES: usize = 7;
+pub const OUTCOMES: usize = RequestOutcome::EndpointsFull as usize + 1;
 
 /// Tokens of a team's requests, by outcome.
 type OutcomeRow = [f64; OUTCOMES];
--- a/src/gateway/decide/shares.rs
+++ b/src/gateway/decide/shares.rs
@@ -164,10 +164,8 @@
     limited_since: Option<Moment>,
     /// Demand and service at all routers when shares were last set.
     flow: TeamFlow,
-    /// Demand at this router at that time.
-    asked_here: f64,
-    /// Demand at this router at that time that it refused without looking at it.
-    unseen_here: f64,
+    /// Demand and service at this router at that time.
+    here: TeamFlow,
     /// The product of two ratios. The first is the team's service by all routers divided by its
     /// share; it is weighted by [`ShareTerms::coverage`], so it is closer to 1 until the counts
     /// cover the share window. The second, used if above 1, is the team's service divided by that
@@ -210,8 +208,7 @@
             spare_credit: 0.0,
             limited_since: None,
             flow: TeamFlow::default(),
-            asked_here: 0.0,
-            unseen_here: 0.0,
+            here: TeamFlow::default(),
             service_ratio: 0.0,
         }
     }
@@ -459,9 +456,9 @@
             Some(LimitedTeam {
                 team: team.clone(),
                 flow: counts.flow,
-                asked_here: counts.asked_here,
+                asked_here: counts.here.asked,
                 allowed_here: counts.allowed?,
-                unseen_here: counts.unseen_here,
+                unseen_here: counts.here.unseen,
                 since: counts.limited_since?,
             })
         });
@@ -498,9 +495,7 @@
             let all = flows.get(&team.hash()).copied().unwrap_or_default();
             let demand = demands.get(&team.hash()).copied().unwrap_or_default();
             counts.flow = all;
-            let here = own.get(team).copied().unwrap_or_default();
-            counts.asked_here = here.asked;
-            counts.unseen_here = here.unseen;
+            counts.here = own.get(team).copied().unwrap_or_default();
             counts.set_share(now, &terms, demand);
         }
         self.terms = Some(terms);
--- a/src/gateway/decide/surge.rs
+++ b/src/gateway/decide/surge.rs
@@ -76,7 +76,7 @@
     /// Peak of recent demand with a faster decay, in tokens a second.
     fast_peak: f64,
     is_falling: bool,
-    /// Peak of unseen demand with the same decay, in tokens a second.
+    /// Peak of unseen demand, with the decay of `fast_peak`, in tokens a second.
     unseen_peak: f64,
     /// Fraction of the mean that recent demand omits because of the size cap on requests, from 0 to
     /// 1.
@@ -106,34 +106,27 @@
         };
         self.is_surging = self.peak > bound;
         let is_falling = self.update_falling(all);
-        if self.is_partly_unseen(all) {
-            return TeamDemand {
-                asked: if self.is_surging {
-                    self.peak
-                } else {
-                    all.asked
-                },
-                part: part_of(own.asked, all.asked),
-            };
-        }
-        if is_falling && all.asked > level {
+        let is_partly_unseen = self.is_partly_unseen(all);
+        if is_falling && !is_partly_unseen && all.asked > level {
             let part = own.asked_recently / all.asked_recently.max(1.0);
             return TeamDemand {
                 asked: (self.fast_peak / (1.0 - self.capped_part)).min(all.asked),
                 part: part.min(1.0),
             };
         }
+        let asked = if self.is_surging {
+            self.peak
+        } else {
+            all.asked
+        };
         // Numerator and denominator must cover the same period. Recent demand divided by a mean
         // that lags would make the routers' parts add up to several times the whole.
-        let (asked, here) = if self.is_surging {
-            (self.peak, own.asked_recently)
+        let part = if self.is_surging && !is_partly_unseen {
+            part_of(own.asked_recently, self.peak)
         } else {
-            (all.asked, own.asked)
+            part_of(own.asked, all.asked)
         };
-        TeamDemand {
-            asked,
-            part: part_of(here, asked),
-        }
+        TeamDemand { asked, part }
     }
 
     /// Updates the peak of unseen demand and returns whether much of the demand is unseen.
--- a/src/gateway/decide/team_logs.rs
+++ b/src/gateway/decide/team_logs.rs
@@ -32,8 +32,8 @@
 
     /// Counts the reason for which a model call was refused, for the logs.
     pub fn record_refused(&mut self, request: &AdmissionRequest<'_>, outcome: RequestOutcome) {
-        if let (Some(team), Some(prompt)) = (request.team, request.prompt) {
-            self.outcomes.count(team, outcome, prompt.share_tokens());
+        if let Some((team, tokens)) = request.team_tokens() {
+            self.outcomes.count(team, outcome, tokens);
         }
     }
 
