--- a/tests/gateway_unequal_hosts.rs
+++ b/tests/gateway_unequal_hosts.rs
@@ -250,3 +250,24 @@
     assert!(none > 30_000.0, "{none}");
     assert!(much < 0.7 * none, "{much} {none}");
 }
+
+/// Guards against a team that asks two levels and gets a third of what a flood gets that begins later,
+/// while a fifth of the engines is away.
+#[test]
+fn a_team_that_asks_two_levels_gets_half_of_a_later_flood_while_engines_are_away() {
+    let all = (0, FLEET.routers);
+    let normal = (0..12).map(|_| TeamLoad::steady(all, 110_000.0));
+    let floods = [
+        TeamLoad::flood(all, 100_000.0, 6_000, 900_000.0),
+        TeamLoad::flood((40, 1), 100_000.0, 5_000, 2_000_000.0),
+        TeamLoad::flood(all, 100_000.0, 11_000, 5_200_000.0),
+    ];
+    let loads: Vec<TeamLoad> = normal.chain(floods).collect();
+    let faults = FleetFaults {
+        engines: vec![(0, 4_200_000.0), (9_500, 0.8 * 4_200_000.0)],
+        ..FleetFaults::default()
+    };
+    let traces = simulate_faults(FLEET, SpareRoom::ByQueue, &faults, &loads, LENGTH_MS, 1);
+    let short = short_teams(&traces, WARM_MS);
+    assert!(short.is_empty(), "{short:#?}");
+}
