Review case 3: a late write brings a leaving engine back

Cause: an entry of the same process with state ready replaces the one that says that it leaves. Change: the case plays a heartbeat that the store does late, outside any impairment, in place of a restore of the store; the restore stays as a case of the stand-in.

--- a/review/standin.rs
+++ b/review/standin.rs
@@ -1154,6 +1154,118 @@
     (if short > 0 { BROKEN } else { HELD }, verdict)
 }
 
+/// Callers that send orders until they are told to stop; they can be paused.
+struct OrderLoad {
+    goes_on: Arc<AtomicBool>,
+    paused: Arc<AtomicBool>,
+    callers: Vec<JoinHandle<()>>,
+}
+
+impl OrderLoad {
+    fn start(fleet: &Fleet, record: &Arc<Record>) -> Self {
+        let goes_on = Arc::new(AtomicBool::new(true));
+        let paused = Arc::new(AtomicBool::new(false));
+        let callers = (0..16).map(|number| {
+            let gateway = fleet.callers(number % 2);
+            let (goes_on, paused) = (Arc::clone(&goes_on), Arc::clone(&paused));
+            let record = Arc::clone(record);
+            thread::spawn(move || {
+                while goes_on.load(Ordering::SeqCst) {
+                    if !paused.load(Ordering::SeqCst) {
+                        let id = call_id("order");
+                        let answer = call(gateway, "POST", "/order/2f", &id, "", ms(1_500));
+                        let status = answer.map_or(0, |answer| answer.status);
+                        record.add(format!("caller: {id} to {gateway} gets {status}"));
+                    }
+                    sleep(ms(60));
+                }
+            })
+        });
+        Self {
+            callers: callers.collect(),
+            goes_on,
+            paused,
+        }
+    }
+
+    fn pause(&self, is_paused: bool) {
+        self.paused.store(is_paused, Ordering::SeqCst);
+    }
+
+    fn end(self) {
+        self.goes_on.store(false, Ordering::SeqCst);
+        for caller in self.callers {
+            let _ = caller.join();
+        }
+    }
+}
+
+/// Judges the requests that reached engine i-a1, whose leaving the store acknowledged at `left`.
+fn judge_leaving(record: &Record, fleet: &Fleet, left: Duration) -> (i32, String) {
+    let runs = record.times_of("engine i-a1 (order v1): runs");
+    let before = runs.iter().filter(|at| **at < left).count();
+    let bound = left + ms(2_000);
+    let within = runs.iter().filter(|at| **at >= left && **at < bound);
+    let within = within.count();
+    let late = runs.iter().filter(|at| **at >= bound).count();
+    let verdict = format!(
+        "engine i-a1 got {before} requests before the store acknowledged at {:.3} s that it \
+         leaves, {within} within drain_ms of that and {late} later (any breaks DRAIN)\n{}",
+        left.as_secs_f64(),
+        fleet.log_lines(&["store:", "peers: endpoints", "said=leaving"])
+    );
+    if before == 0 {
+        return (NOT_RUN, verdict);
+    }
+    (if late > 0 { BROKEN } else { HELD }, verdict)
+}
+
+/// The store loses the answer to an engine's heartbeat and does it late. Long after that, with the
+/// store stable again, the engine reports `draining`; then the heartbeat is done.
+fn case_late_write(record: &Arc<Record>) -> (i32, String) {
+    let store = Store::start(record);
+    store.change("op/config", Some(configuration()));
+    let mut engines: Vec<EngineProcess> = seven_engines(record, "order");
+    for engine in &engines {
+        engine.register(&store);
+    }
+    let fleet = Fleet::start(2, &store, record);
+    if !fleet.wait_ready(ms(10_000)) {
+        return (NOT_RUN, "gateways did not become ready".to_owned());
+    }
+    sleep(ms(1_000));
+    let load = OrderLoad::start(&fleet, record);
+    sleep(ms(1_500));
+    let sent = Instant::now();
+    let wait_until = |after: u64| sleep((sent + ms(after)) - Instant::now());
+    let heartbeat = |state: &str| record.add(format!("engine i-a1 sends a heartbeat: {state}"));
+    heartbeat("ready (the store does not answer it)");
+    // A quiet moment around its leaving: none of its answers tells that it leaves.
+    wait_until(2_700);
+    load.pause(true);
+    wait_until(3_200);
+    heartbeat("draining");
+    engines[0].tell("leave");
+    store.change(&engines[0].key(), Some(engines[0].entry("draining")));
+    let left = record.begun.elapsed();
+    wait_until(3_900);
+    load.pause(false);
+    // Its heartbeats 1.2 s and 2.4 s after that change nothing.
+    wait_until(5_700);
+    if has_trouble() {
+        record.add("fault: the store does the heartbeat of 5.7 s ago");
+        store.change(&engines[0].key(), Some(engines[0].entry("ready")));
+    }
+    wait_until(6_800);
+    heartbeat("draining");
+    if has_trouble() {
+        store.change(&engines[0].key(), Some(engines[0].entry("draining")));
+    }
+    wait_until(8_000);
+    load.end();
+    judge_leaving(record, &fleet, left)
+}
+
 /// An engine leaves without reporting `draining`; later the store comes back from a copy made
 /// before the engine's entry was removed.
 fn case_restore(record: &Arc<Record>) -> (i32, String) {
@@ -1168,37 +1280,18 @@
         return (NOT_RUN, "gateways did not become ready".to_owned());
     }
     sleep(ms(1_000));
-    let calls = Arc::new(AtomicBool::new(true));
-    let pause = Arc::new(AtomicBool::new(false));
-    let callers: Vec<JoinHandle<()>> = (0..16)
-        .map(|number| {
-            let gateway = fleet.callers(number % 2);
-            let (calls, pause) = (Arc::clone(&calls), Arc::clone(&pause));
-            let record = Arc::clone(record);
-            thread::spawn(move || {
-                while calls.load(Ordering::SeqCst) {
-                    if !pause.load(Ordering::SeqCst) {
-                        let id = call_id("order");
-                        let answer = call(gateway, "POST", "/order/2f", &id, "", ms(1_500));
-                        let status = answer.map_or(0, |answer| answer.status);
-                        record.add(format!("caller: {id} to {gateway} gets {status}"));
-                    }
-                    sleep(ms(60));
-                }
-            })
-        })
-        .collect();
+    let load = OrderLoad::start(&fleet, record);
     sleep(ms(1_500));
     let copy = store.copy();
     sleep(ms(1_000));
     // A quiet moment: no answer of the engine tells that it leaves.
-    pause.store(true, Ordering::SeqCst);
+    load.pause(true);
     sleep(ms(500));
     engines[0].tell("leave");
     store.change(&engines[0].key(), None);
-    let removed = record.begun.elapsed();
+    let left = record.begun.elapsed();
     sleep(ms(700));
-    pause.store(false, Ordering::SeqCst);
+    load.pause(false);
     sleep(ms(1_800));
     if has_trouble() {
         store.set_away(true);
@@ -1212,27 +1305,8 @@
         sleep(ms(1_300));
     }
     sleep(ms(1_000));
-    calls.store(false, Ordering::SeqCst);
-    for caller in callers {
-        let _ = caller.join();
-    }
-    let runs = record.times_of("engine i-a1 (order v1): runs");
-    let before = runs.iter().filter(|at| **at < removed).count();
-    let within = runs
-        .iter()
-        .filter(|at| **at >= removed && **at < removed + ms(2_000));
-    let within = within.count();
-    let late = runs.iter().filter(|at| **at >= removed + ms(2_000)).count();
-    let verdict = format!(
-        "engine i-a1 got {before} requests before its entry was removed at {:.3} s, {within} within \
-         drain_ms of that and {late} later (any breaks DRAIN)\n{}",
-        removed.as_secs_f64(),
-        fleet.log_lines(&["store:", "peers: endpoints", "said=leaving"])
-    );
-    if before == 0 {
-        return (NOT_RUN, verdict);
-    }
-    (if late > 0 { BROKEN } else { HELD }, verdict)
+    load.end();
+    judge_leaving(record, &fleet, left)
 }
 
 fn run_case(name: &str, folder: &str) -> ! {
@@ -1253,6 +1327,7 @@
     let (code, verdict) = match name {
         "versions" => case_versions(&record),
         "unframed" => case_unframed(&record),
+        "late-write" => case_late_write(&record),
         "restore" => case_restore(&record),
         _ => (NOT_RUN, "no such case".to_owned()),
     };
