Review case 3: streams of a gateway that stands still are refused elsewhere

Cause: gateways tell where streams began only once they know that a service is mixed; one that stands still when a release begins tells nothing, and its streams are refused everywhere. Change: this takes the place of the case of a late write, which breaks a lesser rule and stays as a case of the stand-in.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,8 +1,8 @@
 #!/bin/sh
-# Plays the case "late-write". Exits with 1 if the rule was broken, 0 if it held, 2 if it couldn't run;
+# Plays the case "frozen". Exits with 1 if the rule was broken, 0 if it held, 2 if it couldn't run;
 # TROUBLE=0 plays it without the disruption.
 set -u
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/review-standin ] || exit 2
 [ -x target/release/verbenaturn-platform ] || exit 2
-exec target/review/review-standin case late-write review/3
+exec target/review/review-standin case frozen review/3
--- a/review/standin.rs
+++ b/review/standin.rs
@@ -52,6 +52,13 @@
 const EVENTS: u64 = 60;
 const EVENT_PAUSE: Duration = Duration::from_millis(100);
 
+/// Events of a short stream.
+const SHORT_EVENTS: u64 = 4;
+
+/// Gap after which a caller abandons a stream: four times its objective of 800 ms is longer than two
+/// seconds and than eight times the pause of 250 ms.
+const LONGEST_GAP: Duration = Duration::from_millis(3_200);
+
 /// Pieces of a plain answer without a length and the time between two of them.
 const PIECES: u64 = 20;
 const PIECE_PAUSE: Duration = Duration::from_millis(40);
@@ -227,7 +234,12 @@
                 let last: u64 = last.and_then(|text| text.parse().ok()).unwrap_or(0);
                 let kind = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
                 writer.write_all(format!("{head}{kind}").as_bytes())?;
-                for event in last + 1..=EVENTS {
+                let events = if request.target().starts_with("/short/") {
+                    SHORT_EVENTS
+                } else {
+                    EVENTS
+                };
+                for event in last + 1..=events {
                     sleep(EVENT_PAUSE);
                     let text = format!("id: {event}\ndata: piece {event} by {}\n\n", self.version);
                     let chunk = format!("{:x}\r\n{text}\r\n", text.len());
@@ -552,6 +564,7 @@
 fn configuration() -> String {
     let routes = [
         route("/stream/", "streaming", "engine", 2, true),
+        route("/short/", "streaming", "engine", 2, true),
         route("/read/", "safe", "report", 2, false),
         route("/write/", "unsafe", "report", 1, false),
         route("/order/", "unsafe", "order", 1, false),
@@ -769,6 +782,18 @@
         })
     }
 
+    /// Sends a signal to a gateway's process.
+    fn signal(&self, gateway: usize, name: &str) {
+        self.record
+            .add(format!("fault: SIG{name} to gateway {gateway}"));
+        let id = self.children[gateway].as_ref().map_or(0, Child::id);
+        if id > 0 {
+            let _ = Command::new("kill")
+                .args([&format!("-{name}"), &id.to_string()])
+                .status();
+        }
+    }
+
     fn kill_all(&mut self) {
         self.record.add("fault: SIGKILL of all gateways");
         for child in self.children.iter_mut().flatten() {
@@ -875,7 +900,8 @@
     left: Duration,
 ) -> Option<Answer> {
     let mut channel = TcpStream::connect_timeout(&gateway, ms(1_000)).ok()?;
-    let _ = channel.set_read_timeout(Some(left));
+    // A stream that is silent for longer than this is abandoned; plain answers come well within it.
+    let _ = channel.set_read_timeout(Some(left.min(LONGEST_GAP)));
     let body = if method == "POST" {
         "{\"night\":12}"
     } else {
@@ -952,7 +978,14 @@
 }
 
 /// Asks for one stream, and takes it up again at the next gateway when its channel breaks.
-fn call_stream(record: &Record, gateways: &[SocketAddr], name: usize) -> (Events, bool) {
+fn call_stream(
+    record: &Record,
+    gateways: &[SocketAddr],
+    name: usize,
+    first: usize,
+    path: &str,
+    most_tries: usize,
+) -> (Events, bool) {
     let until = Instant::now() + ms(15_000);
     let fields = format!(
         "X-Model: m\r\nX-Token-Usage: 826,400\r\nX-Prefix-Hash: 5c1e07a2:198,{:x}:628\r\n",
@@ -961,8 +994,8 @@
     let mut events = Events::new();
     let mut begun_by: Option<String> = None;
     let mut tries = 0;
-    let mut at = name;
-    while tries < 4 {
+    let mut at = first;
+    while tries < most_tries {
         let left = until.saturating_duration_since(Instant::now());
         if left.is_zero() {
             break;
@@ -974,7 +1007,7 @@
         }
         let gateway = gateways[at % gateways.len()];
         at += 1;
-        let Some(answer) = call(gateway, "POST", "/stream/2f", &id, &all, left) else {
+        let Some(answer) = call(gateway, "POST", path, &id, &all, left) else {
             // No channel: the request was not sent, so this is no try.
             sleep(ms(100));
             continue;
@@ -1046,7 +1079,7 @@
     let streams: Vec<JoinHandle<(Events, bool)>> = (0..9)
         .map(|name| {
             let (record, gateways) = (Arc::clone(record), gateways.clone());
-            thread::spawn(move || call_stream(&record, &gateways, name))
+            thread::spawn(move || call_stream(&record, &gateways, name, name, "/stream/2f", 4))
         })
         .collect();
     sleep(ms(700));
@@ -1091,6 +1124,88 @@
     (if mixed > 2 { BROKEN } else { HELD }, verdict)
 }
 
+/// One gateway stands still. Meanwhile a release begins, and the callers of the gateway's streams
+/// abandon them and take them up at the other gateways.
+fn case_frozen(record: &Arc<Record>) -> (i32, String) {
+    let store = Store::start(record);
+    store.change("op/config", Some(configuration()));
+    let mut old: Vec<EngineProcess> = seven_engines(record, "engine");
+    for engine in &old {
+        engine.register(&store);
+    }
+    let fleet = Fleet::start(4, &store, record);
+    if !fleet.wait_ready(ms(10_000)) {
+        return (NOT_RUN, "gateways did not become ready".to_owned());
+    }
+    sleep(ms(1_000));
+    let gateways: Vec<SocketAddr> = (0..4).map(|gateway| fleet.callers(gateway)).collect();
+    let streams: Vec<JoinHandle<(Events, bool)>> = (0..24)
+        .map(|name| {
+            let record = Arc::clone(record);
+            // The first try goes to the first gateway, the others to one of the rest.
+            let rest = 1 + name % 3;
+            let gateways = vec![gateways[0], gateways[rest], gateways[rest], gateways[rest]];
+            thread::spawn(move || call_stream(&record, &gateways, name, 0, "/stream/2f", 3))
+        })
+        .collect();
+    sleep(ms(1_000));
+    if has_trouble() {
+        fleet.signal(0, "STOP");
+    }
+    let stopped = Instant::now();
+    sleep(ms(1_000));
+    let fresh = EngineProcess::start(record, "i-b1", "engine", "v2");
+    fresh.register(&store);
+    sleep(ms(300));
+    old[0].tell("leave");
+    store.change(&old[0].key(), Some(old[0].entry("draining")));
+    // New streams at the gateways that run, for as long as the others are taken up.
+    let begins: Vec<JoinHandle<(Events, bool)>> = (100..124)
+        .map(|name| {
+            let (record, gateways) = (Arc::clone(record), gateways[1..].to_vec());
+            thread::spawn(move || {
+                sleep(ms(100) * (name as u32 - 100));
+                call_stream(&record, &gateways, name, name, "/short/2f", 1)
+            })
+        })
+        .collect();
+    sleep((stopped + ms(4_000)).saturating_duration_since(Instant::now()));
+    if has_trouble() {
+        fleet.signal(0, "CONT");
+    }
+    let results = streams.into_iter().filter_map(|stream| stream.join().ok());
+    let results: Vec<(Events, bool)> = results.collect();
+    let begins = begins.into_iter().filter_map(|stream| stream.join().ok());
+    let new = begins.filter(|(events, _)| !events.is_empty()).count();
+    let text = record.text();
+    let taken_up = (0..24).filter(|name| {
+        let mut tries = text.lines();
+        tries.any(|line| line.contains(&format!(": stream-{name}-")) && line.contains("Resumes"))
+    });
+    let taken_up: Vec<usize> = taken_up.collect();
+    let went_on = taken_up.iter().filter(|name| {
+        let (events, _) = &results[**name];
+        events.last().is_some_and(|(last, _)| *last == EVENTS)
+    });
+    let went_on = went_on.count();
+    let mixed = results
+        .iter()
+        .filter(|(events, _)| versions_of(events).len() > 1)
+        .count();
+    let verdict = format!(
+        "{} of 24 streams were taken up at the other gateways and {went_on} of them went on; {new} of \
+         24 new streams began there (12 or more taken up, and a share under half of the latter, break \
+         LOST); {mixed} hold events of two versions\n{}",
+        taken_up.len(),
+        fleet.log_lines(&["takes up", "goes on"])
+    );
+    if new < 20 || results.iter().any(|(events, _)| events.is_empty()) {
+        return (NOT_RUN, verdict);
+    }
+    let is_broken = taken_up.len() >= 12 && 2 * went_on * 24 < new * taken_up.len();
+    (if is_broken { BROKEN } else { HELD }, verdict)
+}
+
 /// An engine crashes while it writes answers that have neither a length nor chunks.
 fn case_unframed(record: &Arc<Record>) -> (i32, String) {
     let store = Store::start(record);
@@ -1327,6 +1442,7 @@
     let (code, verdict) = match name {
         "versions" => case_versions(&record),
         "unframed" => case_unframed(&record),
+        "frozen" => case_frozen(&record),
         "late-write" => case_late_write(&record),
         "restore" => case_restore(&record),
         _ => (NOT_RUN, "no such case".to_owned()),
