Review stand-ins: callers go to gateways that are ready

Cause: on a busy machine callers used up their tries while the gateways started; one run of case 2 of seven then had two streams of two versions, not more. Change: callers connect only to gateways whose readiness probe succeeds, as the platform's ingress does.

--- a/review/standin.rs
+++ b/review/standin.rs
@@ -672,6 +672,13 @@
 /// Processes of gateways that run, to be ended if the case itself does not.
 static GATEWAY_IDS: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
+/// Addresses of a gateway.
+#[derive(Debug, Clone, Copy)]
+struct Gateway {
+    callers: SocketAddr,
+    ready: SocketAddr,
+}
+
 /// The fleet of gateways, each on a loopback address of its own.
 struct Fleet {
     folder: PathBuf,
@@ -713,6 +720,16 @@
         self.address(gateway, 0)
     }
 
+    fn gateways(&self) -> Vec<Gateway> {
+        let gateways = 0..self.ips.len();
+        gateways
+            .map(|gateway| Gateway {
+                callers: self.address(gateway, 0),
+                ready: self.address(gateway, 1),
+            })
+            .collect()
+    }
+
     /// Starts all gateways, with the settings that the template of the deploy file gives.
     fn start_all(&mut self) {
         for gateway in 0..self.ips.len() {
@@ -978,9 +995,11 @@
 }
 
 /// Asks for one stream, and takes it up again at the next gateway when its channel breaks.
+///
+/// Gateways that are not ready get no new channel, as at the platform's ingress.
 fn call_stream(
     record: &Record,
-    gateways: &[SocketAddr],
+    gateways: &[Gateway],
     name: usize,
     first: usize,
     path: &str,
@@ -1000,14 +1019,18 @@
         if left.is_zero() {
             break;
         }
+        let Gateway { callers, ready } = gateways[at % gateways.len()];
+        at += 1;
+        if !is_ready(ready) {
+            sleep(ms(50));
+            continue;
+        }
         let id = call_id(&format!("stream-{name}"));
         let mut all = fields.clone();
         if let (Some((last, _)), Some(first)) = (events.last(), &begun_by) {
             let _ = write!(all, "Last-Event-Id: {last}\r\nResumes: {first}\r\n");
         }
-        let gateway = gateways[at % gateways.len()];
-        at += 1;
-        let Some(answer) = call(gateway, "POST", path, &id, &all, left) else {
+        let Some(answer) = call(callers, "POST", path, &id, &all, left) else {
             // No channel: the request was not sent, so this is no try.
             sleep(ms(100));
             continue;
@@ -1015,7 +1038,7 @@
         tries += 1;
         let got = events_of(&answer.body);
         record.add(format!(
-            "caller: {id} to {gateway} [{}] gets {} whole={} events={:?}..{:?} by {:?}",
+            "caller: {id} to {callers} [{}] gets {} whole={} events={:?}..{:?} by {:?}",
             all.replace("\r\n", "; "),
             answer.status,
             answer.is_whole,
@@ -1075,11 +1098,11 @@
         return (NOT_RUN, "gateways did not become ready".to_owned());
     }
     sleep(ms(1_000));
-    let gateways: Vec<SocketAddr> = (0..3).map(|gateway| fleet.callers(gateway)).collect();
+    let gateways = fleet.gateways();
     let streams: Vec<JoinHandle<(Events, bool)>> = (0..9)
         .map(|name| {
             let (record, gateways) = (Arc::clone(record), gateways.clone());
-            thread::spawn(move || call_stream(&record, &gateways, name, name, "/stream/2f", 4))
+            thread::spawn(move || call_stream(&record, &gateways, name, name, "/stream/2f", 3))
         })
         .collect();
     sleep(ms(700));
@@ -1138,13 +1161,13 @@
         return (NOT_RUN, "gateways did not become ready".to_owned());
     }
     sleep(ms(1_000));
-    let gateways: Vec<SocketAddr> = (0..4).map(|gateway| fleet.callers(gateway)).collect();
+    let gateways = fleet.gateways();
     let streams: Vec<JoinHandle<(Events, bool)>> = (0..24)
         .map(|name| {
             let record = Arc::clone(record);
-            // The first try goes to the first gateway, the others to one of the rest.
-            let rest = 1 + name % 3;
-            let gateways = vec![gateways[0], gateways[rest], gateways[rest], gateways[rest]];
+            // The first try goes to the first gateway, the others to the rest.
+            let rest = gateways[1 + name % 3];
+            let gateways = vec![gateways[0], rest, rest, rest, rest, rest];
             thread::spawn(move || call_stream(&record, &gateways, name, 0, "/stream/2f", 3))
         })
         .collect();
