--- a/review/standin.rs
+++ b/review/standin.rs
@@ -63,6 +63,9 @@
 const PIECES: u64 = 20;
 const PIECE_PAUSE: Duration = Duration::from_millis(40);
 
+/// As above in a long answer.
+const LONG_PIECE_PAUSE: Duration = Duration::from_millis(250);
+
 /// Time that an engine works on an order.
 const ORDER_WORK: Duration = Duration::from_millis(30);
 
@@ -253,7 +256,12 @@
                 writer.write_all(format!("{head}\r\n").as_bytes())?;
                 for piece in 1..=PIECES {
                     writer.write_all(report_piece(id, piece).as_bytes())?;
-                    sleep(PIECE_PAUSE);
+                    let is_long = request.target().ends_with("/long");
+                    sleep(if is_long {
+                        LONG_PIECE_PAUSE
+                    } else {
+                        PIECE_PAUSE
+                    });
                 }
                 Ok(false)
             }
@@ -917,8 +925,14 @@
     left: Duration,
 ) -> Option<Answer> {
     let mut channel = TcpStream::connect_timeout(&gateway, ms(1_000)).ok()?;
-    // A stream that is silent for longer than this is abandoned; plain answers come well within it.
-    let _ = channel.set_read_timeout(Some(left.min(LONGEST_GAP)));
+    // A stream that is silent for too long is abandoned.
+    let is_stream = path.starts_with("/stream/") || path.starts_with("/short/");
+    let gap = if is_stream {
+        left.min(LONGEST_GAP)
+    } else {
+        left
+    };
+    let _ = channel.set_read_timeout(Some(gap));
     let body = if method == "POST" {
         "{\"night\":12}"
     } else {
@@ -1229,8 +1243,17 @@
     (if is_broken { BROKEN } else { HELD }, verdict)
 }
 
-/// An engine crashes while it writes answers that have neither a length nor chunks.
-fn case_unframed(record: &Arc<Record>) -> (i32, String) {
+/// Why an engine's process ends while it writes answers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum EngineEnd {
+    /// It crashes.
+    Crash,
+    /// It leaves: it reports `draining` and exits a little after `drain_ms`.
+    Leaving,
+}
+
+/// An engine's process ends while it writes answers that have neither a length nor chunks.
+fn case_unframed(record: &Arc<Record>, end: EngineEnd) -> (i32, String) {
     let store = Store::start(record);
     store.change("op/config", Some(configuration()));
     let mut engines: Vec<EngineProcess> = seven_engines(record, "report");
@@ -1246,10 +1269,11 @@
         .map(|number| {
             let gateway = fleet.callers(number % 2);
             let record = Arc::clone(record);
-            let (method, path) = if number % 4 < 2 {
-                ("GET", "/read/2f")
-            } else {
-                ("POST", "/write/2f")
+            let (method, path) = match (number % 4 < 2, end) {
+                (true, EngineEnd::Crash) => ("GET", "/read/2f"),
+                (false, EngineEnd::Crash) => ("POST", "/write/2f"),
+                (true, EngineEnd::Leaving) => ("GET", "/read/long"),
+                (false, EngineEnd::Leaving) => ("POST", "/write/long"),
             };
             thread::spawn(move || {
                 let id = call_id(&path[1..5]);
@@ -1262,9 +1286,16 @@
         .collect();
     let runs_there = record.wait_for("engine i-a1 (report v1): runs", ms(5_000));
     sleep(PIECE_PAUSE * 8);
-    if has_trouble() {
+    if has_trouble() && end == EngineEnd::Crash {
         engines[0].kill(record);
     }
+    if has_trouble() && end == EngineEnd::Leaving {
+        engines[0].tell("leave");
+        store.change(&engines[0].key(), Some(engines[0].entry("draining")));
+        sleep(ms(2_500));
+        record.add("engine i-a1 exits");
+        engines[0].tell("exit");
+    }
     let answers: Vec<(String, Option<Answer>)> = calls
         .into_iter()
         .filter_map(|call| call.join().ok())
@@ -1464,7 +1495,8 @@
     record.add(format!("case {name}, trouble={}", has_trouble()));
     let (code, verdict) = match name {
         "versions" => case_versions(&record),
-        "unframed" => case_unframed(&record),
+        "unframed" => case_unframed(&record, EngineEnd::Crash),
+        "unframed-leaving" => case_unframed(&record, EngineEnd::Leaving),
         "frozen" => case_frozen(&record),
         "late-write" => case_late_write(&record),
         "restore" => case_restore(&record),
