--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -5,4 +5,8 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/review-standin ] || exit 2
 [ -x target/release/verbenaturn-platform ] || exit 2
-exec target/review/review-standin case frozen review/3
+target/review/review-standin case frozen review/3
+code=$?
+# A stand-in that fails by itself says nothing about the rule.
+[ "$code" -le 2 ] || exit 2
+exit "$code"
--- a/review/standin.rs
+++ b/review/standin.rs
@@ -1190,7 +1190,7 @@
     for engine in &old {
         engine.register(&store);
     }
-    let fleet = Fleet::start(4, &store, record);
+    let fleet = Fleet::start(10, &store, record);
     if !fleet.wait_ready(ms(10_000)) {
         return (NOT_RUN, "gateways did not become ready".to_owned());
     }
@@ -1200,7 +1200,7 @@
         .map(|name| {
             let record = Arc::clone(record);
             // The first try goes to the first gateway, the others to the rest.
-            let rest = gateways[1 + name % 3];
+            let rest = gateways[1 + name % 9];
             let gateways = vec![gateways[0], rest, rest, rest, rest, rest];
             thread::spawn(move || call_stream(&record, &gateways, name, 0, "/stream/2f", 3))
         })
