Begun answers are admitted by their deadline, not by the objective of a first event

Callers saw streams that they had a part of cut at once when their endpoint broke off a second or more after the call's arrival, though two other endpoints idled. Cause: a stream that goes on at another endpoint was admitted like a new one: the time since the call arrived plus the predicted time to the first output was held against a part of the route's objective, which a begun stream has used up long ago. A team that had meanwhile gone beyond its share was refused in the same way. Class: a limit on what is begun is applied to what goes on. Ruled out: the retry budget (40 calls earned it; `retries` counts it as sent), the attempts of the route (two, one used), missing endpoints. Why it works: what has begun can only be ended by a refusal, so only its deadline bounds it. The retry budget and the route's attempts bound how often it is sent.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -22,6 +22,7 @@
 use super::call_state::StreamOrigin;
 use super::call_state::fingerprint;
 use super::decide::Admission;
+use super::decide::AdmissionLimit;
 use super::decide::AdmissionRequest;
 use super::decide::AttemptEnd;
 use super::decide::AttemptTicket;
@@ -271,6 +272,11 @@
         fingerprint: call.fingerprint,
         waited: micros(now.saturating_duration_since(call.arrived)),
         left: micros(call.deadline.saturating_duration_since(now)),
+        limit: if call.head_sent {
+            AdmissionLimit::Deadline
+        } else {
+            AdmissionLimit::Objective
+        },
     }
 }
 
--- a/src/gateway/decide/core.rs
+++ b/src/gateway/decide/core.rs
@@ -67,6 +67,19 @@
     pub waited: TimeSpan,
     /// Time left until the call's deadline.
     pub left: TimeSpan,
+    /// The time limit that the predicted first output has to meet.
+    pub limit: AdmissionLimit,
+}
+
+/// The time limit of an admission.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AdmissionLimit {
+    /// A part of the route's objective, counted from the call's arrival, so that a call that would
+    /// be late is refused.
+    Objective,
+    /// The call's deadline: the caller has a part of the answer, or another endpoint works on the
+    /// call, and a refusal would end what was accepted.
+    Deadline,
 }
 
 /// Why a call is refused.
@@ -140,6 +153,11 @@
     TimeSpan((seconds * 1e6) as u64)
 }
 
+#[allow(clippy::cast_precision_loss)]
+fn left_ms(request: &AdmissionRequest<'_>) -> f64 {
+    request.left.0 as f64 / 1e3
+}
+
 /// The state behind a router's decisions.
 #[derive(Debug)]
 pub struct GatewayCore {
@@ -347,9 +365,13 @@
         let Some(placement) = self.find_placement(now, request, engine) else {
             return self.refuse_without_endpoint(now, request);
         };
-        let limit = self.limit_ms(request, standing, placement.unqueued_ms);
         #[allow(clippy::cast_precision_loss)]
-        let expected = request.waited.0 as f64 / 1e3 + placement.first_ms;
+        let waited = request.waited.0 as f64 / 1e3;
+        let limit = match request.limit {
+            AdmissionLimit::Objective => self.limit_ms(request, standing, placement.unqueued_ms),
+            AdmissionLimit::Deadline => waited + left_ms(request),
+        };
+        let expected = waited + placement.first_ms;
         if expected > limit {
             let cause = match standing {
                 ShareStanding::Within => {
@@ -446,7 +468,6 @@
             ShareStanding::Within => self.config.objective_part,
             ShareStanding::Beyond(service_ratio) => self.objective_part_over_share(service_ratio),
         };
-        let left = request.left.0 as f64 / 1e3;
         let mut limit = objective * part;
         let is_underserved = request.prompt.is_some_and(|prompt| {
             let tokens = f64::from(prompt.prompt_tokens);
@@ -455,7 +476,7 @@
         if is_underserved && standing == ShareStanding::Within {
             limit = limit.max(unqueued_ms + objective * self.config.long_wait_part);
         }
-        limit.min(left)
+        limit.min(left_ms(request))
     }
 
     /// Returns the fraction of the objective that a call of a team over its share may take. Service
--- a/src/gateway/decide/mod.rs
+++ b/src/gateway/decide/mod.rs
@@ -41,6 +41,7 @@
 pub use attempts::AttemptTicket;
 pub use budget::RetryBudget;
 pub use core::Admission;
+pub use core::AdmissionLimit;
 pub use core::AdmissionRequest;
 pub use core::GatewayCore;
 pub use core::RefusalCause;
--- a/tests/engines/mod.rs
+++ b/tests/engines/mod.rs
@@ -12,6 +12,7 @@
 
 use verbenaturn::gateway::config::GatewayConfig;
 use verbenaturn::gateway::decide::Admission;
+use verbenaturn::gateway::decide::AdmissionLimit;
 use verbenaturn::gateway::decide::AdmissionRequest;
 use verbenaturn::gateway::decide::AttemptEnd;
 use verbenaturn::gateway::decide::AttemptTicket;
@@ -166,6 +167,7 @@
         fingerprint: RequestFingerprint(0),
         waited: TimeSpan(0),
         left: TimeSpan::from_millis(route.timeout_ms),
+        limit: AdmissionLimit::Objective,
     }
 }
 
