A silent endpoint keeps its call until another endpoint can take over

Callers saw answers cut after 1.5 s of silence of their endpoint, though it went on a moment later and no other endpoint served; calls without output got a 502 in the same way. Cause: silence counted as the endpoint's failure: the router closed the connection first and asked afterwards whether a retry was in the budget and an endpoint would be admitted. If either was refused, nothing was left to wait for. Class: what works is given up before its replacement is certain. Change: once an endpoint has been silent for the limit, the core is asked for a further attempt, with its retry, while the connection stays open. If it grants one, that attempt takes over; if not, the wait goes on, and the core is asked again five times a second, until the deadline. Ruled out: a longer limit. Callers give up a stream after a silence of 2 s, so an idle endpoint must go on with it before that. A call of an endpoint that stays silent ends within 0.2 s of its deadline.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -19,6 +19,7 @@
 use super::http::BodyFraming;
 use super::http::ResponseHead;
 use super::http::WireStream;
+use super::place::read_or_hand_over;
 use super::pool::reuse_limit;
 use super::protocol::AttemptFacts;
 use super::protocol::CallProtocol;
@@ -44,6 +45,8 @@
     Answer(BufferedAnswer),
     /// The request did not run at this endpoint.
     NotRun(NotRunCause),
+    /// The endpoint is silent, and this attempt at another one takes over.
+    HandedOver(Box<AttemptTicket>),
     /// The endpoint failed; the request may have run, and the caller may have part of a stream.
     Broken(&'static str),
     /// The caller closed its connection.
@@ -80,6 +83,7 @@
             Self::Answer(answer) if answer.is_proven => (answer.head.status, answer.end),
             Self::Answer(_)
             | Self::NotRun(_)
+            | Self::HandedOver(_)
             | Self::Broken(_)
             | Self::CallerLeft
             | Self::TimeUp => return None,
@@ -101,7 +105,7 @@
             Self::NotRun(NotRunCause::NotReached | NotRunCause::OtherEndpoint) => {
                 AttemptEnd::NotReached
             }
-            Self::Broken(_) => AttemptEnd::Lost,
+            Self::Broken(_) | Self::HandedOver(_) => AttemptEnd::Lost,
             Self::NotRun(NotRunCause::Left | NotRunCause::CallerLeft) => AttemptEnd::NotSent,
             Self::CallerLeft | Self::TimeUp => AttemptEnd::Abandoned,
         }
@@ -290,7 +294,15 @@
     if let Some(ended) = write_request(&mut endpoint, caller, call.deadline, &bytes).await {
         return ended;
     }
-    let start = match read_answer_start(traffic, &mut endpoint, caller, call, ticket).await {
+    let wait = AnswerWait {
+        traffic,
+        stall: Instant::now() + call.silence_limit(ticket),
+        endpoint: &mut endpoint,
+        caller: &mut *caller,
+        call,
+        ticket,
+    };
+    let start = match wait.read_start().await {
         Ok(start) => start,
         Err(outcome) => return outcome,
     };
@@ -317,104 +329,105 @@
     }
 }
 
-/// Reads answers' heads until one belongs to this call, and skips all others.
-async fn read_answer_start<P: CallProtocol>(
-    traffic: &TrafficState<P>,
-    endpoint: &mut WireStream,
-    caller: &mut WireStream,
-    call: &CallState,
-    ticket: &AttemptTicket,
-) -> Result<AnswerStart, AttemptOutcome> {
-    let bounds = WaitBounds {
-        deadline: call.deadline,
-        stall: Instant::now() + call.silence_limit(ticket),
-    };
-    loop {
-        let head = match ResponseHead::take(&mut endpoint.buffer, MAX_ANSWER_HEAD_BYTES) {
-            Ok(Some(head)) => head,
-            Ok(None) => {
-                read_more(endpoint, caller, ticket, bounds).await?;
+/// A request that was sent and waits for the head of its answer.
+struct AnswerWait<'a, P> {
+    traffic: &'a TrafficState<P>,
+    endpoint: &'a mut WireStream,
+    caller: &'a mut WireStream,
+    call: &'a CallState,
+    ticket: &'a AttemptTicket,
+    /// When silence of the endpoint makes another one take over.
+    stall: Instant,
+}
+
+impl<P: CallProtocol> AnswerWait<'_, P> {
+    /// Reads answers' heads until one belongs to this call, and skips all others.
+    async fn read_start(mut self) -> Result<AnswerStart, AttemptOutcome> {
+        let shared = &self.traffic.shared;
+        let id = &self.call.facts.call_id;
+        loop {
+            let head = self.read_head().await?;
+            if (100..200).contains(&head.status) {
                 continue;
             }
-            Err(_) => return Err(AttemptOutcome::Broken("not an answer")),
-        };
-        if (100..200).contains(&head.status) {
-            continue;
-        }
-        let to_head = &call.head.method[..] == b"HEAD";
-        let Ok(framing) = BodyFraming::of_response(&head, to_head) else {
-            return Err(AttemptOutcome::Broken("ambiguous length"));
-        };
-        let facts = traffic.protocol.answer_facts(&head, &call.facts.call_id);
-        traffic
-            .shared
-            .apply_endpoint_announcement(&ticket.entry, facts.announcement);
-        let mut decoder = BodyDecoder::new(framing);
-        if !facts.is_ours {
-            // An endpoint may answer an earlier request twice. The extra answer is skipped by its
-            // own framing; this call's answer follows it.
-            let id = &call.facts.call_id;
-            spdlog::warn!(
-                "endpoint: key={} call={id} extra answer dropped",
-                ticket.entry.key
-            );
-            skip_body(endpoint, caller, ticket, bounds, &mut decoder).await?;
-            continue;
-        }
-        if facts.not_run {
-            return Err(AttemptOutcome::NotRun(if head.status == 421 {
-                NotRunCause::OtherEndpoint
-            } else {
-                NotRunCause::Refused
-            }));
+            let to_head = &self.call.head.method[..] == b"HEAD";
+            let Ok(framing) = BodyFraming::of_response(&head, to_head) else {
+                return Err(AttemptOutcome::Broken("ambiguous length"));
+            };
+            let facts = self.traffic.protocol.answer_facts(&head, id);
+            shared.apply_endpoint_announcement(&self.ticket.entry, facts.announcement);
+            let mut decoder = BodyDecoder::new(framing);
+            if !facts.is_ours {
+                // An endpoint may answer an earlier request twice. The extra answer is skipped by
+                // its own framing; this call's answer follows it.
+                let key = &self.ticket.entry.key;
+                spdlog::warn!("endpoint: key={key} call={id} extra answer dropped");
+                self.skip_body(&mut decoder).await?;
+                continue;
+            }
+            if facts.not_run {
+                return Err(AttemptOutcome::NotRun(if head.status == 421 {
+                    NotRunCause::OtherEndpoint
+                } else {
+                    NotRunCause::Refused
+                }));
+            }
+            let default_limit = Duration::from_millis(shared.config.idle_reuse_ms);
+            let keeps = framing != BodyFraming::UntilClose;
+            return Ok(AnswerStart {
+                reuse: reuse_limit(&head, default_limit).filter(|_| keeps),
+                is_proven: facts.is_proven,
+                end: match framing {
+                    BodyFraming::Length(_) | BodyFraming::Chunked => AnswerEnd::Framed,
+                    BodyFraming::UntilClose => AnswerEnd::Closed,
+                },
+                head,
+                decoder,
+            });
         }
-        let default_limit = Duration::from_millis(traffic.shared.config.idle_reuse_ms);
-        let keeps = framing != BodyFraming::UntilClose;
-        return Ok(AnswerStart {
-            reuse: reuse_limit(&head, default_limit).filter(|_| keeps),
-            is_proven: facts.is_proven,
-            end: match framing {
-                BodyFraming::Length(_) | BodyFraming::Chunked => AnswerEnd::Framed,
-                BodyFraming::UntilClose => AnswerEnd::Closed,
-            },
-            head,
-            decoder,
-        });
     }
-}
 
-/// Reads more bytes of the answer's head.
-async fn read_more(
-    endpoint: &mut WireStream,
-    caller: &mut WireStream,
-    ticket: &AttemptTicket,
-    bounds: WaitBounds,
-) -> Result<(), AttemptOutcome> {
-    let read = read_or_interrupt(endpoint, caller, ticket, bounds).await;
-    match read.map_err(Interruption::outcome)? {
-        Ok(0) => Err(AttemptOutcome::Broken("closed before its answer")),
-        Ok(_) => Ok(()),
-        Err(_) => Err(AttemptOutcome::Broken("reset before its answer")),
+    async fn read_head(&mut self) -> Result<ResponseHead, AttemptOutcome> {
+        loop {
+            match ResponseHead::take(&mut self.endpoint.buffer, MAX_ANSWER_HEAD_BYTES) {
+                Ok(Some(head)) => return Ok(head),
+                Ok(None) => self.read_more().await?,
+                Err(_) => return Err(AttemptOutcome::Broken("not an answer")),
+            }
+        }
     }
-}
 
-/// Reads and drops the body of an answer that does not belong to this call.
-async fn skip_body(
-    endpoint: &mut WireStream,
-    caller: &mut WireStream,
-    ticket: &AttemptTicket,
-    bounds: WaitBounds,
-    decoder: &mut BodyDecoder,
-) -> Result<(), AttemptOutcome> {
-    let mut dropped = bytes::BytesMut::new();
-    loop {
-        if decoder.decode(&mut endpoint.buffer, &mut dropped).is_err() {
-            return Err(AttemptOutcome::Broken("not an answer"));
+    /// Reads and drops the body of an answer that does not belong to this call.
+    async fn skip_body(&mut self, decoder: &mut BodyDecoder) -> Result<(), AttemptOutcome> {
+        let mut dropped = bytes::BytesMut::new();
+        loop {
+            if decoder
+                .decode(&mut self.endpoint.buffer, &mut dropped)
+                .is_err()
+            {
+                return Err(AttemptOutcome::Broken("not an answer"));
+            }
+            dropped.clear();
+            if decoder.is_complete() {
+                return Ok(());
+            }
+            self.read_more().await?;
         }
-        dropped.clear();
-        if decoder.is_complete() {
-            return Ok(());
+    }
+
+    async fn read_more(&mut self) -> Result<(), AttemptOutcome> {
+        let read = read_or_hand_over(
+            self.traffic,
+            self.caller,
+            self.call,
+            self.ticket,
+            self.endpoint,
+            self.stall,
+        );
+        match read.await? {
+            Ok(0) => Err(AttemptOutcome::Broken("closed before its answer")),
+            Ok(_) => Ok(()),
+            Err(_) => Err(AttemptOutcome::Broken("reset before its answer")),
         }
-        read_more(endpoint, caller, ticket, bounds).await?;
     }
 }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -21,9 +21,7 @@
 use super::call_state::CallState;
 use super::call_state::StreamOrigin;
 use super::call_state::fingerprint;
-use super::decide::Admission;
 use super::decide::AdmissionLimit;
-use super::decide::AdmissionRequest;
 use super::decide::AttemptEnd;
 use super::decide::AttemptTicket;
 use super::decide::RefusalCause;
@@ -38,6 +36,10 @@
 use super::late::full_router_refusal;
 use super::load::LagLevel;
 use super::load::must_refuse_all;
+use super::place::NoPlace;
+use super::place::admission_request;
+use super::place::place_attempt;
+use super::place::reserve_retry;
 use super::protocol::CallFacts;
 use super::protocol::CallProtocol;
 use super::protocol::PartIds;
@@ -48,7 +50,6 @@
 use super::reply::caller_head;
 use super::resume::find_origin;
 use super::resume::stream_number;
-use super::routes::EndpointKey;
 use super::routes::Repeatability;
 use super::routes::RouteEntry;
 use super::routes::RouteTable;
@@ -134,6 +135,8 @@
         team: team.cloned(),
         fingerprint: fingerprint(&head, &body, team),
         route: route.clone(),
+        table: Arc::clone(&table),
+        standing: ShareStanding::Within,
         head,
         body,
         facts,
@@ -152,8 +155,8 @@
         unreached: 0,
     };
     find_origin(traffic, &mut call).await;
-    let end = run_attempts(traffic, caller, &mut call, &table).await;
-    record(traffic, &call, end, table.version);
+    let end = run_attempts(traffic, caller, &mut call).await;
+    record(traffic, &call, end);
     match end {
         CallEnd::Answered(_) | CallEnd::Own(..) if call.keep => AfterCall::Keep,
         _ => AfterCall::End,
@@ -186,48 +189,49 @@
     traffic: &Rc<TrafficState<P>>,
     caller: &mut WireStream,
     call: &mut CallState,
-    table: &Arc<RouteTable>,
 ) -> CallEnd {
-    let standing = {
-        let ask = admission_request(call, table);
+    call.standing = {
+        let ask = admission_request(call, AdmissionLimit::Objective);
         traffic
             .shared
             .core()
             .arrived(traffic.shared.clock.now(), &ask)
     };
-    call.decided.is_over_share = standing != ShareStanding::Within;
-    if standing != ShareStanding::Within && traffic.callers.lag(call.arrived) >= LagLevel::Late {
+    let is_over_share = call.standing != ShareStanding::Within;
+    call.decided.is_over_share = is_over_share;
+    if is_over_share && traffic.callers.lag(call.arrived) >= LagLevel::Late {
         let wait = TimeSpan::from_millis(traffic.shared.config.retry_after_ms);
         traffic.shared.core().record_refused(
-            &admission_request(call, table),
+            &admission_request(call, AdmissionLimit::Objective),
             RequestOutcome::RouterLagging,
         );
         return reply_refused(traffic, caller, call, RefusalCause::OverShare, wait).await;
     }
+    let mut takeover = None;
     loop {
         if call.origin == StreamOrigin::Unknown {
             let cause = RefusalCause::VersionUnknown;
             let wait = TimeSpan::from_millis(traffic.shared.config.retry_after_ms);
             return reply_refused(traffic, caller, call, cause, wait).await;
         }
-        let admission = {
-            let ask = admission_request(call, table);
-            let now = traffic.shared.clock.now();
-            traffic.shared.core().admit(now, &ask, standing)
+        let placed = match takeover.take() {
+            Some(ticket) => Ok(ticket),
+            None => place_attempt(traffic, call),
         };
-        let mut ticket = match admission {
-            Admission::Send(ticket) => ticket,
-            Admission::Refuse {
+        let mut ticket = match placed {
+            Ok(ticket) => ticket,
+            Err(NoPlace {
                 cause,
                 retry_after,
                 expected_ms,
-            } => {
+            }) => {
                 call.decided.predicted_ms = expected_ms;
                 return reply_refused(traffic, caller, call, cause, retry_after).await;
             }
         };
         call.decided.placed(&ticket);
         call.tried_software.clone_from(&ticket.entry.software);
+        call.tried.push(ticket.entry.key.clone());
         let outcome = run_attempt(traffic, caller, call, &mut ticket).await;
         let endpoint = ticket.entry.key.clone();
         end_attempt(traffic, ticket, outcome.end());
@@ -235,12 +239,24 @@
             "calls: id={} endpoint={endpoint} outcome={outcome:?}",
             call.facts.call_id
         );
-        if let Some(end) = handle_outcome(traffic, caller, call, endpoint, outcome).await {
-            return end;
+        match handle_outcome(traffic, caller, call, outcome).await {
+            NextStep::End(end) => return end,
+            NextStep::Retry => {}
+            NextStep::TakeOver(next) => takeover = Some(*next),
         }
     }
 }
 
+/// What follows an attempt.
+enum NextStep {
+    /// The call ends.
+    End(CallEnd),
+    /// Another attempt is placed.
+    Retry,
+    /// The attempt that was already placed.
+    TakeOver(Box<AttemptTicket>),
+}
+
 /// Passes the end of an attempt to the decision core, and finds out whether the endpoint's process
 /// has ended if the core wants to know.
 fn end_attempt<P: CallProtocol>(
@@ -257,39 +273,13 @@
     }
 }
 
-/// The admission request for the next attempt of a call.
-fn admission_request<'a>(call: &'a CallState, table: &'a RouteTable) -> AdmissionRequest<'a> {
-    let now = Instant::now();
-    let micros = |span: Duration| TimeSpan(u64::try_from(span.as_micros()).unwrap_or(u64::MAX));
-    AdmissionRequest {
-        route: &call.route,
-        service: &call.service,
-        shape: table.services.get(&call.service),
-        team: call.team.as_ref(),
-        prompt: call.facts.prompt.as_ref(),
-        software: call.origin.known(),
-        tried: &call.tried,
-        fingerprint: call.fingerprint,
-        waited: micros(now.saturating_duration_since(call.arrived)),
-        left: micros(call.deadline.saturating_duration_since(now)),
-        limit: if call.head_sent {
-            AdmissionLimit::Deadline
-        } else {
-            AdmissionLimit::Objective
-        },
-    }
-}
-
-/// Handles the outcome of an attempt. Returns the end of the call, or `None` if another attempt
-/// follows.
+/// Handles the outcome of an attempt.
 async fn handle_outcome<P: CallProtocol>(
     traffic: &TrafficState<P>,
     caller: &mut WireStream,
     call: &mut CallState,
-    endpoint: EndpointKey,
     outcome: AttemptOutcome,
-) -> Option<CallEnd> {
-    call.tried.push(endpoint);
+) -> NextStep {
     if let Some(evidence) = outcome.proven_answer() {
         let now = traffic.shared.clock.now();
         let parts = PartIds::of(call.facts.prompt.as_ref());
@@ -300,57 +290,49 @@
             core.origins.end(stream_number(call));
         }
     }
-    match outcome {
-        AttemptOutcome::Delivered(status, _) => Some(CallEnd::Answered(status)),
+    let end = match outcome {
+        AttemptOutcome::Delivered(status, _) => CallEnd::Answered(status),
         AttemptOutcome::CallerLeft | AttemptOutcome::NotRun(NotRunCause::CallerLeft) => {
-            Some(CallEnd::CallerLeft)
+            CallEnd::CallerLeft
         }
         AttemptOutcome::TimeUp => {
             call.may_have_run = true;
-            Some(give_up(traffic, caller, call, "time up").await)
+            give_up(traffic, caller, call, "time up").await
         }
         AttemptOutcome::Answer(answer) => {
             if is_failure(&answer) && call.can_repeat() && reserve_retry(traffic, call) {
                 call.may_have_run = true;
-                return None;
+                return NextStep::Retry;
             }
-            Some(pass_answer(traffic, caller, call, answer).await)
+            pass_answer(traffic, caller, call, answer).await
         }
         AttemptOutcome::NotRun(NotRunCause::NotReached | NotRunCause::Gone | NotRunCause::Left) => {
             call.unreached += 1;
             // Nothing was sent, so a further attempt takes no retry from the budget.
             if call.unreached < MAX_UNREACHED_ENDPOINTS {
-                return None;
+                return NextStep::Retry;
             }
-            Some(give_up(traffic, caller, call, "endpoints not reached").await)
+            give_up(traffic, caller, call, "endpoints not reached").await
         }
         AttemptOutcome::NotRun(_) => {
             if reserve_retry(traffic, call) {
-                return None;
+                return NextStep::Retry;
             }
-            Some(give_up(traffic, caller, call, "endpoint refused").await)
+            give_up(traffic, caller, call, "endpoint refused").await
+        }
+        AttemptOutcome::HandedOver(next) => {
+            call.may_have_run = true;
+            return NextStep::TakeOver(next);
         }
         AttemptOutcome::Broken(cause) => {
             call.may_have_run = true;
             if call.can_repeat() && reserve_retry(traffic, call) {
-                return None;
+                return NextStep::Retry;
             }
-            Some(give_up(traffic, caller, call, cause).await)
+            give_up(traffic, caller, call, cause).await
         }
-    }
-}
-
-/// Takes a retry from the retry budget. Returns whether the request may be sent to another
-/// endpoint.
-fn reserve_retry<P: CallProtocol>(traffic: &TrafficState<P>, call: &CallState) -> bool {
-    if !call.has_attempts_left() {
-        return false;
-    }
-    let now = traffic.shared.clock.now();
-    let is_granted = traffic.shared.core().take_retry(now, &call.service);
-    let service = call.service.0.as_str();
-    traffic.shared.metrics.retry(service, is_granted);
-    is_granted
+    };
+    NextStep::End(end)
 }
 
 /// Returns whether an answer counts as the endpoint's failure.
--- a/src/gateway/call_record.rs
+++ b/src/gateway/call_record.rs
@@ -44,12 +44,7 @@
 }
 
 /// Writes the log line of a call that ended and updates the metrics.
-pub fn record<P: CallProtocol>(
-    traffic: &TrafficState<P>,
-    call: &CallState,
-    end: CallEnd,
-    version: u64,
-) {
+pub fn record<P: CallProtocol>(traffic: &TrafficState<P>, call: &CallState, end: CallEnd) {
     let (status, cause) = match end {
         CallEnd::Answered(status) => (status, "answered"),
         CallEnd::Own(status, cause) => (status.line().0, cause),
@@ -99,13 +94,14 @@
         ..
     } = call.decided;
     spdlog::info!(
-        "calls: id={} route={} team={team} version={version} endpoint={endpoint} sends={} \
+        "calls: id={} route={} team={team} version={} endpoint={endpoint} sends={} \
          tries={} status={status} cause=\"{cause}\" first_ms={first} total_ms={} \
          objective_ms={} standing={standing} predicted_ms={predicted_ms:.0} queued={queued:.0} \
          prompt={} uncached={uncached:.0} reread={reread:.0} fingerprint={fingerprint} \
          parts={parts} software={} began_at={} resumes={}",
         call.facts.call_id,
         call.route.name,
+        call.table.version,
         call.sends,
         call.tried.len(),
         total.as_millis(),
--- a/src/gateway/call_state.rs
+++ b/src/gateway/call_state.rs
@@ -1,6 +1,7 @@
 //! The state of one call while it runs.
 
 use std::fmt;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -11,6 +12,7 @@
 
 use super::call_record::DecisionFacts;
 use super::decide::AttemptTicket;
+use super::decide::shares::ShareStanding;
 use super::http::EventSplitter;
 use super::http::RequestHead;
 use super::protocol::CallFacts;
@@ -18,6 +20,7 @@
 use super::routes::EndpointKey;
 use super::routes::Repeatability;
 use super::routes::RouteEntry;
+use super::routes::RouteTable;
 use super::routes::ServiceKey;
 use super::routes::SoftwareVersion;
 use super::routes::TeamKey;
@@ -63,6 +66,8 @@
     pub body: Bytes,
     /// Values decoded from the head.
     pub facts: CallFacts,
+    /// The routes in force when the call arrived.
+    pub table: Arc<RouteTable>,
     /// The route of the call.
     pub route: RouteEntry,
     /// The service chosen among the route's services.
@@ -87,6 +92,8 @@
     pub splitter: EventSplitter,
     /// Number of times that the request was written to an endpoint.
     pub sends: u32,
+    /// How the call's team stood to its share when the call arrived.
+    pub standing: ShareStanding,
     /// Figures behind the last placement or refusal.
     pub decided: DecisionFacts,
     /// Whether an attempt may have run.
--- a/src/gateway/decide/budget.rs
+++ b/src/gateway/decide/budget.rs
@@ -111,16 +111,21 @@
         (part * earned).max(part.min(FIRST_RETRIES))
     }
 
-    /// Takes one retry from the budget. Returns false if the budget is used up.
-    pub fn take(&mut self, now: Moment, service: &ServiceKey, routers: usize) -> bool {
+    /// Returns whether the budget has a retry left.
+    pub fn has_retry(&mut self, now: Moment, service: &ServiceKey, routers: usize) -> bool {
         let ratio = RATIO_FRACTION * self.bounds.ratio;
         let earned = self.earned_slack(now, routers);
         let counts = self.counts(service);
         let allowed = ratio * counts.requests.sum(now) + earned;
-        if counts.retries.sum(now) + 1.0 > allowed {
+        counts.retries.sum(now) + 1.0 <= allowed
+    }
+
+    /// Takes one retry from the budget. Returns false if the budget is used up.
+    pub fn take(&mut self, now: Moment, service: &ServiceKey, routers: usize) -> bool {
+        if !self.has_retry(now, service, routers) {
             return false;
         }
-        counts.retries.add(now, 1.0);
+        self.counts(service).retries.add(now, 1.0);
         true
     }
 }
--- a/src/gateway/decide/core.rs
+++ b/src/gateway/decide/core.rs
@@ -292,6 +292,25 @@
         self.shares.ask(now, team, tokens)
     }
 
+    /// Places a further attempt of a call and takes its retry from the budget. Does neither and
+    /// returns `None` if the budget is used up or no endpoint can take the call in time.
+    pub fn admit_retry(
+        &mut self,
+        now: Moment,
+        request: &AdmissionRequest<'_>,
+        standing: ShareStanding,
+    ) -> Option<AttemptTicket> {
+        let routers = self.fleet.size();
+        if !self.budget.has_retry(now, request.service, routers) {
+            return None;
+        }
+        let Admission::Send(ticket) = self.admit(now, request, standing) else {
+            return None;
+        };
+        self.budget.take(now, request.service, routers);
+        Some(ticket)
+    }
+
     /// Takes one retry from this router's part of the budget. Returns false if it is used up.
     pub fn take_retry(&mut self, now: Moment, service: &ServiceKey) -> bool {
         self.budget.take(now, service, self.fleet.size())
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -38,6 +38,7 @@
 pub mod origin_exchange;
 pub mod origin_lookup;
 pub mod peer_table;
+pub mod place;
 pub mod pool;
 pub mod process;
 pub mod protocol;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -11,7 +11,6 @@
 
 use super::attempt::AnswerStart;
 use super::attempt::AttemptOutcome;
-use super::attempt::Interruption;
 use super::attempt::WaitBounds;
 use super::attempt::read_or_interrupt;
 use super::call_state::CallState;
@@ -23,6 +22,7 @@
 use super::front::TrafficState;
 use super::http::ResponseHead;
 use super::http::WireStream;
+use super::place::read_or_hand_over;
 use super::protocol::CallProtocol;
 use super::reply::LAST_CHUNK;
 use super::reply::ReplyFraming;
@@ -30,9 +30,8 @@
 use super::reply::push_chunk;
 use super::resume::stream_number;
 
-/// Silence in the middle of a stream after which its connection counts as dead. Callers give up a
-/// stream after a silence of 2 s or more, so another endpoint must continue it before that; a
-/// working engine is silent for far less than a second.
+/// Silence in the middle of a stream after which another endpoint takes over if one can. Callers give
+/// up a stream after a silence of 2 s or more.
 const STREAM_STALL: Duration = Duration::from_millis(1_500);
 
 /// A complete answer that is not a stream.
@@ -190,17 +189,13 @@
         } else {
             call.silence_limit(ticket)
         };
-        let bounds = WaitBounds {
-            deadline: call.deadline,
-            stall: call.stall_at(Instant::now() + silence_limit),
-        };
-        match read_or_interrupt(endpoint, caller, ticket, bounds).await {
+        let stall = Instant::now() + silence_limit;
+        match read_or_hand_over(traffic, caller, call, ticket, endpoint, stall).await {
             Ok(Ok(0)) if start.decoder.end_of_stream() => {}
             Ok(Ok(0)) => return AttemptOutcome::Broken("stream was cut"),
             Ok(Ok(_)) => ticket.record_activity(traffic.shared.clock.now()),
             Ok(Err(_)) => return AttemptOutcome::Broken("stream was reset"),
-            Err(Interruption::CallerLeft) => return AttemptOutcome::CallerLeft,
-            Err(interruption) => return interruption.outcome(),
+            Err(outcome) => return outcome,
         }
     }
 }
