A begun answer waits for a pause that ends soon, and for a retry

Callers saw streams cut when their endpoint broke off while the only other one had asked for a pause of a second, or while the retry budget had nothing left for a moment. Cause: what can be told a new call as a refusal with a time to come back is no answer to a begun one, and it was cut at once for what would have passed in a moment. What can't be served (no endpoint of its version, a request that crashes endpoints) still ends at once. Retries stay inside the budget: the wait takes one like any other.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -139,7 +139,7 @@
 }
 
 /// Resolves when the caller has closed its connection. Bytes that it sends meanwhile are buffered.
-async fn caller_left(caller: &mut WireStream) {
+pub async fn caller_left(caller: &mut WireStream) {
     while caller.buffer.len() < MAX_READ_AHEAD_BYTES {
         match caller.fill().await {
             Ok(0) | Err(_) => return,
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -216,11 +216,12 @@
         }
         let placed = match takeover.take() {
             Some(ticket) => Ok(ticket),
-            None => place_attempt(traffic, call),
+            None => place_attempt(traffic, caller, call).await,
         };
         let mut ticket = match placed {
             Ok(ticket) => ticket,
-            Err(NoPlace {
+            Err(NoPlace::CallerLeft) => return CallEnd::CallerLeft,
+            Err(NoPlace::Refused {
                 cause,
                 retry_after,
                 expected_ms,
@@ -300,7 +301,10 @@
             give_up(traffic, caller, call, "time up").await
         }
         AttemptOutcome::Answer(answer) => {
-            if is_failure(&answer) && call.can_repeat() && reserve_retry(traffic, call) {
+            if is_failure(&answer)
+                && call.can_repeat()
+                && reserve_retry(traffic, caller, call).await
+            {
                 call.may_have_run = true;
                 return NextStep::Retry;
             }
@@ -315,7 +319,7 @@
             give_up(traffic, caller, call, "endpoints not reached").await
         }
         AttemptOutcome::NotRun(_) => {
-            if reserve_retry(traffic, call) {
+            if reserve_retry(traffic, caller, call).await {
                 return NextStep::Retry;
             }
             give_up(traffic, caller, call, "endpoint refused").await
@@ -326,7 +330,7 @@
         }
         AttemptOutcome::Broken(cause) => {
             call.may_have_run = true;
-            if call.can_repeat() && reserve_retry(traffic, call) {
+            if call.can_repeat() && reserve_retry(traffic, caller, call).await {
                 return NextStep::Retry;
             }
             give_up(traffic, caller, call, cause).await
