A refusal is no attempt of an answer that has begun

Callers saw a stream cut when its endpoint broke off and the next one refused it, though a third idled. Cause: `max_attempts` counted every send, also those that an endpoint states not to have run. Before the answer has begun that keeps retries few and the caller gets a refusal; a begun answer was cut. Change: once the answer has begun, refusals don't count.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -147,6 +147,7 @@
         first_output: None,
         last_output: None,
         sends: 0,
+        refusals: 0,
         decided: DecisionFacts::default(),
         may_have_run: false,
         origin: StreamOrigin::None,
@@ -318,7 +319,8 @@
             }
             give_up(traffic, caller, call, "endpoints not reached").await
         }
-        AttemptOutcome::NotRun(_) => {
+        AttemptOutcome::NotRun(NotRunCause::Refused | NotRunCause::OtherEndpoint) => {
+            call.refusals += 1;
             if reserve_retry(traffic, caller, call).await {
                 return NextStep::Retry;
             }
--- a/src/gateway/call_state.rs
+++ b/src/gateway/call_state.rs
@@ -92,6 +92,8 @@
     pub splitter: EventSplitter,
     /// Number of times that the request was written to an endpoint.
     pub sends: u32,
+    /// Number of times that an endpoint refused it without running it.
+    pub refusals: u32,
     /// How the call's team stood to its share when the call arrived.
     pub standing: ShareStanding,
     /// Figures behind the last placement or refusal.
@@ -139,10 +141,16 @@
         }
     }
 
-    /// Returns whether the request was sent less often than the route's `max_attempts` allows.
+    /// Returns whether the route's `max_attempts` allows a further attempt. A refusal counts only
+    /// before the answer has begun, when the caller can still be refused as well.
     #[must_use]
     pub fn has_attempts_left(&self) -> bool {
-        self.sends < self.route.max_attempts.max(1)
+        let attempts = if self.head_sent {
+            self.sends - self.refusals
+        } else {
+            self.sends
+        };
+        attempts < self.route.max_attempts.max(1)
     }
 
     /// How long an endpoint may be silent before its first output: the route's objective plus twice
