A begun answer goes on though more than three endpoints aren't reached

Callers saw a stream cut when its endpoint broke off and three others had just ended, though one more idled. Cause: three endpoints that aren't reached end a call, since they use up most of the objective of a call without output; a begun answer is held against its deadline. Found by looking for the cause of the cuts by admission elsewhere.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -55,10 +55,10 @@
 use super::routes::RouteTable;
 use super::routes::SoftwareVersion;
 
-/// Attempts in which no request was sent, after which a call is given up: no connection was made,
-/// it was refused, or the endpoint announced that it takes no work. An address that does not
-/// respond costs the connection timeout (`connect_timeout_ms`), so three of them use up most of the
-/// latency objective of a generation, about a second.
+/// Attempts in which no request was sent, after which a call without output is given up: no
+/// connection was made, it was refused, or the endpoint announced that it takes no work. An address
+/// that does not respond costs the connection timeout (`connect_timeout_ms`), so three of them use
+/// up most of the latency objective of a generation, about a second.
 const MAX_UNREACHED_ENDPOINTS: usize = 3;
 
 /// What happens to a caller's connection after a call.
@@ -314,7 +314,7 @@
         AttemptOutcome::NotRun(NotRunCause::NotReached | NotRunCause::Gone | NotRunCause::Left) => {
             call.unreached += 1;
             // Nothing was sent, so a further attempt takes no retry from the budget.
-            if call.unreached < MAX_UNREACHED_ENDPOINTS {
+            if call.head_sent || call.unreached < MAX_UNREACHED_ENDPOINTS {
                 return NextStep::Retry;
             }
             give_up(traffic, caller, call, "endpoints not reached").await
