A process's first routes are no change of the routes

The line of a cut answer said that it was cut beside a change of the routes also just after the start of its process.

--- a/src/gateway/call_record.rs
+++ b/src/gateway/call_record.rs
@@ -10,6 +10,7 @@
 use super::call_state::CallState;
 use super::decide::AttemptTicket;
 use super::front::TrafficState;
+use super::metrics::RouteChange;
 use super::protocol::CallProtocol;
 use super::protocol::PartIds;
 
@@ -116,26 +117,24 @@
 /// Logs and counts an answer that ends early although the caller has a part of it.
 fn record_cut<P: CallProtocol>(traffic: &TrafficState<P>, call: &CallState, cause: &'static str) {
     let shared = &traffic.shared;
-    let routes_age = shared.routes_age().as_duration();
+    let since_change = shared.since_routes_changed();
     let change_bound = Duration::from_millis(shared.config.change_bound_ms) + AFTER_CHANGE;
-    let change = if routes_age < change_bound {
-        "beside"
-    } else {
-        "apart"
-    };
+    let change =
+        RouteChange::of(since_change.is_some_and(|since| since.as_duration() < change_bound));
     shared.metrics.cut_answer(cause, change);
     let silence = call.last_output.map_or(Duration::ZERO, |at| at.elapsed());
     let left = call.deadline.saturating_duration_since(Instant::now());
     spdlog::warn!(
         "calls: id={} answer cut cause=\"{cause}\" sends={} last_event={} ran_ms={} silent_ms={} \
-         left_ms={} change={change} routes_age_ms={}",
+         left_ms={} change={} since_change_ms={}",
         call.facts.call_id,
         call.sends,
         call.last_event().unwrap_or_default(),
         call.arrived.elapsed().as_millis(),
         silence.as_millis(),
         left.as_millis(),
-        routes_age.as_millis(),
+        change.label(),
+        since_change.map_or(-1, |since| i128::from(since.0 / 1_000)),
     );
 }
 
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -18,6 +18,32 @@
 /// plain calls (0.1 s) and first tokens (1 s), and up to the longest timeouts.
 const CALL_SECONDS: [f64; 9] = [0.02, 0.05, 0.1, 0.15, 0.3, 0.6, 1.2, 4.0, 15.0];
 
+/// Whether something happened while other routes had just come into force.
+#[derive(Debug, Clone, Copy)]
+pub enum RouteChange {
+    /// They had.
+    Beside,
+    /// They had not.
+    Apart,
+}
+
+impl RouteChange {
+    /// Returns [`Self::Beside`] if `is_beside`.
+    #[must_use]
+    pub fn of(is_beside: bool) -> Self {
+        if is_beside { Self::Beside } else { Self::Apart }
+    }
+
+    /// Returns its label in logs and metrics.
+    #[must_use]
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Beside => "beside",
+            Self::Apart => "apart",
+        }
+    }
+}
+
 /// The metrics of one gateway.
 pub struct GatewayMetrics {
     registry: Registry,
@@ -123,12 +149,11 @@
             .add(tokens as u64, &[team, standing, outcome]);
     }
 
-    /// Counts an answer that ended early after the caller had a part of it; `change` is `beside` if
-    /// new routes had come into force shortly before and `apart` otherwise.
-    pub fn cut_answer(&self, cause: &'static str, change: &'static str) {
+    /// Counts an answer that ended early after the caller had a part of it.
+    pub fn cut_answer(&self, cause: &'static str, change: RouteChange) {
         let cause = KeyValue::new("cause", cause);
         self.cut_answers
-            .add(1, &[cause, KeyValue::new("change", change)]);
+            .add(1, &[cause, KeyValue::new("change", change.label())]);
     }
 
     /// Counts a new connection to an endpoint.
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -96,8 +96,8 @@
 pub struct SharedState {
     core: Mutex<GatewayCore>,
     routes: Mutex<Option<Arc<RouteTable>>>,
-    /// When the routes in force were put in force, in us.
-    routes_since: AtomicU64,
+    /// When other routes were put in force, in us; 0 before the first change.
+    routes_changed: AtomicU64,
     endpoints: Mutex<EndpointList>,
     sections_in_touch: Mutex<BTreeSet<StateSection>>,
     store_failing: AtomicBool,
@@ -130,7 +130,7 @@
         Self {
             core: Mutex::new(GatewayCore::new(config.clone(), domain)),
             routes: Mutex::new(None),
-            routes_since: AtomicU64::new(0),
+            routes_changed: AtomicU64::new(0),
             endpoints: Mutex::new(EndpointList::default()),
             sections_in_touch: Mutex::default(),
             store_failing: AtomicBool::new(false),
@@ -199,17 +199,17 @@
         if known.is_some_and(|known| known >= table.version) {
             return false;
         }
-        *routes = Some(table);
-        self.routes_since
-            .store(self.clock.now().0, Ordering::Relaxed);
+        if routes.replace(table).is_some() {
+            let now = self.clock.now();
+            self.routes_changed.store(now.0, Ordering::Relaxed);
+        }
         true
     }
 
-    /// Returns how long the routes in force have been so, or the time since the start if there are
-    /// none.
-    pub fn routes_age(&self) -> TimeSpan {
-        let since = Moment(self.routes_since.load(Ordering::Relaxed));
-        self.clock.now().since(since)
+    /// Returns the time since other routes were put in force; nothing if the first ones still are.
+    pub fn since_routes_changed(&self) -> Option<TimeSpan> {
+        let changed = Moment(self.routes_changed.load(Ordering::Relaxed));
+        (changed.0 > 0).then(|| self.clock.now().since(changed))
     }
 
     /// Puts the store's endpoints in force. Returns false if they are older than the current ones.
