A late retry is held against the time left from now, and a search is no refused demand

Two faults of the admission, found by a reviewer who had not seen the work. The time left from now was held against a prediction from the call's arrival, so retries were refused that had time (a prediction of 0.1 s, waited 1.6 s, left 1.5 s: refused). Searches for an endpoint that takes over from a silent one counted as demand that was turned away (ten of one call that nobody refused: 26,000 tokens a second), which shrinks shares.

--- a/src/gateway/decide/core.rs
+++ b/src/gateway/decide/core.rs
@@ -77,8 +77,7 @@
     /// A part of the route's objective, counted from the call's arrival, so that a call that would
     /// be late is refused.
     Objective,
-    /// The call's deadline: the caller has a part of the answer, or another endpoint works on the
-    /// call, and a refusal would end what was accepted.
+    /// The call's deadline: an endpoint has accepted the call, and a refusal would end what has begun.
     Deadline,
 }
 
@@ -153,6 +152,7 @@
     TimeSpan((seconds * 1e6) as u64)
 }
 
+/// Time left until the call's deadline, in ms.
 #[allow(clippy::cast_precision_loss)]
 fn left_ms(request: &AdmissionRequest<'_>) -> f64 {
     request.left.0 as f64 / 1e3
@@ -292,23 +292,9 @@
         self.shares.ask(now, team, tokens)
     }
 
-    /// Places a further attempt of a call and takes its retry from the budget. Does neither and
-    /// returns `None` if the budget is used up or no endpoint can take the call in time.
-    pub fn admit_retry(
-        &mut self,
-        now: Moment,
-        request: &AdmissionRequest<'_>,
-        standing: ShareStanding,
-    ) -> Option<AttemptTicket> {
-        let routers = self.fleet.size();
-        if !self.budget.has_retry(now, request.service, routers) {
-            return None;
-        }
-        let Admission::Send(ticket) = self.admit(now, request, standing) else {
-            return None;
-        };
-        self.budget.take(now, request.service, routers);
-        Some(ticket)
+    /// Returns whether this router's part of the budget has a retry left.
+    pub fn has_retry(&mut self, now: Moment, service: &ServiceKey) -> bool {
+        self.budget.has_retry(now, service, self.fleet.size())
     }
 
     /// Takes one retry from this router's part of the budget. Returns false if it is used up.
@@ -386,23 +372,15 @@
         };
         #[allow(clippy::cast_precision_loss)]
         let waited = request.waited.0 as f64 / 1e3;
+        let expected = waited + placement.first_ms;
         let limit = match request.limit {
             AdmissionLimit::Objective => self.limit_ms(request, standing, placement.unqueued_ms),
-            AdmissionLimit::Deadline => waited + left_ms(request),
+            AdmissionLimit::Deadline => f64::INFINITY,
         };
-        let expected = waited + placement.first_ms;
+        let limit = limit.min(waited + left_ms(request));
         if expected > limit {
-            let cause = match standing {
-                ShareStanding::Within => {
-                    let tokens = request.prompt.map_or(0.0, PromptShape::share_tokens);
-                    self.shares.turn_away(now, tokens);
-                    RefusalCause::Overload
-                }
-                ShareStanding::Beyond(_) => RefusalCause::OverShare,
-            };
-            self.record_refused(request, standing.refusal_outcome());
             return Admission::Refuse {
-                cause,
+                cause: self.refuse_late(now, request, standing),
                 retry_after: self.retry_after(expected - limit),
                 expected_ms: expected,
             };
@@ -410,6 +388,28 @@
         self.place_attempt(now, request, standing, &placement)
     }
 
+    /// Counts a call that is refused because it would be late, and returns the cause. A call that an
+    /// endpoint has accepted was counted when it was placed first.
+    fn refuse_late(
+        &mut self,
+        now: Moment,
+        request: &AdmissionRequest<'_>,
+        standing: ShareStanding,
+    ) -> RefusalCause {
+        let cause = match standing {
+            ShareStanding::Within => RefusalCause::Overload,
+            ShareStanding::Beyond(_) => RefusalCause::OverShare,
+        };
+        if request.limit == AdmissionLimit::Objective {
+            if cause == RefusalCause::Overload {
+                let tokens = request.prompt.map_or(0.0, PromptShape::share_tokens);
+                self.shares.turn_away(now, tokens);
+            }
+            self.record_refused(request, standing.refusal_outcome());
+        }
+        cause
+    }
+
     /// Refuses a call that no endpoint can take. The caller should retry when the first pause ends:
     /// an earlier retry would be refused again.
     fn refuse_without_endpoint(&self, now: Moment, request: &AdmissionRequest<'_>) -> Admission {
@@ -495,7 +495,7 @@
         if is_underserved && standing == ShareStanding::Within {
             limit = limit.max(unqueued_ms + objective * self.config.long_wait_part);
         }
-        limit.min(left_ms(request))
+        limit
     }
 
     /// Returns the fraction of the objective that a call of a team over its share may take. Service
--- a/tests/gateway_begun_answers.rs
+++ b/tests/gateway_begun_answers.rs
@@ -82,3 +82,42 @@
     let standing = ShareStanding::Within;
     assert!(!is_admitted(AdmissionLimit::Deadline, standing, 1_000, 5));
 }
+
+/// Guards against a late retry that is refused although its time is enough: the time left was held
+/// against a prediction that includes the time since the call arrived.
+#[test]
+fn the_time_left_counts_from_now() {
+    let standing = ShareStanding::Within;
+    let waited_ms = OBJECTIVE_MS / 4;
+    let limit = AdmissionLimit::Objective;
+    assert!(is_admitted(limit, standing, waited_ms, waited_ms + 100));
+}
+
+/// Guards against searches for an endpoint that takes over that count as refused demand: shares would
+/// shrink by calls that nobody refused.
+#[test]
+fn a_search_for_another_endpoint_is_no_refused_demand() {
+    let mut core = three_engines();
+    let (route, service, shape, team) = (
+        route("r", OBJECTIVE_MS),
+        service(),
+        engine_service(),
+        nadi(),
+    );
+    let prompt = prompt(7, 1_000, 4_000);
+    let late = AdmissionRequest {
+        waited: TimeSpan::from_millis(1_000),
+        left: TimeSpan::from_millis(5),
+        ..ask(&route, &service, &shape, &team, &prompt)
+    };
+    for (limit, is_counted) in [
+        (AdmissionLimit::Deadline, false),
+        (AdmissionLimit::Objective, true),
+    ] {
+        let late = AdmissionRequest { limit, ..late };
+        let refused = core.admit(ms(5_000), &late, ShareStanding::Within);
+        assert!(matches!(refused, Admission::Refuse { .. }));
+        let turned_away = core.shares.turned_away_per_s(ms(5_000));
+        assert_eq!(turned_away > 0.0, is_counted, "{limit:?}");
+    }
+}
