An accepted call keeps its endpoint until another is connected, and is refused like a begun one

What has been accepted was still given up on a grant of the core, without a connection; calls that were sent but had no output were treated as new; an endpoint that had refused a call was never asked again. Change: a takeover is placed and connected before the silent endpoint is given up, and its retry is taken last; bytes that arrive meanwhile win. Calls that may have run are admitted by their deadline, and refusals don't count for them, up to four. A begun answer goes back to endpoints that refused it, or were silent, after a pause, until its caller has waited 2 s since its last event. A takeover has an end of its own: it counts against the endpoint's health, and as a loss only if all of the endpoint is silent.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -46,7 +46,7 @@
     /// The request did not run at this endpoint.
     NotRun(NotRunCause),
     /// The endpoint is silent, and this attempt at another one takes over.
-    HandedOver(Box<AttemptTicket>),
+    HandedOver(Box<Takeover>),
     /// The endpoint failed; the request may have run, and the caller may have part of a stream.
     Broken(&'static str),
     /// The caller closed its connection.
@@ -55,6 +55,15 @@
     TimeUp,
 }
 
+/// An attempt that takes over from a silent endpoint: it is placed and connected.
+#[derive(Debug)]
+pub struct Takeover {
+    /// The attempt.
+    pub ticket: AttemptTicket,
+    /// The connection to its endpoint.
+    pub connection: WireStream,
+}
+
 /// Why a request is known not to have run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum NotRunCause {
@@ -105,7 +114,8 @@
             Self::NotRun(NotRunCause::NotReached | NotRunCause::OtherEndpoint) => {
                 AttemptEnd::NotReached
             }
-            Self::Broken(_) | Self::HandedOver(_) => AttemptEnd::Lost,
+            Self::Broken(_) => AttemptEnd::Lost,
+            Self::HandedOver(_) => AttemptEnd::Silent,
             Self::NotRun(NotRunCause::Left | NotRunCause::CallerLeft) => AttemptEnd::NotSent,
             Self::CallerLeft | Self::TimeUp => AttemptEnd::Abandoned,
         }
@@ -154,7 +164,7 @@
 pub struct WaitBounds {
     /// The call's deadline.
     pub deadline: Instant,
-    /// When silence counts as the endpoint's failure.
+    /// From when on a silent endpoint may be given up for another one.
     pub stall: Instant,
 }
 
@@ -205,7 +215,10 @@
 }
 
 /// Takes an idle connection to the endpoint from the pool, or opens a new one.
-async fn connect_endpoint<P: CallProtocol>(
+///
+/// # Errors
+/// As [`open_connection`].
+pub async fn connect_endpoint<P: CallProtocol>(
     traffic: &TrafficState<P>,
     ticket: &AttemptTicket,
 ) -> Result<WireStream, NotRunCause> {
@@ -243,7 +256,10 @@
 /// Returns whether the endpoint still takes work. It is checked just before the request is sent,
 /// since the endpoint may have announced that it leaves or wants a pause while the connection was
 /// made.
-fn still_takes_work<P: CallProtocol>(traffic: &TrafficState<P>, ticket: &AttemptTicket) -> bool {
+pub fn still_takes_work<P: CallProtocol>(
+    traffic: &TrafficState<P>,
+    ticket: &AttemptTicket,
+) -> bool {
     let (shared, entry) = (&traffic.shared, &ticket.entry);
     let takes_work = shared
         .core()
@@ -258,15 +274,20 @@
     takes_work
 }
 
-/// Sends the call to one endpoint and reads its answer. A stream is passed on as it arrives; any
+/// Sends the call to one endpoint, on this connection or one of its own, and reads its answer. A stream is passed on as it arrives; any
 /// other answer is returned whole, so that the caller can still get another endpoint's instead.
 pub async fn run_attempt<P: CallProtocol>(
     traffic: &TrafficState<P>,
     caller: &mut WireStream,
     call: &mut CallState,
     ticket: &mut AttemptTicket,
+    connection: Option<WireStream>,
 ) -> AttemptOutcome {
-    let mut endpoint = match connect_endpoint(traffic, ticket).await {
+    let connected = match connection {
+        Some(stream) => Ok(stream),
+        None => connect_endpoint(traffic, ticket).await,
+    };
+    let mut endpoint = match connected {
         Ok(stream) => stream,
         Err(cause) => return AttemptOutcome::NotRun(cause),
     };
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -14,6 +14,7 @@
 
 use super::attempt::AttemptOutcome;
 use super::attempt::NotRunCause;
+use super::attempt::Takeover;
 use super::attempt::run_attempt;
 use super::call_record::DecisionFacts;
 use super::call_record::record;
@@ -37,6 +38,7 @@
 use super::load::LagLevel;
 use super::load::must_refuse_all;
 use super::place::NoPlace;
+use super::place::RetryGrant;
 use super::place::admission_request;
 use super::place::place_attempt;
 use super::place::reserve_retry;
@@ -153,6 +155,8 @@
         origin: StreamOrigin::None,
         tried_software: SoftwareVersion::default(),
         tried: Vec::new(),
+        excluded: Vec::new(),
+        readmissible: Vec::new(),
         unreached: 0,
     };
     find_origin(traffic, &mut call).await;
@@ -215,12 +219,14 @@
             let wait = TimeSpan::from_millis(traffic.shared.config.retry_after_ms);
             return reply_refused(traffic, caller, call, cause, wait).await;
         }
-        let placed = match takeover.take() {
-            Some(ticket) => Ok(ticket),
-            None => place_attempt(traffic, caller, call).await,
+        let placed = if let Some(Takeover { ticket, connection }) = takeover.take() {
+            Ok((ticket, Some(connection)))
+        } else {
+            let placed = place_attempt(traffic, caller, call).await;
+            placed.map(|ticket| (ticket, None))
         };
-        let mut ticket = match placed {
-            Ok(ticket) => ticket,
+        let (mut ticket, connection) = match placed {
+            Ok(attempt) => attempt,
             Err(NoPlace::CallerLeft) => return CallEnd::CallerLeft,
             Err(NoPlace::Refused {
                 cause,
@@ -233,8 +239,8 @@
         };
         call.decided.placed(&ticket);
         call.tried_software.clone_from(&ticket.entry.software);
-        call.tried.push(ticket.entry.key.clone());
-        let outcome = run_attempt(traffic, caller, call, &mut ticket).await;
+        call.record_attempt(&ticket.entry.key);
+        let outcome = run_attempt(traffic, caller, call, &mut ticket, connection).await;
         let endpoint = ticket.entry.key.clone();
         end_attempt(traffic, ticket, outcome.end());
         spdlog::debug!(
@@ -255,8 +261,8 @@
     End(CallEnd),
     /// Another attempt is placed.
     Retry,
-    /// The attempt that was already placed.
-    TakeOver(Box<AttemptTicket>),
+    /// This attempt, which is placed already.
+    TakeOver(Box<Takeover>),
 }
 
 /// Passes the end of an attempt to the decision core, and finds out whether the endpoint's process
@@ -302,38 +308,39 @@
             give_up(traffic, caller, call, "time up").await
         }
         AttemptOutcome::Answer(answer) => {
-            if is_failure(&answer)
-                && call.can_repeat()
-                && reserve_retry(traffic, caller, call).await
-            {
+            if is_failure(&answer) && call.can_repeat() {
                 call.may_have_run = true;
-                return NextStep::Retry;
+                match reserve_retry(traffic, caller, call).await {
+                    RetryGrant::Granted => return NextStep::Retry,
+                    RetryGrant::CallerLeft => return NextStep::End(CallEnd::CallerLeft),
+                    RetryGrant::Denied => {}
+                }
             }
             pass_answer(traffic, caller, call, answer).await
         }
         AttemptOutcome::NotRun(NotRunCause::NotReached | NotRunCause::Gone | NotRunCause::Left) => {
+            call.record_readmissible();
             call.unreached += 1;
             // Nothing was sent, so a further attempt takes no retry from the budget.
-            if call.head_sent || call.unreached < MAX_UNREACHED_ENDPOINTS {
+            if call.is_accepted() || call.unreached < MAX_UNREACHED_ENDPOINTS {
                 return NextStep::Retry;
             }
             give_up(traffic, caller, call, "endpoints not reached").await
         }
         AttemptOutcome::NotRun(NotRunCause::Refused | NotRunCause::OtherEndpoint) => {
+            call.record_readmissible();
             call.refusals += 1;
-            if reserve_retry(traffic, caller, call).await {
-                return NextStep::Retry;
-            }
-            give_up(traffic, caller, call, "endpoint refused").await
+            return retry_or_give_up(traffic, caller, call, "endpoint refused").await;
         }
         AttemptOutcome::HandedOver(next) => {
+            call.record_readmissible();
             call.may_have_run = true;
             return NextStep::TakeOver(next);
         }
         AttemptOutcome::Broken(cause) => {
             call.may_have_run = true;
-            if call.can_repeat() && reserve_retry(traffic, caller, call).await {
-                return NextStep::Retry;
+            if call.can_repeat() {
+                return retry_or_give_up(traffic, caller, call, cause).await;
             }
             give_up(traffic, caller, call, cause).await
         }
@@ -341,6 +348,20 @@
     NextStep::End(end)
 }
 
+/// Asks for a further attempt, and replies for `cause` if there is none.
+async fn retry_or_give_up<P: CallProtocol>(
+    traffic: &TrafficState<P>,
+    caller: &mut WireStream,
+    call: &CallState,
+    cause: &'static str,
+) -> NextStep {
+    NextStep::End(match reserve_retry(traffic, caller, call).await {
+        RetryGrant::Granted => return NextStep::Retry,
+        RetryGrant::CallerLeft => CallEnd::CallerLeft,
+        RetryGrant::Denied => give_up(traffic, caller, call, cause).await,
+    })
+}
+
 /// Returns whether an answer counts as the endpoint's failure.
 fn is_failure(answer: &BufferedAnswer) -> bool {
     answer.head.status >= 500 || (answer.head.is_success() && !answer.is_proven)
--- a/src/gateway/call_state.rs
+++ b/src/gateway/call_state.rs
@@ -25,6 +25,9 @@
 use super::routes::SoftwareVersion;
 use super::routes::TeamKey;
 
+/// Refusals after which no further endpoint is asked to go on with a call.
+const MAX_REFUSALS: u32 = 4;
+
 /// Where a call's stream began.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum StreamOrigin {
@@ -104,8 +107,12 @@
     pub origin: StreamOrigin,
     /// The software version of the endpoint of the last attempt.
     pub tried_software: SoftwareVersion,
-    /// Endpoints at which the call was tried.
+    /// Endpoints at which the call was tried, in order.
     pub tried: Vec<EndpointKey>,
+    /// Endpoints that don't get the call again.
+    pub excluded: Vec<EndpointKey>,
+    /// Those of them that did not run it, or were silent: a begun answer may go back to them.
+    pub readmissible: Vec<EndpointKey>,
     /// Number of attempts that count towards `MAX_UNREACHED_ENDPOINTS`.
     pub unreached: usize,
 }
@@ -141,16 +148,45 @@
         }
     }
 
-    /// Returns whether the route's `max_attempts` allows a further attempt. A refusal counts only
-    /// before the answer has begun, when the caller can still be refused as well.
+    /// Returns whether an endpoint may have begun the call, so that the caller can't be told any more
+    /// that it did not run.
+    #[must_use]
+    pub fn is_accepted(&self) -> bool {
+        self.head_sent || self.may_have_run
+    }
+
+    /// Returns whether the route's `max_attempts` allows a further attempt. Refusals count only until
+    /// an endpoint has accepted the call: before that the caller can be refused as well.
     #[must_use]
     pub fn has_attempts_left(&self) -> bool {
-        let attempts = if self.head_sent {
-            self.sends - self.refusals
-        } else {
-            self.sends
-        };
-        attempts < self.route.max_attempts.max(1)
+        let most = self.route.max_attempts.max(1);
+        if !self.is_accepted() {
+            return self.sends < most;
+        }
+        self.sends - self.refusals < most && self.refusals < MAX_REFUSALS
+    }
+
+    /// Records that the call is tried at an endpoint.
+    pub fn record_attempt(&mut self, endpoint: &EndpointKey) {
+        self.tried.push(endpoint.clone());
+        self.excluded.push(endpoint.clone());
+    }
+
+    /// Records that the endpoint tried last may get the call again.
+    pub fn record_readmissible(&mut self) {
+        self.readmissible.extend(self.tried.last().cloned());
+    }
+
+    /// Returns whether an endpoint may get the call again.
+    #[must_use]
+    pub fn has_readmissible(&self) -> bool {
+        !self.readmissible.is_empty()
+    }
+
+    /// Lets all endpoints have the call again that may.
+    pub fn readmit_endpoints(&mut self) {
+        let readmitted = std::mem::take(&mut self.readmissible);
+        self.excluded.retain(|key| !readmitted.contains(key));
     }
 
     /// How long an endpoint may be silent before its first output: the route's objective plus twice
@@ -165,8 +201,8 @@
         Duration::from_millis(self.route.objective_ms) + predicted * 2
     }
 
-    /// When silence within an answer counts as the endpoint's failure: at `stall`, the end of the
-    /// normal limit, or at the deadline if the request can't be sent to another endpoint.
+    /// From when on a silent endpoint may be given up for another one: `stall`, or the deadline if the
+    /// request can't be sent to another one.
     #[must_use]
     pub fn stall_at(&self, stall: Instant) -> Instant {
         if self.can_repeat() && self.has_attempts_left() {
--- a/src/gateway/decide/attempts.rs
+++ b/src/gateway/decide/attempts.rs
@@ -119,6 +119,8 @@
     /// The request was not sent: the caller disconnected before, or the endpoint left or paused
     /// meanwhile. Not counted against the endpoint unless it was silent.
     NotSent,
+    /// The endpoint was silent, and another one took over.
+    Silent,
     /// The caller disconnected or the deadline passed after the request was sent. Not counted
     /// against the endpoint unless it was silent.
     Abandoned,
@@ -191,7 +193,9 @@
                     .or_insert(measured_hold_ms);
                 *mean += LEARNING_WEIGHT * (measured_hold_ms - *mean);
             }
-            AttemptEnd::Failed | AttemptEnd::Lost => row.health.count(now, true),
+            AttemptEnd::Failed | AttemptEnd::Lost | AttemptEnd::Silent => {
+                row.health.count(now, true);
+            }
             AttemptEnd::NotReached if self.is_disturbed => row.record_link_failure(now),
             AttemptEnd::NotReached => row.record_failed_connection(now),
             AttemptEnd::Gone => self.connection_refused(now, &ticket.entry),
@@ -222,7 +226,7 @@
     fn is_lost(&self, now: Moment, ticket: &AttemptTicket, end: AttemptEnd) -> bool {
         match end {
             AttemptEnd::Lost => true,
-            AttemptEnd::Abandoned => {
+            AttemptEnd::Abandoned | AttemptEnd::Silent => {
                 let row = self.endpoints.get(&ticket.entry.key);
                 row.is_none_or(|row| row.health.is_silent_here(now))
             }
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -2,11 +2,11 @@
 //! endpoint.
 //!
 //! Load pattern: a sound endpoint is silent for a second or more and goes on, or breaks off long
-//! after the route's objective, while other endpoints are idle, paused or busy. A call whose caller
-//! has a part of the answer is held against its deadline only, since a refusal would end an answer
-//! that was accepted; its connection to a silent endpoint is kept until another endpoint has been
-//! found for it.
+//! after the route's objective, while other endpoints are idle, paused or busy. A call that an endpoint
+//! has accepted is held against its deadline only, since a refusal would end what has begun; its
+//! connection to a silent endpoint is kept until another endpoint has been reached for it.
 
+use std::future::ready;
 use std::io;
 use std::time::Duration;
 
@@ -17,13 +17,17 @@
 
 use super::attempt::AttemptOutcome;
 use super::attempt::Interruption;
+use super::attempt::Takeover;
 use super::attempt::WaitBounds;
 use super::attempt::caller_left;
+use super::attempt::connect_endpoint;
 use super::attempt::read_or_interrupt;
+use super::attempt::still_takes_work;
 use super::call_state::CallState;
 use super::decide::Admission;
 use super::decide::AdmissionLimit;
 use super::decide::AdmissionRequest;
+use super::decide::AttemptEnd;
 use super::decide::AttemptTicket;
 use super::decide::RefusalCause;
 use super::front::TrafficState;
@@ -36,9 +40,11 @@
 /// Pause between two attempts to take a retry for a begun answer from a used-up budget.
 const BUDGET_PAUSE: Duration = Duration::from_millis(50);
 
-/// Longest wait of a begun answer for an endpoint or a retry. Callers give up a stream after a
-/// silence of 2 s or more.
-const MAX_RESUMPTION_WAIT: Duration = Duration::from_millis(1_500);
+/// Pause before a begun answer goes back to endpoints that have refused it.
+const REFUSAL_PAUSE: Duration = Duration::from_millis(150);
+
+/// Silence after which callers give up a stream, at the earliest.
+const CALLER_PATIENCE: Duration = Duration::from_secs(2);
 
 /// Why a call gets no further attempt.
 #[derive(Debug)]
@@ -56,6 +62,17 @@
     CallerLeft,
 }
 
+/// The answer to a call that asks for a retry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RetryGrant {
+    /// The request may be sent to another endpoint.
+    Granted,
+    /// The retry budget is used up, or the route allows no further attempt.
+    Denied,
+    /// The caller closed its connection while the call waited.
+    CallerLeft,
+}
+
 /// Returns the admission request for the next attempt of a call.
 pub fn admission_request(call: &CallState, limit: AdmissionLimit) -> AdmissionRequest<'_> {
     let now = Instant::now();
@@ -67,7 +84,7 @@
         team: call.team.as_ref(),
         prompt: call.facts.prompt.as_ref(),
         software: call.origin.known(),
-        tried: &call.tried,
+        tried: &call.excluded,
         fingerprint: call.fingerprint,
         waited: micros(now.saturating_duration_since(call.arrived)),
         left: micros(call.deadline.saturating_duration_since(now)),
@@ -75,18 +92,18 @@
     }
 }
 
-/// Places the next attempt. A begun answer waits for endpoints that all have asked for a pause.
+/// Places the next attempt. A begun answer waits for endpoints that have asked for a pause, and goes
+/// back to such as have refused it.
 ///
 /// # Errors
 /// Why the call gets no attempt.
 pub async fn place_attempt<P: CallProtocol>(
     traffic: &TrafficState<P>,
     caller: &mut WireStream,
-    call: &CallState,
+    call: &mut CallState,
 ) -> Result<AttemptTicket, NoPlace> {
     let shared = &traffic.shared;
-    let until = resumption_end(call);
-    let limit = if call.head_sent {
+    let limit = if call.is_accepted() {
         AdmissionLimit::Deadline
     } else {
         AdmissionLimit::Objective
@@ -104,50 +121,82 @@
                 expected_ms,
             } => (cause, retry_after, expected_ms),
         };
-        let resumes_later = call.head_sent && cause == RefusalCause::Paused;
-        if !resumes_later || Instant::now() + retry_after.as_duration() > until {
+        let pause = pause_before_retry(call, cause, retry_after);
+        let Some(pause) = pause.filter(|pause| Instant::now() + *pause <= resumption_end(call))
+        else {
             return Err(NoPlace::Refused {
                 cause,
                 retry_after,
                 expected_ms,
             });
-        }
-        if has_left_within(caller, retry_after.as_duration()).await {
+        };
+        if has_left_within(caller, pause).await {
             return Err(NoPlace::CallerLeft);
         }
+        call.readmit_endpoints();
+    }
+}
+
+/// Returns how long a begun answer waits after a refusal until an endpoint may take it; `None` if
+/// none will.
+fn pause_before_retry(
+    call: &CallState,
+    cause: RefusalCause,
+    retry_after: TimeSpan,
+) -> Option<Duration> {
+    if !call.head_sent {
+        return None;
+    }
+    match cause {
+        RefusalCause::Paused => Some(retry_after.as_duration()),
+        RefusalCause::NoEndpoint if call.has_readmissible() => Some(REFUSAL_PAUSE),
+        RefusalCause::NoEndpoint
+        | RefusalCause::VersionGone
+        | RefusalCause::VersionUnknown
+        | RefusalCause::Overload
+        | RefusalCause::OverShare
+        | RefusalCause::Quarantined
+        | RefusalCause::PartQuarantined => None,
     }
 }
 
 /// Takes a retry from the retry budget. A begun answer waits for one if the budget is used up.
-/// Returns whether the request may be sent to another endpoint.
 pub async fn reserve_retry<P: CallProtocol>(
     traffic: &TrafficState<P>,
     caller: &mut WireStream,
     call: &CallState,
-) -> bool {
+) -> RetryGrant {
     if !call.has_attempts_left() {
-        return false;
+        return RetryGrant::Denied;
     }
     let until = resumption_end(call);
-    let shared = &traffic.shared;
-    let is_granted = loop {
-        if shared.core().take_retry(shared.clock.now(), &call.service) {
-            break true;
-        }
+    while !take_retry(traffic, call) {
         if !call.head_sent || Instant::now() + BUDGET_PAUSE > until {
-            break false;
+            let service = call.service.0.as_str();
+            traffic.shared.metrics.retry(service, false);
+            return RetryGrant::Denied;
         }
         if has_left_within(caller, BUDGET_PAUSE).await {
-            break false;
+            return RetryGrant::CallerLeft;
         }
-    };
-    shared.metrics.retry(call.service.0.as_str(), is_granted);
+    }
+    RetryGrant::Granted
+}
+
+/// Takes a retry from the budget and counts it. Returns false if the budget is used up.
+fn take_retry<P: CallProtocol>(traffic: &TrafficState<P>, call: &CallState) -> bool {
+    let shared = &traffic.shared;
+    let is_granted = shared.core().take_retry(shared.clock.now(), &call.service);
+    if is_granted {
+        shared.metrics.retry(call.service.0.as_str(), true);
+    }
     is_granted
 }
 
 /// Returns until when a begun answer waits for an endpoint or a retry.
 fn resumption_end(call: &CallState) -> Instant {
-    call.deadline.min(Instant::now() + MAX_RESUMPTION_WAIT)
+    let silent_since = call.last_output.unwrap_or(call.arrived);
+    call.deadline.min(silent_since + CALLER_PATIENCE)
 }
 
 /// Waits for `pause`. Returns true as soon as the caller has closed its connection.
@@ -159,7 +208,8 @@
 }
 
 /// Reads from the endpoint, which counts as silent from `stall` on. Another endpoint then takes over
-/// if one is free to; until then the wait goes on, since a sound endpoint may be silent for a while.
+/// if one can be reached; until then the wait goes on, since a sound endpoint may be silent for a
+/// while.
 ///
 /// # Errors
 /// The outcome of the attempt if the wait ended without a read.
@@ -171,6 +221,7 @@
     endpoint: &mut WireStream,
     stall: Instant,
 ) -> Result<io::Result<usize>, AttemptOutcome> {
+    let stall = stall.max(Instant::now() + TAKEOVER_PAUSE);
     let mut bounds = WaitBounds {
         deadline: call.deadline,
         stall: call.stall_at(stall),
@@ -181,33 +232,89 @@
             Err(Interruption::Stalled) => {}
             Err(interruption) => return Err(interruption.outcome()),
         }
-        if let Some(next) = place_takeover(traffic, call, ticket) {
-            return Err(AttemptOutcome::HandedOver(Box::new(next)));
+        let Some(takeover) = prepare_takeover(traffic, call).await else {
+            bounds.stall = Instant::now() + TAKEOVER_PAUSE;
+            continue;
+        };
+        if let Some(read) = read_now(endpoint).await {
+            release(traffic, takeover);
+            return Ok(read);
         }
+        if take_retry(traffic, call) {
+            log_takeover(call, ticket, &takeover);
+            return Err(AttemptOutcome::HandedOver(Box::new(takeover)));
+        }
+        release(traffic, takeover);
         bounds.stall = Instant::now() + TAKEOVER_PAUSE;
     }
 }
 
-/// Places a call whose endpoint is silent at another one; `None` if none can take it now.
-fn place_takeover<P: CallProtocol>(
+/// Reads what has arrived; `None` if nothing has.
+async fn read_now(endpoint: &mut WireStream) -> Option<io::Result<usize>> {
+    tokio::select! {
+        biased;
+        read = endpoint.fill() => Some(read),
+        () = ready(()) => None,
+    }
+}
+
+/// Places a call whose endpoint is silent at another one and connects to it; `None` if none can take
+/// it now.
+async fn prepare_takeover<P: CallProtocol>(
     traffic: &TrafficState<P>,
     call: &CallState,
-    ticket: &AttemptTicket,
-) -> Option<AttemptTicket> {
+) -> Option<Takeover> {
     let shared = &traffic.shared;
-    let next = {
+    let ticket = {
         let ask = admission_request(call, AdmissionLimit::Deadline);
-        let now = shared.clock.now();
-        shared.core().admit_retry(now, &ask, call.standing)?
+        let (now, mut core) = (shared.clock.now(), shared.core());
+        if !core.has_retry(now, &call.service) {
+            return None;
+        }
+        match core.admit(now, &ask, call.standing) {
+            Admission::Send(ticket) => ticket,
+            Admission::Refuse { .. } => return None,
+        }
     };
-    shared.metrics.retry(call.service.0.as_str(), true);
+    match connect_endpoint(traffic, &ticket).await {
+        Ok(connection) if still_takes_work(traffic, &ticket) => {
+            Some(Takeover { ticket, connection })
+        }
+        Ok(_) => {
+            shared
+                .core()
+                .ended(shared.clock.now(), ticket, AttemptEnd::NotSent);
+            None
+        }
+        Err(cause) => {
+            let end = AttemptOutcome::NotRun(cause).end();
+            shared.core().ended(shared.clock.now(), ticket, end);
+            None
+        }
+    }
+}
+
+/// Gives back a takeover that is not needed: the endpoint has gone on, or there is no retry.
+fn release<P: CallProtocol>(traffic: &TrafficState<P>, takeover: Takeover) {
+    let Takeover { ticket, connection } = takeover;
+    let shared = &traffic.shared;
+    let idle_limit = Duration::from_millis(shared.config.idle_reuse_ms);
+    traffic
+        .pool
+        .put(&ticket.entry.life(), connection, idle_limit);
+    shared
+        .core()
+        .ended(shared.clock.now(), ticket, AttemptEnd::NotSent);
+}
+
+fn log_takeover(call: &CallState, silent: &AttemptTicket, takeover: &Takeover) {
+    let next = &takeover.ticket;
     spdlog::info!(
         "calls: id={} endpoint={} is silent, taken over by={} last_event={} predicted_ms={:.0}",
         call.facts.call_id,
-        ticket.entry.key,
+        silent.entry.key,
         next.entry.key,
         call.last_event().unwrap_or_default(),
         next.first_ms,
     );
-    Some(next)
 }
