Events without end are cut, and searched once

Cause: the splitter collected an incomplete event without a bound and searched it for its end from the start after each read, so that the time grew with the square of its size. The traffic thread had no time for other callers, which were refused for its lag. Change: what was searched is not searched again, and an incomplete event of more than 256 KiB breaks the stream as any malformed one does.

--- a/src/gateway/http/events.rs
+++ b/src/gateway/http/events.rs
@@ -3,6 +3,10 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 
+/// Largest incomplete event, in bytes. An event carries a few tokens of text, or the facts of a whole
+/// answer in its last event.
+pub const MAX_EVENT_BYTES: usize = 262_144;
+
 /// Collects a stream's bytes and returns whole events.
 ///
 /// Guards against an endpoint that fails inside an event: the caller would get half an event, and
@@ -10,6 +14,8 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     pending: BytesMut,
+    /// Bytes at the start of `pending` that were searched for the end of an event.
+    searched: usize,
     last_id: Option<u64>,
 }
 
@@ -18,8 +24,8 @@
     #[must_use]
     pub fn after(last_id: Option<u64>) -> Self {
         Self {
-            pending: BytesMut::new(),
             last_id,
+            ..Self::default()
         }
     }
 
@@ -36,9 +42,16 @@
         !self.pending.is_empty()
     }
 
+    /// Returns whether the incomplete event is larger than [`MAX_EVENT_BYTES`].
+    #[must_use]
+    pub fn is_too_large(&self) -> bool {
+        self.pending.len() > MAX_EVENT_BYTES
+    }
+
     /// Drops an incomplete event, before another endpoint resumes the stream. The last id is kept.
     pub fn restart(&mut self) {
         self.pending.clear();
+        self.searched = 0;
     }
 
     /// The buffer to which an endpoint's bytes are appended.
@@ -54,7 +67,7 @@
     /// recognised and are always taken.
     pub fn take(&mut self) -> Bytes {
         let mut taken = BytesMut::new();
-        while let Some(end) = event_end(&self.pending) {
+        while let Some(end) = self.find_event_end() {
             let event = self.pending.split_to(end);
             let id = event_id(&event);
             if let (Some(id), Some(last)) = (id, self.last_id)
@@ -73,14 +86,22 @@
         }
         taken.freeze()
     }
-}
 
-/// The index after the first event and its blank line.
-fn event_end(bytes: &[u8]) -> Option<usize> {
-    bytes
-        .windows(2)
-        .position(|pair| pair == b"\n\n")
-        .map(|start| start + 2)
+    /// The index after the first event and its blank line. Bytes that were searched before are not
+    /// searched again.
+    fn find_event_end(&mut self) -> Option<usize> {
+        // The blank line may begin with the last byte that was searched.
+        let from = self.searched.saturating_sub(1);
+        let mut pairs = self.pending[from..].windows(2);
+        let end = pairs
+            .position(|pair| pair == b"\n\n")
+            .map(|start| from + start + 2);
+        self.searched = match end {
+            Some(_) => 0,
+            None => self.pending.len(),
+        };
+        end
+    }
 }
 
 fn event_id(event: &[u8]) -> Option<u64> {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -146,6 +146,9 @@
         }
         let before = call.last_event();
         let mut events = call.splitter.take();
+        if call.splitter.is_too_large() {
+            return AttemptOutcome::Broken("event is too large");
+        }
         if !events.is_empty() && !has_output {
             has_output = true;
             record_stream_part(traffic, call, ticket, before);
