Trailer fields without end are refused

Cause: the decoder of chunked bodies dropped any number of trailer lines, each of which is sound. Ruled out: the length of one line, which has a bound already. Change: more than 16 KiB of trailer lines count as malformed, for callers' bodies as well.

--- a/src/gateway/http/framing.rs
+++ b/src/gateway/http/framing.rs
@@ -14,6 +14,9 @@
 /// chunk extensions, which are dropped.
 const MAX_LINE_BYTES: usize = 1_024;
 
+/// Most bytes of a trailer's lines, without their ends. They are dropped.
+const MAX_TRAILER_BYTES: usize = 16_384;
+
 /// How the end of a body is determined.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum BodyFraming {
@@ -31,7 +34,7 @@
     /// The length is stated twice, together with a transfer coding, or in a form that can't be
     /// parsed, or the transfer coding is not just `chunked`.
     Ambiguous,
-    /// A malformed chunk.
+    /// A malformed chunk, or more trailer lines than `MAX_TRAILER_BYTES`.
     BadChunk,
 }
 
@@ -113,7 +116,8 @@
     ChunkSize,
     ChunkData(u64),
     ChunkEnd,
-    Trailer,
+    /// In the trailer, of which this number of bytes was read.
+    Trailer(usize),
     UntilClose,
     Complete,
 }
@@ -184,7 +188,7 @@
                     }
                     self.state = DecoderState::ChunkEnd;
                 }
-                DecoderState::ChunkSize | DecoderState::ChunkEnd | DecoderState::Trailer => {
+                DecoderState::ChunkSize | DecoderState::ChunkEnd | DecoderState::Trailer(_) => {
                     let Some(line) = take_line(buffer)? else {
                         return Ok(());
                     };
@@ -226,11 +230,13 @@
     match state {
         DecoderState::ChunkEnd if line.is_empty() => Ok(DecoderState::ChunkSize),
         DecoderState::ChunkSize => Ok(match chunk_size(line)? {
-            0 => DecoderState::Trailer,
+            0 => DecoderState::Trailer(0),
             size => DecoderState::ChunkData(size),
         }),
-        DecoderState::Trailer if line.is_empty() => Ok(DecoderState::Complete),
-        DecoderState::Trailer => Ok(DecoderState::Trailer),
+        DecoderState::Trailer(_) if line.is_empty() => Ok(DecoderState::Complete),
+        DecoderState::Trailer(read) if read + line.len() <= MAX_TRAILER_BYTES => {
+            Ok(DecoderState::Trailer(read + line.len()))
+        }
         _ => Err(FramingFault::BadChunk),
     }
 }
--- a/tests/gateway_decoders.rs
+++ b/tests/gateway_decoders.rs
@@ -5,6 +5,8 @@
 
 use bytes::BytesMut;
 
+use verbenaturn::gateway::http::BodyDecoder;
+use verbenaturn::gateway::http::BodyFraming;
 use verbenaturn::gateway::http::EventSplitter;
 use verbenaturn::gateway::http::events::MAX_EVENT_BYTES;
 
@@ -59,3 +61,26 @@
         assert!(!splitter.is_inside_event());
     }
 }
+
+/// Decodes a chunked body that ends with these trailer lines; returns whether it is complete, or
+/// nothing if it is refused.
+fn decode_trailer(lines: usize) -> Option<bool> {
+    let mut decoder = BodyDecoder::new(BodyFraming::Chunked);
+    let mut body = BytesMut::new();
+    let mut buffer = BytesMut::from(&b"1\r\nx\r\n0\r\n"[..]);
+    for _ in 0..lines {
+        buffer.extend_from_slice(b"X-Trailer: x\r\n");
+        decoder.decode(&mut buffer, &mut body).ok()?;
+    }
+    buffer.extend_from_slice(b"\r\n");
+    decoder.decode(&mut buffer, &mut body).ok()?;
+    Some(decoder.is_complete())
+}
+
+/// Guards against trailer lines that are skipped without a bound, each of them sound.
+#[test]
+fn a_trailer_without_end_is_refused() {
+    assert_eq!(decode_trailer(0), Some(true));
+    assert_eq!(decode_trailer(100), Some(true));
+    assert_eq!(decode_trailer(10_000), None);
+}
