A time limit holds while an endpoint always has bytes ready

Callers saw: an endpoint that sent a body without an end, of which the router keeps little (chunks of one byte with long extensions, or the body of an extra answer): calls with a deadline of 2.5 s ended after 2.50 to 3.17 s, and some not within 6 s. Cause: read_or_interrupt prefers bytes that are ready to a time limit, so that a router that runs late still delivers answers that have arrived. An endpoint that always has bytes ready keeps the time limit from being seen: it shows only when a read takes less than the buffer holds. One connection also used the thread for as long as the runtime allows a task, 128 reads. Ruled out: looking at the time limit first, which would lose answers that arrived in time at a router that runs late. Change: reads after a time limit go on for 50 ms at most, from the first of them (OverdueReads); after 64 KiB of one connection, other tasks run. The turn ends outside the wait's select, where it doesn't count as a wait for bytes. The signature of read_or_interrupt stays. The unit test covers a router that runs late.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -162,6 +162,9 @@
 /// registration of the endpoint with a later start proves that the old process has ended; bytes
 /// that have already arrived are read first.
 ///
+/// Such bytes are also read after a time limit has passed, but only for a short time, see
+/// [`OverdueReads`](super::http::OverdueReads).
+///
 /// # Errors
 /// The reason if the wait ended without a read.
 pub async fn read_or_interrupt(
@@ -171,15 +174,22 @@
     bounds: WaitBounds,
 ) -> Result<io::Result<usize>, Interruption> {
     let WaitBounds { deadline, stall } = bounds;
+    let until = deadline.min(stall);
+    let interruption = if stall < deadline {
+        Interruption::Stalled
+    } else {
+        Interruption::TimeUp
+    };
+    // Inside the select, the end of a turn would count as a wait for bytes.
+    endpoint.end_turn().await;
+    if !endpoint.overdue.allows(Instant::now(), until) {
+        return Err(interruption);
+    }
     tokio::select! {
         biased;
         read = endpoint.fill() => Ok(read),
         () = caller_left(caller) => Err(Interruption::CallerLeft),
-        () = sleep_until(deadline.min(stall)) => Err(if stall < deadline {
-            Interruption::Stalled
-        } else {
-            Interruption::TimeUp
-        }),
+        () = sleep_until(until) => Err(interruption),
         () = ticket.replaced() => Err(Interruption::Replaced),
     }
 }
--- a/src/gateway/http/connection.rs
+++ b/src/gateway/http/connection.rs
@@ -11,20 +11,30 @@
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
+use tokio::task::yield_now;
 use tokio::time;
 
 use crate::gateway::link::LinkMeter;
 
+use super::overdue::OverdueReads;
+
 /// Buffer space reserved before a read, in bytes: enough for a whole head or several events in one
 /// system call.
 const READ_BYTES: usize = 8_192;
 
+/// Bytes that are read from one connection before other tasks run, also if more are ready.
+const TURN_BYTES: usize = 65_536;
+
 /// A TCP connection and its read buffer.
 #[derive(Debug)]
 pub struct WireStream {
     stream: TcpStream,
     /// Bytes that were read and not yet consumed.
     pub buffer: BytesMut,
+    /// Reads after a time limit has passed.
+    pub overdue: OverdueReads,
+    /// Bytes read since other tasks last had a turn.
+    read_in_turn: usize,
     meter: Option<Arc<LinkMeter>>,
 }
 
@@ -35,6 +45,8 @@
         Self {
             stream,
             buffer: BytesMut::new(),
+            overdue: OverdueReads::default(),
+            read_in_turn: 0,
             meter: None,
         }
     }
@@ -82,12 +94,25 @@
     /// # Errors
     /// If the connection broke.
     pub async fn fill(&mut self) -> io::Result<usize> {
+        self.end_turn().await;
         self.buffer.reserve(READ_BYTES);
         let read = self.stream.read_buf(&mut self.buffer).await?;
+        self.read_in_turn += read;
         self.count_received(read);
         Ok(read)
     }
 
+    /// Lets other tasks run if enough bytes were read from this connection since they last did.
+    ///
+    /// Guards against a peer that always has bytes to read: its task would go on for as long as the
+    /// runtime lets it, and all others would wait.
+    pub async fn end_turn(&mut self) {
+        if self.read_in_turn >= TURN_BYTES {
+            self.read_in_turn = 0;
+            yield_now().await;
+        }
+    }
+
     /// Writes all of `bytes`.
     ///
     /// # Errors
--- a/src/gateway/http/mod.rs
+++ b/src/gateway/http/mod.rs
@@ -9,6 +9,7 @@
 pub mod events;
 pub mod framing;
 pub mod head;
+pub mod overdue;
 
 pub use connection::WireStream;
 pub use events::EventSplitter;
@@ -19,3 +20,4 @@
 pub use head::HeaderField;
 pub use head::RequestHead;
 pub use head::ResponseHead;
+pub use overdue::OverdueReads;
--- a/tests/gateway_decoders.rs
+++ b/tests/gateway_decoders.rs
@@ -8,6 +8,7 @@
 use verbenaturn::gateway::http::BodyDecoder;
 use verbenaturn::gateway::http::BodyFraming;
 use verbenaturn::gateway::http::EventSplitter;
+use verbenaturn::gateway::http::OverdueReads;
 use verbenaturn::gateway::http::events::MAX_EVENT_BYTES;
 
 /// Bytes of one read in these tests.
@@ -84,3 +85,21 @@
     assert_eq!(decode_trailer(100), Some(true));
     assert_eq!(decode_trailer(10_000), None);
 }
+
+/// Guards against an endpoint that always has bytes ready, which keeps a time limit from being
+/// seen, and against an answer that is lost though it arrived before a late router came round.
+#[test]
+fn reads_after_a_time_limit_end_soon() {
+    let limit = tokio::time::Instant::now();
+    let ms = Duration::from_millis;
+    let late = limit + ms(700);
+    let mut reads = OverdueReads::default();
+    assert!(reads.allows(limit - ms(1), limit));
+    assert!(reads.allows(late, limit));
+    assert!(reads.allows(late + ms(20), limit));
+    assert!(!reads.allows(late + ms(60), limit));
+    assert!(!reads.allows(late + ms(900), limit));
+    // The next limit, of the same call or another one.
+    assert!(reads.allows(late + ms(900), limit + ms(900)));
+    assert!(reads.allows(late + ms(1_700), late + ms(900)));
+}
