Answers to others without end are not skipped until the deadline

Cause: the router skips any number of such answers of any size, reading as fast as it can. Change: an attempt skips 256 answers and as many bytes of their bodies as a plain answer may have, then it counts as broken (SkippedAnswers).

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -26,6 +26,7 @@
 use super::relay::BufferedAnswer;
 use super::reply::endpoint_request;
 use super::routes::EndpointEntry;
+use super::skipped::SkippedAnswers;
 
 /// Largest head of an endpoint's answer, in bytes: twice what callers may send, since endpoints
 /// echo some of the request's fields.
@@ -339,6 +340,7 @@
         deadline: call.deadline,
         stall: Instant::now() + call.silence_limit(ticket),
     };
+    let mut skipped = SkippedAnswers::new(traffic.shared.config.max_answer_bytes);
     loop {
         let head = match ResponseHead::take(&mut endpoint.buffer, MAX_ANSWER_HEAD_BYTES) {
             Ok(Some(head)) => head,
@@ -349,6 +351,7 @@
             Err(_) => return Err(AttemptOutcome::Broken("not an answer")),
         };
         if (100..200).contains(&head.status) {
+            skipped.add_answer().map_err(AttemptOutcome::Broken)?;
             continue;
         }
         let to_head = &call.head.method[..] == b"HEAD";
@@ -368,7 +371,8 @@
                 "endpoint: key={} call={id} extra answer dropped",
                 ticket.entry.key
             );
-            skip_body(endpoint, caller, ticket, bounds, &mut decoder).await?;
+            skipped.add_answer().map_err(AttemptOutcome::Broken)?;
+            skip_body(endpoint, caller, ticket, bounds, &mut decoder, &mut skipped).await?;
             continue;
         }
         if facts.not_run {
@@ -415,13 +419,17 @@
     ticket: &AttemptTicket,
     bounds: WaitBounds,
     decoder: &mut BodyDecoder,
+    skipped: &mut SkippedAnswers,
 ) -> Result<(), AttemptOutcome> {
     let mut dropped = bytes::BytesMut::new();
     loop {
+        let before = endpoint.buffer.len();
         if decoder.decode(&mut endpoint.buffer, &mut dropped).is_err() {
             return Err(AttemptOutcome::Broken("not an answer"));
         }
         dropped.clear();
+        let taken = before - endpoint.buffer.len();
+        skipped.add_bytes(taken).map_err(AttemptOutcome::Broken)?;
         if decoder.is_complete() {
             return Ok(());
         }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -49,4 +49,5 @@
 pub mod routes;
 pub mod shared;
 pub mod sightings;
+pub mod skipped;
 pub mod stream_messages;
