What a peer sends is not read without a bound while a write waits

Callers saw: the router's process grew by 2.6 to 2.9 GB within 2.5 s while one endpoint sent interim answers without reading a long request, whose call also ended up to 0.26 s after its deadline; and by 7.0 GB in 6 s while one caller sent bytes and read none of its stream. A host's memory ends long before. Cause: send_while_reading reads on while its write waits, to notice a peer that leaves, without a bound. Since there was always something to read, the wait let no time limit pass either. Ruled out: caller_left, which reads ahead 64 KiB at most. Change: while a write waits, it reads only as long as less than 64 KiB is unconsumed. A peer that closes its connection after that breaks the write.

--- a/src/gateway/http/connection.rs
+++ b/src/gateway/http/connection.rs
@@ -25,6 +25,9 @@
 /// Bytes that are read from one connection before other tasks run, also if more are ready.
 const TURN_BYTES: usize = 65_536;
 
+/// Most unconsumed bytes up to which a connection is read while a write waits.
+const MAX_READ_AHEAD_BYTES: usize = 65_536;
+
 /// A TCP connection and its read buffer.
 #[derive(Debug)]
 pub struct WireStream {
@@ -125,6 +128,9 @@
     /// Writes all of `bytes`. If they don't fit the socket's buffer at once, keeps reading while it
     /// waits, to notice early if the peer leaves.
     ///
+    /// Guards against a peer that sends without reading: what it sends would be collected without a
+    /// bound, and as there is always something to read, the wait would never let a time limit pass.
+    ///
     /// # Errors
     /// If the connection broke, or the peer closed its side while the write waited.
     pub async fn send_while_reading(&mut self, bytes: &[u8]) -> io::Result<()> {
@@ -136,10 +142,11 @@
             Err(fault) => return Err(fault),
         };
         while sent < bytes.len() {
+            let may_read = self.buffer.len() < MAX_READ_AHEAD_BYTES;
             let (mut reader, mut writer) = self.stream.split();
             tokio::select! {
                 written = writer.write(&bytes[sent..]) => sent += written?,
-                read = reader.read_buf(&mut self.buffer) => {
+                read = reader.read_buf(&mut self.buffer), if may_read => {
                     if read? == 0 {
                         return Err(io::ErrorKind::ConnectionAborted.into());
                     }
