A stream ends at its deadline though its caller reads nothing

Cause: deliver waits for the caller's connection without a time limit; the deadline was looked at only while the router waited for the endpoint. Ruled out: events that are ready after the deadline at a router that runs late; a write that finds room is made before the deadline is looked at. Change: the write ends at the call's deadline, and the call as one whose caller has left.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -3,11 +3,13 @@
 //! Plain answers are passed on when they are complete. Streams are passed on in whole events; the
 //! events of one read from the endpoint go to the caller in one write.
 
+use std::io;
 use std::time::Duration;
 
 use bytes::Bytes;
 use bytes::BytesMut;
 use tokio::time::Instant;
+use tokio::time::timeout_at;
 
 use super::attempt::AnswerStart;
 use super::attempt::AttemptOutcome;
@@ -275,13 +277,15 @@
 ///
 /// The head is held back until the first event: if the endpoint fails before that, another endpoint
 /// can still answer with a head of its own.
+///
+/// Guards against a caller that reads nothing: the call would go on after its deadline.
 async fn deliver(
     caller: &mut WireStream,
     call: &mut CallState,
     head: &ResponseHead,
     events: &[u8],
     ends: bool,
-) -> std::io::Result<()> {
+) -> io::Result<()> {
     if events.is_empty() && !ends {
         return Ok(());
     }
@@ -298,5 +302,8 @@
     if ends {
         out.extend_from_slice(LAST_CHUNK);
     }
-    caller.send_while_reading(&out).await
+    match timeout_at(call.deadline, caller.send_while_reading(&out)).await {
+        Ok(sent) => sent,
+        Err(_) => Err(io::ErrorKind::TimedOut.into()),
+    }
 }
