--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -27,6 +27,7 @@
 use super::relay::BufferedAnswer;
 use super::reply::endpoint_request;
 use super::routes::EndpointEntry;
+use super::skipped::SkippedAnswers;
 
 /// Largest head of an endpoint's answer, in bytes: twice what callers may send, since endpoints
 /// echo some of the request's fields.
@@ -176,6 +177,9 @@
 /// registration of the endpoint with a later start proves that the old process has ended; bytes
 /// that have already arrived are read first.
 ///
+/// Such bytes are also read after a time limit has passed, but only for a short time, see
+/// [`OverdueReads`](super::http::OverdueReads).
+///
 /// # Errors
 /// The reason if the wait ended without a read.
 pub async fn read_or_interrupt(
@@ -185,15 +189,22 @@
     bounds: WaitBounds,
 ) -> Result<io::Result<usize>, Interruption> {
     let WaitBounds { deadline, stall } = bounds;
+    let until = deadline.min(stall);
+    let interruption = if stall < deadline {
+        Interruption::Stalled
+    } else {
+        Interruption::TimeUp
+    };
+    // Inside the select, the end of a turn would count as a wait for bytes.
+    endpoint.end_turn().await;
+    if !endpoint.overdue.allows(Instant::now(), until) {
+        return Err(interruption);
+    }
     tokio::select! {
         biased;
         read = endpoint.fill() => Ok(read),
         () = caller_left(caller) => Err(Interruption::CallerLeft),
-        () = sleep_until(deadline.min(stall)) => Err(if stall < deadline {
-            Interruption::Stalled
-        } else {
-            Interruption::TimeUp
-        }),
+        () = sleep_until(until) => Err(interruption),
         () = ticket.replaced() => Err(Interruption::Replaced),
     }
 }
@@ -318,6 +329,7 @@
     let wait = AnswerWait {
         traffic,
         stall: Instant::now() + call.silence_limit(ticket),
+        skipped: SkippedAnswers::new(traffic.shared.config.max_answer_bytes),
         endpoint: &mut endpoint,
         caller: &mut *caller,
         call,
@@ -359,6 +371,7 @@
     ticket: &'a AttemptTicket,
     /// When silence of the endpoint makes another one take over.
     stall: Instant,
+    skipped: SkippedAnswers,
 }
 
 impl<P: CallProtocol> AnswerWait<'_, P> {
@@ -369,6 +382,7 @@
         loop {
             let head = self.read_head().await?;
             if (100..200).contains(&head.status) {
+                self.count_skipped()?;
                 continue;
             }
             let to_head = &self.call.head.method[..] == b"HEAD";
@@ -383,6 +397,7 @@
                 // its own framing; this call's answer follows it.
                 let key = &self.ticket.entry.key;
                 spdlog::warn!("endpoint: key={key} call={id} extra answer dropped");
+                self.count_skipped()?;
                 self.skip_body(&mut decoder).await?;
                 continue;
             }
@@ -408,6 +423,11 @@
         }
     }
 
+    fn count_skipped(&mut self) -> Result<(), AttemptOutcome> {
+        let counted = self.skipped.add_answer();
+        counted.map_err(AttemptOutcome::Broken)
+    }
+
     async fn read_head(&mut self) -> Result<ResponseHead, AttemptOutcome> {
         loop {
             match ResponseHead::take(&mut self.endpoint.buffer, MAX_ANSWER_HEAD_BYTES) {
@@ -422,6 +442,7 @@
     async fn skip_body(&mut self, decoder: &mut BodyDecoder) -> Result<(), AttemptOutcome> {
         let mut dropped = bytes::BytesMut::new();
         loop {
+            let before = self.endpoint.buffer.len();
             if decoder
                 .decode(&mut self.endpoint.buffer, &mut dropped)
                 .is_err()
@@ -429,6 +450,9 @@
                 return Err(AttemptOutcome::Broken("not an answer"));
             }
             dropped.clear();
+            let taken = before - self.endpoint.buffer.len();
+            let counted = self.skipped.add_bytes(taken);
+            counted.map_err(AttemptOutcome::Broken)?;
             if decoder.is_complete() {
                 return Ok(());
             }
--- a/src/gateway/http/connection.rs
+++ b/src/gateway/http/connection.rs
@@ -11,20 +11,33 @@
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
+use tokio::task::yield_now;
 use tokio::time;
 
 use crate::gateway::link::LinkMeter;
 
+use super::overdue::OverdueReads;
+
 /// Buffer space reserved before a read, in bytes: enough for a whole head or several events in one
 /// system call.
 const READ_BYTES: usize = 8_192;
 
+/// Bytes that are read from one connection before other tasks run, also if more are ready.
+const TURN_BYTES: usize = 65_536;
+
+/// Most unconsumed bytes up to which a connection is read while a write waits.
+const MAX_READ_AHEAD_BYTES: usize = 65_536;
+
 /// A TCP connection and its read buffer.
 #[derive(Debug)]
 pub struct WireStream {
     stream: TcpStream,
     /// Bytes that were read and not yet consumed.
     pub buffer: BytesMut,
+    /// Reads after a time limit has passed.
+    pub overdue: OverdueReads,
+    /// Bytes read since other tasks last had a turn.
+    read_in_turn: usize,
     meter: Option<Arc<LinkMeter>>,
 }
 
@@ -35,6 +48,8 @@
         Self {
             stream,
             buffer: BytesMut::new(),
+            overdue: OverdueReads::default(),
+            read_in_turn: 0,
             meter: None,
         }
     }
@@ -82,12 +97,25 @@
     /// # Errors
     /// If the connection broke.
     pub async fn fill(&mut self) -> io::Result<usize> {
+        self.end_turn().await;
         self.buffer.reserve(READ_BYTES);
         let read = self.stream.read_buf(&mut self.buffer).await?;
+        self.read_in_turn += read;
         self.count_received(read);
         Ok(read)
     }
 
+    /// Lets other tasks run if enough bytes were read from this connection since they last did.
+    ///
+    /// Guards against a peer that always has bytes to read: its task would go on for as long as the
+    /// runtime lets it, and all others would wait.
+    pub async fn end_turn(&mut self) {
+        if self.read_in_turn >= TURN_BYTES {
+            self.read_in_turn = 0;
+            yield_now().await;
+        }
+    }
+
     /// Writes all of `bytes`.
     ///
     /// # Errors
@@ -100,6 +128,9 @@
     /// Writes all of `bytes`. If they don't fit the socket's buffer at once, keeps reading while it
     /// waits, to notice early if the peer leaves.
     ///
+    /// Guards against a peer that sends without reading: what it sends would be collected without a
+    /// bound, and as there is always something to read, the wait would never let a time limit pass.
+    ///
     /// # Errors
     /// If the connection broke, or the peer closed its side while the write waited.
     pub async fn send_while_reading(&mut self, bytes: &[u8]) -> io::Result<()> {
@@ -111,10 +142,11 @@
             Err(fault) => return Err(fault),
         };
         while sent < bytes.len() {
+            let may_read = self.buffer.len() < MAX_READ_AHEAD_BYTES;
             let (mut reader, mut writer) = self.stream.split();
             tokio::select! {
                 written = writer.write(&bytes[sent..]) => sent += written?,
-                read = reader.read_buf(&mut self.buffer) => {
+                read = reader.read_buf(&mut self.buffer), if may_read => {
                     if read? == 0 {
                         return Err(io::ErrorKind::ConnectionAborted.into());
                     }
