A plain answer without a length that ended with its endpoint's process is not passed on as whole

Callers saw: a part of an answer as 200, with the endpoint's proof and a length that fits the part. The endpoint had crashed, or had left and exited, within an answer with neither a length nor chunks. Cause: collect_answer took the close of the connection as the end of the body. The system closes the connections of a process that ends in the same way. Streams were checked at this place, plain answers not, since the check takes 50 ms of objectives of 100 to 150 ms. Ruled out: that the close comes as a reset (it is an orderly one in the failing tests); that data on other connections tells it sooner than a new connection does (it may have been on its way for 25 ms). Change: such an answer is passed on only if a connection to its endpoint is open 25 ms after the close, an idle one or a new one, which serves the next call. If it is refused, or if neither happens within 250 ms, the answer was cut: an idempotent request is tried again within its attempts and the retry budget, any other one gets a 502, which promises nothing. Unknown counts as cut here: with a length of its own the answer would look whole. Answers with a length or chunks wait for nothing. Left: an idle connection whose close was lost on the way reads as a process that runs, as for streams.

--- a/src/gateway/end_check.rs
+++ b/src/gateway/end_check.rs
@@ -1,5 +1,5 @@
-//! Finds out whether an endpoint's process has ended after a request was lost there, or after a
-//! stream without a length or chunks ended with its connection.
+//! Finds out whether an endpoint's process has ended after a request was lost there, or after an
+//! answer without a length or chunks, a stream or a plain one, ended with its connection.
 //!
 //! Load pattern: in a quiet hour, a request ends the process of each endpoint that runs it, and no
 //! other call goes there before its registration lapses seconds later. By then the caller has sent
@@ -31,8 +31,9 @@
 /// makes as long a wait as before the connection after a loss.
 const SURVIVAL_TIME: Duration = Duration::from_millis(25);
 
-/// Longest wait for the connection with which the end of a stream is confirmed. Its caller has all
-/// events by then and waits for the end only.
+/// Longest wait for the connection with which the end of an answer is confirmed. The caller of a
+/// stream has all events by then and waits for the end only; a plain answer without a length or
+/// chunks is passed on after it.
 const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Whether an endpoint's process runs.
@@ -71,6 +72,26 @@
     if ticket.has_activity_since(arrived_by) {
         return ProcessStatus::Running;
     }
+    confirm(traffic, ticket).await
+}
+
+/// Finds out whether the process of an endpoint runs that has just closed the connection of a plain
+/// answer. As [`find_process_status`], but the connection is opened as soon as the news of an end
+/// would have arrived: the caller has nothing of the answer yet, and the next call to the endpoint
+/// needs a new connection anyway.
+pub async fn find_process_status_early<P: CallProtocol>(
+    traffic: &TrafficState<P>,
+    ticket: &AttemptTicket,
+) -> ProcessStatus {
+    sleep(IN_FLIGHT_TIME).await;
+    confirm(traffic, ticket).await
+}
+
+/// Opens a connection to the endpoint of an attempt, unless an idle one is still open.
+async fn confirm<P: CallProtocol>(
+    traffic: &TrafficState<P>,
+    ticket: &AttemptTicket,
+) -> ProcessStatus {
     let status = timeout(CONFIRMATION_TIMEOUT, probe(traffic, &ticket.entry));
     status.await.unwrap_or(ProcessStatus::Unknown)
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 use tokio::time::Instant;
+use tokio::time::timeout_at;
 
 use super::attempt::AnswerStart;
 use super::attempt::AttemptOutcome;
@@ -20,6 +21,7 @@
 use super::decide::answered::AnswerEnd;
 use super::end_check::ProcessStatus;
 use super::end_check::find_process_status;
+use super::end_check::find_process_status_early;
 use super::front::TrafficState;
 use super::http::ResponseHead;
 use super::http::WireStream;
@@ -108,6 +110,12 @@
             return AttemptOutcome::Broken("answer is too large");
         }
         if start.decoder.is_complete() {
+            if start.end == AnswerEnd::Closed {
+                match end_of_closed_answer(traffic, call, ticket).await {
+                    Ok(end) => start.end = end,
+                    Err(outcome) => return outcome,
+                }
+            }
             return AttemptOutcome::Answer(BufferedAnswer {
                 head: start.head.clone(),
                 body: body.freeze(),
@@ -125,6 +133,26 @@
     }
 }
 
+/// Finds out whether a plain answer that ended with its connection is complete: the end of the
+/// endpoint's process closes its connections as well. One that can't be confirmed doesn't count as
+/// complete, since with a length of its own it would look whole.
+///
+/// # Errors
+/// The outcome if the answer does not count as complete.
+async fn end_of_closed_answer<P: CallProtocol>(
+    traffic: &TrafficState<P>,
+    call: &CallState,
+    ticket: &AttemptTicket,
+) -> Result<AnswerEnd, AttemptOutcome> {
+    let status = find_process_status_early(traffic, ticket);
+    match timeout_at(call.deadline, status).await {
+        Ok(ProcessStatus::Running) => Ok(AnswerEnd::Survived),
+        Ok(ProcessStatus::Ended) => Err(AttemptOutcome::Broken("answer ended with its endpoint")),
+        Ok(ProcessStatus::Unknown) => Err(AttemptOutcome::Broken("end of answer not confirmed")),
+        Err(_) => Err(AttemptOutcome::TimeUp),
+    }
+}
+
 /// Passes a stream on to the caller, event by event.
 async fn relay_stream<P: CallProtocol>(
     traffic: &TrafficState<P>,
