A late write of the store does not bring a leaving endpoint back

Callers saw: requests at an endpoint seconds after the store had acknowledged that it leaves. The store did a heartbeat from before its leaving 5.7 s late, so its entry said ready again. Cause: EndpointTable::replace took the state of the newest entry alone; what the endpoint had registered before was gone. Its announcement in answers is final for its process, its registration was not. Ruled out: the order of revisions (the late write has the newest one, it is the store's own); a mend in EndpointView or EndpointList alone (a router that starts later reads only the late write, and lists of one revision would differ). Change: a registration that says that its process leaves counts as an announcement of that process: final until its next start, kept for minutes without an entry, and told to all routers as soon as an entry says ready again, by the part of messages that tells of announcements. Without a start time a late write can't be told from a new process under the key, so such an entry is doubted for 8 s: the endpoint's next heartbeat says again that it leaves, a new process goes on saying ready. After a removal in between, or with another software version, it is believed at once. Departures are no longer taken back for such entries. Left: a router that starts between such an entry without a start time and the next heartbeat believes it.

--- a/src/gateway/decide/endpoints.rs
+++ b/src/gateway/decide/endpoints.rs
@@ -39,6 +39,11 @@
 /// back.
 const MAX_LEAVING_REPORTED: usize = 32;
 
+/// Time for which a registration that says ready is doubted. An endpoint that lives says again what
+/// it does within a heartbeat, about a second; a registration without heartbeats lapses after three
+/// of them, and the list without it may take seconds to arrive.
+const DOUBT_TIME: TimeSpan = TimeSpan::from_millis(8_000);
+
 /// Load of the other routers at one endpoint.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct PeerLoad {
@@ -84,6 +89,8 @@
     used_until: Option<Moment>,
     /// True if another router with a newer endpoint list reports that the endpoint left.
     is_reported_departed: bool,
+    /// End of the doubt about a registration that says ready.
+    doubted_until: Moment,
     /// The notices that the endpoint process gave about itself in its answers.
     notices: EndpointNotices,
     /// Consecutive failed connections.
@@ -109,6 +116,7 @@
             paused_until: Moment(0),
             used_until: None,
             is_reported_departed: false,
+            doubted_until: Moment(0),
             notices: EndpointNotices::default(),
             failed_connections: 0,
             parts: BTreeMap::new(),
@@ -128,7 +136,32 @@
     /// Returns true if the endpoint may get new work according to the endpoint lists.
     fn is_listed_ready(&self, now: Moment) -> bool {
         let is_over = self.used_until.is_some_and(|until| now >= until);
-        self.is_registered_ready() && !is_over && !self.is_reported_departed
+        let is_doubted = now < self.doubted_until;
+        self.is_registered_ready() && !is_over && !is_doubted && !self.is_reported_departed
+    }
+
+    /// Applies the entry of the same process in a newer list.
+    ///
+    /// Guards against a late write: the store does a heartbeat from before the process said that it
+    /// leaves. A process without a start time may also be a new one, whose registration goes on
+    /// saying ready; otherwise see [`NoticeTable`].
+    fn update(self, now: Moment, entry: &EndpointEntry) -> Self {
+        let left_before = !self.is_registered_ready() && entry.state == EndpointState::Ready;
+        if left_before {
+            let (key, born) = (&entry.key, entry.born);
+            spdlog::info!("endpoint: key={key} born={born} registered as ready after it left");
+        }
+        let doubted_until = if left_before && !entry.has_start_time() {
+            now + DOUBT_TIME
+        } else {
+            self.doubted_until
+        };
+        Self {
+            entry: entry.clone(),
+            used_until: None,
+            doubted_until,
+            ..self
+        }
     }
 
     /// Returns true if the endpoint gave notice that it is leaving.
@@ -230,11 +263,7 @@
         for (key, entry) in entries {
             let was_ready = known.get(key).is_some_and(EndpointRow::is_registered_ready);
             let row = match known.remove(key) {
-                Some(row) if row.entry.is_same_process(entry) => EndpointRow {
-                    entry: entry.clone(),
-                    used_until: None,
-                    ..row
-                },
+                Some(row) if row.entry.is_same_process(entry) => row.update(now, entry),
                 Some(former) => {
                     spdlog::info!("endpoint: key={key} born={} started again", entry.born);
                     former.replaced.cancel();
@@ -246,15 +275,17 @@
                 }
                 None => EndpointRow::new(entry.clone()),
             };
-            if row.is_registered_ready() {
+            self.record_registered_leaving(now, &row);
+            let notices = self.notices.of(row.process_hash);
+            let row = EndpointRow { notices, ..row };
+            if row.is_in_service() && now >= row.doubted_until {
                 self.departures.mark_present(row.life);
             } else if was_ready {
                 self.departures.mark_departed(now, row.life);
             }
             let indices = self.services.entry(entry.service.clone()).or_default();
             indices.push(self.rows.len());
-            let notices = self.notices.of(row.process_hash);
-            self.rows.push(EndpointRow { notices, ..row });
+            self.rows.push(row);
         }
         for row in known.into_values() {
             self.departures.mark_departed(now, row.life);
@@ -267,6 +298,16 @@
         ended
     }
 
+    /// Records what a registration says about its process's leaving as a notice of the process: it
+    /// holds until the next start, whatever a late write of the store says. Without a start time, the
+    /// next process would be taken for the one that left.
+    fn record_registered_leaving(&mut self, now: Moment, row: &EndpointRow) {
+        let entry = &row.entry;
+        if entry.state == EndpointState::Leaving && entry.has_start_time() {
+            self.notices.record_leaving(now, row.process_hash);
+        }
+    }
+
     /// Applies the notices that a process gave in an answer. Returns true if it is the first notice
     /// that the process is leaving.
     pub fn apply_notices(
--- a/src/gateway/decide/notices.rs
+++ b/src/gateway/decide/notices.rs
@@ -6,17 +6,18 @@
 //! | notice | valid | ended early by |
 //! |---|---|---|
 //! | the endpoint leaves | for its process, at all routers | its next start only |
+//! | its registration says that it leaves, and when it started | as above | its next start only |
 //! | it asks for a pause | for that time, at the router that got the notice | its next start only |
 //! | it is full | 150 ms | its next start, a newer pause |
 //! | another endpoint answers at its address | 250 ms, doubled up to 2 s | as above |
 //! | it closes the connection | for the connection | nothing |
 //!
 //! The last two rows are not notices, but what a router concludes from an answer or a connection.
-//! The first two are stored here, by process. The pauses of the next two are stored in the endpoint
+//! The first three are stored here, by process. The pauses of the next two are stored in the endpoint
 //! table, where the newest pause replaces the former one, even a longer one, and a later answer of
 //! the endpoint itself resets the doubling. The store, another router's endpoint list and the state
-//! of a connection do not change the first two, since none of these is more recent than the
-//! endpoint's own notice.
+//! of a connection do not change the first three, since none of these is more recent than the
+//! endpoint's own notice: a store may do a heartbeat seconds after it was sent.
 
 use std::collections::BTreeMap;
 
--- a/src/gateway/routes.rs
+++ b/src/gateway/routes.rs
@@ -331,6 +331,12 @@
         self.born == other.born && !is_other_version
     }
 
+    /// Returns true if the entry says when its process started.
+    #[must_use]
+    pub fn has_start_time(&self) -> bool {
+        self.born != ProcessStartTime::default()
+    }
+
     /// Returns the identity of the process that registered.
     #[must_use]
     pub fn life(&self) -> EndpointProcess {
