A restored store does not bring a removed endpoint back

Callers saw: requests at an endpoint that had left without saying so, six seconds after its entry was removed. The store came back from an older copy that still had the entry. Cause: the list of a later era replaced what a router knew; that it had seen the entry's removal was gone. Ruled out: telling a departure from a lapse by the removal itself (the store gives the same tombstone); doubting each entry that returns (a registration that lapsed and is written again in the same era comes from an endpoint that lives, and a failure domain cut off from the store would stay idle after its return). Change: a router remembers for a minute which processes its lists lost. In the first list of a later era, an entry of such a process, or of one whose departure another router reported, gets no work for 8 s. What only the copy has gets no heartbeat and lapses after three, about 4 s; what an endpoint keeps alive is still there and takes work again, without a further list. Left: a router that started after the removal believes the restored entry. A late heartbeat of an endpoint that left without saying so, written after its removal and without a restore, can't be told from a registration that had lapsed, and is believed.

--- a/src/gateway/decide/endpoints.rs
+++ b/src/gateway/decide/endpoints.rs
@@ -44,6 +44,10 @@
 /// of them, and the list without it may take seconds to arrive.
 const DOUBT_TIME: TimeSpan = TimeSpan::from_millis(8_000);
 
+/// Time for which a removed process is remembered: the store comes back from a copy that is seconds
+/// old.
+const REMOVAL_MEMORY: TimeSpan = TimeSpan::from_millis(60_000);
+
 /// Load of the other routers at one endpoint.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct PeerLoad {
@@ -239,9 +243,18 @@
     /// Notices that endpoint processes gave about themselves, including processes that no list has
     /// at the moment.
     notices: NoticeTable,
+    /// When processes were last removed from the list, by their hashes.
+    removed: BTreeMap<u64, Moment>,
+    /// True if the next list is the first one of a restored store.
+    is_restored: bool,
 }
 
 impl EndpointTable {
+    /// Records that the next list comes from a store that was restored from an older copy.
+    pub fn store_restored(&mut self) {
+        self.is_restored = true;
+    }
+
     /// Replaces the registered endpoints. Rows of known endpoints keep what was learned.
     ///
     /// Guards against an endpoint that restarts under its key: the queue, cache and failures of the
@@ -275,6 +288,7 @@
                 }
                 None => EndpointRow::new(entry.clone()),
             };
+            let row = self.doubt_restored(now, row);
             self.record_registered_leaving(now, &row);
             let notices = self.notices.of(row.process_hash);
             let row = EndpointRow { notices, ..row };
@@ -287,7 +301,10 @@
             indices.push(self.rows.len());
             self.rows.push(row);
         }
+        self.is_restored = false;
+        self.removed.retain(|_, at| now.since(*at) < REMOVAL_MEMORY);
         for row in known.into_values() {
+            self.removed.insert(row.process_hash, now);
             self.departures.mark_departed(now, row.life);
             if row.is_in_service() {
                 ended.push((row.entry, EndSign::Unregistered));
@@ -298,6 +315,23 @@
         ended
     }
 
+    /// Doubts an entry of a restored store whose process was known as removed.
+    ///
+    /// Guards against an endpoint that left without saying so, and whose entry is still in the copy.
+    /// It gets no further heartbeats and lapses; the entry of an endpoint that lives stays.
+    fn doubt_restored(&mut self, now: Moment, row: EndpointRow) -> EndpointRow {
+        let was_removed = self.removed.remove(&row.process_hash).is_some();
+        if !self.is_restored || !(was_removed || row.is_reported_departed) {
+            return row;
+        }
+        let (key, born) = (&row.entry.key, row.entry.born);
+        spdlog::info!("endpoint: key={key} born={born} doubted: removed before the restore");
+        EndpointRow {
+            doubted_until: now + DOUBT_TIME,
+            ..row
+        }
+    }
+
     /// Records what a registration says about its process's leaving as a notice of the process: it
     /// holds until the next start, whatever a late write of the store says. Without a start time, the
     /// next process would be taken for the one that left.
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -247,9 +247,13 @@
         change: impl FnOnce(&mut EndpointList) -> bool,
     ) -> bool {
         let mut list = self.endpoint_list();
+        let era = list.as_of().era();
         let is_changed = change(&mut list);
         if is_changed {
             let mut core = self.core();
+            if list.as_of().era() > era {
+                core.endpoints.store_restored();
+            }
             core.set_endpoints(now, &list.used());
             for (key, kept) in list.kept() {
                 core.endpoints.end_at(key, kept.until);
