Streams of a router that stands still when a release begins go on

Cause: a router told others where its streams began only once it knew that the service was mixed. One that stands still, or dies, at that moment tells nobody, and the others take a stream without a record for one of unknown version.

Ruled out: that a router silent since before the release can have begun streams at the former version only. Its silence doesn't tell a frozen router from one that is cut off, reads the new list and begins streams at the new version. Callers say nothing of a stream's age either. So records come earlier and nothing is inferred.

Why it works: records are facts that were told before the release. A fleet of up to eleven tells all of them to all in the digests, also with one version, and any router finds its own record. A larger fleet can't (two messages a stream, always): each router deposits its streams of services with one version at two deputies, twice a second, in one message each; when the service is mixed and the depositor is silent for 1.5 s, or a later process of its host is heard, they tell the holders, whom the askers ask. Messages have one new field (27); earlier programs skip it.

--- a/src/gateway/decide/core.rs
+++ b/src/gateway/decide/core.rs
@@ -40,6 +40,7 @@
 use super::shares::ShareTable;
 use super::shares::TeamFlow;
 use super::sizes::SizeTable;
+use super::stream_deposits::StreamDeposits;
 use super::stream_origins::StreamOrigins;
 use super::version_history::VersionHistory;
 
@@ -158,6 +159,8 @@
     pub versions: VersionHistory,
     /// Where streams began.
     pub origins: StreamOrigins,
+    /// Streams of other routers that this one tells of if they can't.
+    pub deposits: StreamDeposits,
     /// Quarantine for requests that crash endpoints.
     pub quarantine: CrashQuarantine,
     budget: RetryBudget,
@@ -190,6 +193,7 @@
         Self {
             versions: VersionHistory::new(stream_memory),
             origins: StreamOrigins::new(stream_memory),
+            deposits: StreamDeposits::new(stream_memory),
             endpoints: EndpointTable::default(),
             shares: ShareTable::new(seconds(config.share_window_s)),
             capacity: CapacityEstimate::default(),
--- a/src/gateway/decide/mod.rs
+++ b/src/gateway/decide/mod.rs
@@ -31,6 +31,7 @@
 pub mod quarantine;
 pub mod shares;
 pub mod sizes;
+pub mod stream_deposits;
 pub mod stream_origins;
 pub mod surge;
 pub mod team_logs;
--- a/src/gateway/decide/stream_origins.rs
+++ b/src/gateway/decide/stream_origins.rs
@@ -5,11 +5,14 @@
 //! two versions write doesn't fit together, so the router has to know where such a stream began
 //! although another router, which may be gone, began it.
 //!
-//! Each router records the streams that begin through it. While a service is mixed
-//! ([`super::version_history`]), it tells others of them within a gossip round: all of a small
-//! fleet, which costs no further message, or a few that both sides derive from the stream's number
-//! ([`holders`]). A router that doesn't know a stream asks them ([`Location::Ask`]). On days with
-//! one version nothing is told or asked: a stream that nobody recorded began at that version.
+//! Each router records the streams that begin through it and tells others of them within a gossip
+//! round: all of a small fleet, which costs no further message, or, while the service is mixed
+//! ([`super::version_history`]), a few that both sides derive from the stream's number
+//! ([`holders`]). A router that doesn't know a stream of a mixed service asks them
+//! ([`Location::Ask`]). On days with one version nothing is asked: a stream that nobody recorded
+//! began at that version. A larger fleet then tells the holders nothing; each router deposits its
+//! streams at others that tell the holders in its place if it stands still when a release begins
+//! ([`super::stream_deposits`]).
 //!
 //! Streams that end are told no more. A record is kept for as long as a caller may resume a stream.
 
@@ -92,6 +95,12 @@
     recorded: Moment,
 }
 
+#[derive(Debug)]
+struct UntoldStream {
+    service: ServiceKey,
+    is_deposited: bool,
+}
+
 /// The recorded streams.
 #[derive(Debug)]
 pub struct StreamOrigins {
@@ -100,8 +109,9 @@
     records: BTreeMap<StreamNumber, OriginRecord>,
     /// Records in the order in which they were made.
     order: VecDeque<(Moment, StreamNumber)>,
-    /// Streams that began here, have not ended and were told nobody, with their services.
-    untold: BTreeMap<StreamNumber, ServiceKey>,
+    /// Streams that began here, have not ended and were told neither all other routers nor the
+    /// holders.
+    untold: BTreeMap<StreamNumber, UntoldStream>,
 }
 
 impl StreamOrigins {
@@ -130,7 +140,11 @@
             software: software.clone(),
         };
         self.record(now, stream, start);
-        self.untold.insert(stream, service.clone());
+        let untold = UntoldStream {
+            service: service.clone(),
+            is_deposited: false,
+        };
+        self.untold.insert(stream, untold);
     }
 
     /// Records that a stream that began here was passed on to its end.
@@ -199,7 +213,18 @@
         }
     }
 
-    /// Takes up to `most` streams of mixed services that were told nobody yet.
+    /// Takes up to `most` streams of any service that were not told yet.
+    pub fn take_all_untold(
+        &mut self,
+        now: Moment,
+        most: usize,
+    ) -> Vec<(StreamNumber, StreamStart)> {
+        self.forget(now);
+        let taken: Vec<StreamNumber> = self.untold.keys().copied().take(most).collect();
+        self.take(&taken)
+    }
+
+    /// Takes up to `most` streams of mixed services that the holders were not told yet.
     pub fn take_untold(
         &mut self,
         now: Moment,
@@ -210,16 +235,38 @@
         let mixed = self
             .untold
             .iter()
-            .filter(|(_, service)| versions.is_mixed(now, service));
+            .filter(|(_, untold)| versions.is_mixed(now, &untold.service));
         let taken: Vec<StreamNumber> = mixed.map(|(stream, _)| *stream).take(most).collect();
-        for stream in &taken {
+        self.take(&taken)
+    }
+
+    /// Returns up to `most` streams that were neither told nor deposited, and marks them as
+    /// deposited.
+    pub fn deposit(&mut self, now: Moment, most: usize) -> Vec<(StreamNumber, StreamStart)> {
+        self.forget(now);
+        let untold = self.untold.iter_mut();
+        let new = untold.filter(|(_, untold)| !untold.is_deposited).take(most);
+        let mut streams = Vec::new();
+        for (stream, untold) in new {
+            untold.is_deposited = true;
+            streams.push(*stream);
+        }
+        self.with_starts(&streams)
+    }
+
+    /// Returns these streams with where they began, if that is recorded.
+    #[must_use]
+    pub fn with_starts(&self, streams: &[StreamNumber]) -> Vec<(StreamNumber, StreamStart)> {
+        let streams = streams.iter();
+        let starts = streams.map(|stream| Some((*stream, self.find(*stream)?.clone())));
+        starts.flatten().collect()
+    }
+
+    fn take(&mut self, streams: &[StreamNumber]) -> Vec<(StreamNumber, StreamStart)> {
+        for stream in streams {
             self.untold.remove(stream);
         }
-        let records = taken.into_iter().map(|stream| {
-            let start = self.records.get(&stream)?.start.clone();
-            Some((stream, start))
-        });
-        records.flatten().collect()
+        self.with_starts(streams)
     }
 
     /// Drops records older than the memory, and the oldest ones beyond `MAX_RECORDS`.
--- a/src/gateway/decide/version_history.rs
+++ b/src/gateway/decide/version_history.rs
@@ -2,7 +2,7 @@
 //!
 //! Load pattern: on most days all endpoints of a service have one software version, so where a
 //! stream began needs no record: it was at that version. During a release, and for as long as a
-//! stream that began before or during it may be resumed, the service is *mixed*. Routers then tell
+//! stream that began before or during it may be resumed, the service is *mixed*. Routers then ask
 //! each other where streams began ([`super::stream_origins`]).
 //!
 //! A router that has just started has seen one list only. It learns which services are mixed from
@@ -128,6 +128,17 @@
         self.mixed_for(now, service) > TimeSpan(0)
     }
 
+    /// As [`Self::is_mixed`], for a service in messages between routers.
+    #[must_use]
+    pub fn is_mixed_number(&self, now: Moment, service: ServiceNumber) -> bool {
+        let told = self.told.get(&service);
+        let is_told = told.is_some_and(|until| now < *until);
+        let mut keys = self.versions.keys();
+        let is_mixed_here =
+            |key: &ServiceKey| ServiceNumber::of(key) == service && self.is_mixed(now, key);
+        is_told || keys.any(is_mixed_here)
+    }
+
     fn seen_mixed_for(&self, now: Moment, service: &ServiceKey) -> TimeSpan {
         let versions = self.versions.get(service);
         let versions = versions.into_iter().flat_map(BTreeMap::values);
--- a/src/gateway/digest.rs
+++ b/src/gateway/digest.rs
@@ -409,8 +409,8 @@
 
 /// The content of one gossip datagram.
 ///
-/// A message without an incarnation and a sequence number only tells of streams: fields 20 to 23.
-/// An earlier program takes it for an outdated digest.
+/// A message without a sequence number only tells of streams: fields 20 to 23 and 27. An earlier
+/// program takes it for an outdated digest.
 #[derive(Clone, PartialEq, Message)]
 pub struct RouterDigest {
     /// Incarnation of the sender: a number made from the start time and a random part, so that
@@ -502,6 +502,10 @@
     /// Identifiers of suspected parts on which an endpoint has answered since.
     #[prost(fixed64, repeated, tag = "26")]
     pub answered_parts: Vec<u64>,
+    /// Streams that began through the sender and that the receiver tells others of if the sender
+    /// falls silent, see [`super::decide::stream_deposits`]. The incarnation is set.
+    #[prost(message, repeated, tag = "27")]
+    pub deposited: Vec<BegunStreams>,
 }
 
 impl RouterDigest {
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -24,6 +24,7 @@
 
 use super::decide::departures::FirstList;
 use super::decide::endpoints::EndpointRow;
+use super::decide::stream_deposits::DepositorProcess;
 use super::decide::stream_origins::ListStatus;
 use super::decide::stream_origins::StreamNumber;
 use super::decide::stream_origins::StreamStart;
@@ -35,6 +36,7 @@
 use super::handover;
 use super::link::LinkSpeed;
 use super::origin_exchange;
+use super::origin_exchange::ToldRouters;
 use super::peer_table::ElectionLimits;
 use super::peer_table::PeerTable;
 use super::readers::ReaderElection;
@@ -85,6 +87,9 @@
 /// what the others use.
 const LIST_SILENCE_ROUNDS: u64 = 5;
 
+/// Rounds between two deposits of streams at this router's deputies. Each costs them a message.
+const DEPOSIT_ROUNDS: u64 = 5;
+
 /// Largest datagram, in bytes. One Ethernet frame would hold 1,472; the loads of a few hundred
 /// endpoints need more, and the links between hosts carry fragmented datagrams.
 const MAX_DATAGRAM_BYTES: usize = 16_384;
@@ -215,7 +220,7 @@
 
     /// Applies what a message tells of streams and answers its questions.
     async fn apply_stream_reports(&self, now: Moment, from: IpAddr, digest: &RouterDigest) {
-        let answer = origin_exchange::apply(&self.shared, now, digest);
+        let answer = origin_exchange::apply(&self.shared, now, from, digest);
         if let Some(answer) = answer {
             self.send(from, &answer).await;
         }
@@ -239,6 +244,17 @@
         }
     }
 
+    /// Deposits streams that the holders are not told yet at this router's deputies.
+    async fn deposit_streams(&self, now: Moment, live: &[IpAddr]) {
+        let own = DepositorProcess {
+            host: self.plan.listen.ip(),
+            incarnation: self.plan.incarnation,
+        };
+        for (address, message) in origin_exchange::deposit_streams(&self.shared, now, own, live) {
+            self.send(address, &message).await;
+        }
+    }
+
     fn live(&self, now: Moment) -> Vec<IpAddr> {
         let live = self.peers.live(now, self.timeout());
         live.map(|(address, _)| *address).collect()
@@ -295,12 +311,17 @@
         self.first_list
             .record(now, self.shared.endpoints_revision());
         let live = self.live(now);
+        let tells_all = live.len() <= SMALL_FLEET;
+        let told_routers = if tells_all {
+            ToldRouters::All
+        } else {
+            ToldRouters::Holders
+        };
         let begun = if live.is_empty() {
             Vec::new()
         } else {
-            origin_exchange::take_untold(&self.shared, now)
+            origin_exchange::take_untold(&self.shared, now, told_routers)
         };
-        let tells_all = live.len() <= SMALL_FLEET;
         let told = if tells_all { &begun[..] } else { &[] };
         let digest = self.digest(now, told).encode_to_vec();
         for address in self.receivers(now, digest.len()) {
@@ -308,6 +329,9 @@
         }
         if !tells_all {
             self.tell_holders(&live, &begun).await;
+            if self.round.is_multiple_of(DEPOSIT_ROUNDS) {
+                self.deposit_streams(now, &live).await;
+            }
         }
     }
 
--- a/src/gateway/origin_exchange.rs
+++ b/src/gateway/origin_exchange.rs
@@ -4,8 +4,11 @@
 use std::collections::BTreeMap;
 use std::net::IpAddr;
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use crate::units::Moment;
 
+use super::decide::stream_deposits::DepositorProcess;
 use super::decide::stream_origins::StreamNumber;
 use super::decide::stream_origins::StreamStart;
 use super::decide::stream_origins::holders;
@@ -19,12 +22,16 @@
 /// together with the router that began the stream.
 const TOLD_ROUTERS: usize = 2;
 
+/// Routers at which a router of such a fleet deposits its streams of services with one version. One
+/// may stand still together with the depositor.
+const DEPUTIES: usize = 2;
+
 /// Routers that are asked for a stream in such a fleet: those that were told, also if the two routers
 /// know different fleets by one, and the one that began it if it counts itself in.
 const ASKED_ROUTERS: usize = 3;
 
-/// Maximum number of streams told in one round: 2 KB. When a release begins, all running streams
-/// are to be told.
+/// Maximum number of streams told in one round, or deposited at once: 2 KB. When a release begins,
+/// all running streams are to be told.
 const MAX_TOLD_PER_ROUND: usize = 256;
 
 /// Maximum number of streams in a question that are answered: 8 KB of an answer.
@@ -33,12 +40,62 @@
 /// A message and its receiver.
 pub type AddressedDigest = (IpAddr, RouterDigest);
 
+/// Who is told of streams in a round.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ToldRouters {
+    /// All other routers, in the digests.
+    All,
+    /// The holders of each stream.
+    Holders,
+}
+
 /// Takes the streams that are to be told in this round.
-pub fn take_untold(shared: &SharedState, now: Moment) -> Vec<(StreamNumber, StreamStart)> {
+pub fn take_untold(
+    shared: &SharedState,
+    now: Moment,
+    receivers: ToldRouters,
+) -> Vec<(StreamNumber, StreamStart)> {
     let mut core = shared.core();
     let core = &mut *core;
-    core.origins
-        .take_untold(now, &core.versions, MAX_TOLD_PER_ROUND)
+    let versions = &core.versions;
+    let mut taken = match receivers {
+        ToldRouters::All => core.origins.take_all_untold(now, MAX_TOLD_PER_ROUND),
+        ToldRouters::Holders => core.origins.take_untold(now, versions, MAX_TOLD_PER_ROUND),
+    };
+    let room = MAX_TOLD_PER_ROUND - taken.len();
+    let is_mixed = |service| versions.is_mixed_number(now, service);
+    let deposited = core.deposits.take_of_silent(now, room, is_mixed);
+    taken.extend(core.origins.with_starts(&deposited));
+    taken
+}
+
+/// Returns the messages that deposit this router's streams at its deputies, the first ones of
+/// `routers` in its rendezvous order.
+#[must_use]
+pub fn deposit_streams(
+    shared: &SharedState,
+    now: Moment,
+    own: DepositorProcess,
+    routers: &[IpAddr],
+) -> Vec<AddressedDigest> {
+    let streams = shared.core().origins.deposit(now, MAX_TOLD_PER_ROUND);
+    if streams.is_empty() {
+        return Vec::new();
+    }
+    let message = RouterDigest {
+        incarnation: own.incarnation,
+        deposited: BegunStreams::group(&streams),
+        ..RouterDigest::default()
+    };
+    let deputies = deputies_of(own.host, routers).into_iter();
+    deputies.map(|deputy| (deputy, message.clone())).collect()
+}
+
+/// Returns the deputies of a router among others.
+#[must_use]
+pub fn deputies_of(router: IpAddr, routers: &[IpAddr]) -> Vec<IpAddr> {
+    let rank = StreamNumber(xxh3_64(router.to_string().as_bytes()));
+    holders(routers, rank, DEPUTIES)
 }
 
 /// Returns the messages that tell of streams in a fleet in which not all routers are told.
@@ -97,17 +154,32 @@
 }
 
 /// Applies what a message tells of streams, and returns the answer to its questions if it has any.
-pub fn apply(shared: &SharedState, now: Moment, digest: &RouterDigest) -> Option<RouterDigest> {
+pub fn apply(
+    shared: &SharedState,
+    now: Moment,
+    from: IpAddr,
+    digest: &RouterDigest,
+) -> Option<RouterDigest> {
+    let sender = DepositorProcess {
+        host: from,
+        incarnation: digest.incarnation,
+    };
     let mixed: Vec<_> = digest.mixed.iter().map(MixedEntry::decode).collect();
     {
         let mut core = shared.core();
         core.versions.apply_report(now, &mixed);
-        for group in &digest.begun {
+        core.deposits.record_heard(now, sender);
+        for group in digest.begun.iter().chain(&digest.deposited) {
             let start = group.start();
             for stream in group.streams() {
                 core.origins.record(now, stream, start.clone());
             }
         }
+        for group in &digest.deposited {
+            let service = group.start().service;
+            let streams = group.streams().map(|stream| (stream, service));
+            core.deposits.deposit(now, sender, streams);
+        }
     }
     for group in &digest.begun {
         let start = group.start();
--- a/tests/gateway_stream_origins.rs
+++ b/tests/gateway_stream_origins.rs
@@ -9,6 +9,8 @@
 use prost::Message;
 use smol_str::SmolStr;
 
+use verbenaturn::gateway::decide::stream_deposits::DepositorProcess;
+use verbenaturn::gateway::decide::stream_deposits::StreamDeposits;
 use verbenaturn::gateway::decide::stream_origins::AskedAnswers;
 use verbenaturn::gateway::decide::stream_origins::ListStatus;
 use verbenaturn::gateway::decide::stream_origins::Location;
@@ -19,6 +21,7 @@
 use verbenaturn::gateway::decide::version_history::ServiceNumber;
 use verbenaturn::gateway::decide::version_history::VersionHistory;
 use verbenaturn::gateway::digest::RouterDigest;
+use verbenaturn::gateway::origin_exchange::deputies_of;
 use verbenaturn::gateway::origin_exchange::tell_holders;
 use verbenaturn::gateway::peer_table::PeerTable;
 use verbenaturn::gateway::routes::ServiceKey;
@@ -269,3 +272,110 @@
     let streams: Vec<StreamNumber> = grouped[0].streams().collect();
     assert_eq!(streams.len(), 5);
 }
+
+/// Guards against a router that tells nobody of its streams since it stands still when a release
+/// begins: a small fleet is told of them as they begin, also with one version.
+#[test]
+fn a_small_fleet_is_told_of_streams_before_a_release() {
+    let (mut history, mut origins) = (history(), origins());
+    list(&mut history, 0, &["a"]);
+    origins.begin(ms(1), stream("x"), &service(), &version("a"));
+    assert!(origins.take_untold(ms(2), &history, 10).is_empty());
+    let told = origins.take_all_untold(ms(2), 10);
+    assert_eq!(told, [(stream("x"), start("a"))]);
+    assert!(origins.take_all_untold(ms(3), 10).is_empty());
+}
+
+/// A stream is deposited once, and told to its holders all the same when a release begins while its
+/// router lives.
+#[test]
+fn a_deposited_stream_is_still_told_when_a_release_begins() {
+    let (mut history, mut origins) = (history(), origins());
+    list(&mut history, 0, &["a"]);
+    origins.begin(ms(1), stream("x"), &service(), &version("a"));
+    let expected = [(stream("x"), start("a"))];
+    assert_eq!(origins.deposit(ms(2), 10), expected);
+    assert!(origins.deposit(ms(3), 10).is_empty());
+    assert!(origins.take_untold(ms(4), &history, 10).is_empty());
+    list(&mut history, 5, &["a", "b"]);
+    assert_eq!(origins.take_untold(ms(6), &history, 10), expected);
+}
+
+fn depositor(incarnation: u64) -> DepositorProcess {
+    DepositorProcess {
+        host: router(1),
+        incarnation,
+    }
+}
+
+/// Deposits of one stream by a process, made at 0 ms.
+fn deposits(incarnation: u64) -> StreamDeposits {
+    let mut deposits = StreamDeposits::new(TimeSpan::from_millis(MEMORY_MS));
+    let streams = [(stream("x"), ServiceNumber::of(&service()))];
+    deposits.deposit(ms(0), depositor(incarnation), streams.into_iter());
+    deposits
+}
+
+/// Guards against streams of a router that stands still when a release begins, in a fleet in which not
+/// all routers are told: its deputies tell of them once it is silent, and once only.
+#[test]
+fn deputies_tell_of_the_streams_of_a_silent_router_in_a_release() {
+    let mut deposits = deposits(7);
+    deposits.record_heard(ms(1_000), depositor(7));
+    let is_mixed = |number| number == ServiceNumber::of(&service());
+    assert!(deposits.take_of_silent(ms(2_400), 10, is_mixed).is_empty());
+    assert!(deposits.take_of_silent(ms(2_600), 10, |_| false).is_empty());
+    assert!(deposits.take_of_silent(ms(2_600), 0, is_mixed).is_empty());
+    let taken = deposits.take_of_silent(ms(2_600), 10, is_mixed);
+    assert_eq!(taken, [stream("x")]);
+    assert!(deposits.take_of_silent(ms(2_700), 10, is_mixed).is_empty());
+}
+
+/// Guards against a router that is killed and started again before its silence is noticed: its new
+/// process knows nothing of the streams, so the deputies tell of them at once.
+#[test]
+fn deputies_tell_of_the_streams_of_an_earlier_process_at_once() {
+    let mut deposits = deposits(7);
+    deposits.record_heard(ms(600), depositor(8));
+    deposits.record_heard(ms(650), depositor(7));
+    let taken = deposits.take_of_silent(ms(700), 10, |_| true);
+    assert_eq!(taken, [stream("x")]);
+}
+
+#[test]
+fn deposits_are_kept_as_long_as_a_stream_may_be_resumed() {
+    let taken = deposits(7).take_of_silent(ms(MEMORY_MS - 1), 10, |_| true);
+    assert_eq!(taken, [stream("x")]);
+    let taken = deposits(7).take_of_silent(ms(MEMORY_MS), 10, |_| true);
+    assert!(taken.is_empty());
+}
+
+/// Guards against memory that grows with what a foreign sender deposits.
+#[test]
+fn the_number_of_deposits_is_bounded() {
+    let mut deposits = deposits(7);
+    let number = ServiceNumber::of(&service());
+    for process in 8..20 {
+        let streams = (0..10_000).map(|id| (StreamNumber(process * 10_000 + id), number));
+        deposits.deposit(ms(1), depositor(process), streams);
+    }
+    let taken = deposits.take_of_silent(ms(2_000), usize::MAX, |_| true);
+    assert!((10_000..20_000).contains(&taken.len()), "{}", taken.len());
+}
+
+/// At the size to design for, 27 streams begin at a router between two deposits at two deputies.
+#[test]
+fn what_a_deposit_costs_in_messages() {
+    let fleet: Vec<IpAddr> = (1..=255).map(router).collect();
+    assert_eq!(deputies_of(router(1), &fleet[1..]).len(), 2);
+    let streams: Vec<_> = (0..27)
+        .map(|id| (StreamNumber(id * 7_919), start("v1.12.3")))
+        .collect();
+    let message = RouterDigest {
+        incarnation: 1 << 60,
+        deposited: BegunStreams::group(&streams),
+        ..RouterDigest::default()
+    };
+    assert!(message.is_stream_message());
+    assert!(message.encoded_len() <= 256, "{}", message.encoded_len());
+}
