Streams from before all routers were killed in a release aren't mixed

Cause: a process that has just started has seen one list with one version and took that for proof that the service had no other within `stream_memory_ms`. It learns otherwise from older routers only, and there were none.

Change: a process that is not of the system's first start counts every service as mixed until it knows how far back the versions are known: from a router with a list at least as new as its own (digest field 28, with the time that is left), or once `stream_memory_ms` have passed since the first list of the oldest process. Streams of unknown origin are refused meanwhile; those that begin since are recorded and told as in a release, so they go on.

Ruled out: the starts of the listed endpoints as proof of the past: endpoints of the former version may have left lately though all that are listed started long ago. Reports of a router with an older list aren't taken: it may have stood still through the release.

Cost: after all routers were killed without a release, streams from before are refused for up to 30 s too; before, they went on. A router whose peers all run a program without field 28 also counts its past as unknown for 30 s.

--- a/src/gateway/config.rs
+++ b/src/gateway/config.rs
@@ -87,7 +87,7 @@
     /// The retry window, in s.
     pub retry_window_s: f64,
     /// Whether the whole system starts for the first time, so that no former process of this host
-    /// has spent retries; false if that is not known.
+    /// has spent retries, and no stream began before; false if that is not known.
     pub first_start: bool,
     /// Time over which teams' demand is measured, in s.
     pub share_window_s: f64,
--- a/src/gateway/decide/core.rs
+++ b/src/gateway/decide/core.rs
@@ -190,8 +190,13 @@
             RetryBudget::new(bounds)
         };
         let stream_memory = TimeSpan::from_millis(config.stream_memory_ms);
+        let versions = if config.first_start {
+            VersionHistory::new(stream_memory)
+        } else {
+            VersionHistory::with_unknown_past(stream_memory)
+        };
         Self {
-            versions: VersionHistory::new(stream_memory),
+            versions,
             origins: StreamOrigins::new(stream_memory),
             deposits: StreamDeposits::new(stream_memory),
             endpoints: EndpointTable::default(),
--- a/src/gateway/decide/version_history.rs
+++ b/src/gateway/decide/version_history.rs
@@ -7,13 +7,17 @@
 //!
 //! A router that has just started has seen one list only. It learns which services are mixed from
 //! the messages of routers that are older, with the time that is left, so that a report ends at the
-//! same time however often it is passed on.
+//! same time however often it is passed on. In the same way it learns for how long a stream may
+//! still be resumed that began before the first list of the oldest process. Until then a service
+//! with one version may have had another, and counts as mixed: after all routers were killed,
+//! nobody knows the versions from before.
 
 use std::collections::BTreeMap;
 
 use crate::units::Moment;
 use crate::units::TimeSpan;
 
+use super::super::follow::StoreRevision;
 use super::super::routes::ServiceKey;
 use super::super::routes::SoftwareVersion;
 
@@ -47,6 +51,15 @@
     pub left: TimeSpan,
 }
 
+/// What another router says of the versions that were listed before.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PastReport {
+    /// The revision of its list.
+    pub list: StoreRevision,
+    /// For how long a stream may still be resumed that began before it knew the versions.
+    pub left: TimeSpan,
+}
+
 /// When a software version was last listed for a service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum LastListed {
@@ -56,6 +69,17 @@
     Until(Moment),
 }
 
+/// What is known of the versions that were listed before a process's first list.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum PastVersions {
+    /// No stream began before it: the whole system had not started.
+    Known,
+    /// Nothing is known, and there was no list yet.
+    Unlisted,
+    /// Streams that began at unknown versions may be resumed until this time.
+    UnknownUntil(Moment),
+}
+
 /// The software versions of each service, from the endpoint lists of this router and from reports of
 /// the others.
 #[derive(Debug)]
@@ -65,16 +89,28 @@
     versions: BTreeMap<ServiceKey, BTreeMap<SoftwareVersion, LastListed>>,
     /// Until when a service is mixed according to other routers.
     told: BTreeMap<ServiceNumber, Moment>,
+    past: PastVersions,
 }
 
 impl VersionHistory {
-    /// Creates a history without any version. A stream may be resumed for `memory` at most.
+    /// Creates a history without any version, of a process before which no stream began. A stream may
+    /// be resumed for `memory` at most.
     #[must_use]
     pub fn new(memory: TimeSpan) -> Self {
         Self {
             memory,
             versions: BTreeMap::new(),
             told: BTreeMap::new(),
+            past: PastVersions::Known,
+        }
+    }
+
+    /// Creates the history of a process before which streams may have begun at any version.
+    #[must_use]
+    pub fn with_unknown_past(memory: TimeSpan) -> Self {
+        Self {
+            past: PastVersions::Unlisted,
+            ..Self::new(memory)
         }
     }
 
@@ -84,6 +120,9 @@
         now: Moment,
         listed: impl Iterator<Item = (&'a ServiceKey, &'a SoftwareVersion)>,
     ) {
+        if self.past == PastVersions::Unlisted {
+            self.past = PastVersions::UnknownUntil(now + self.memory);
+        }
         for version in self.versions.values_mut().flat_map(BTreeMap::values_mut) {
             if *version == LastListed::Now {
                 *version = LastListed::Until(now);
@@ -114,12 +153,38 @@
         }
     }
 
+    /// Applies another router's report of [`Self::past_unknown_for`], beside which it reports the mixed
+    /// services that it knows. `own_list` is the revision of this router's list.
+    ///
+    /// Guards against a router that stood still through a release and wakes with the list from
+    /// before: it hasn't seen the versions that were dropped before this router's first list.
+    pub fn apply_past_report(&mut self, now: Moment, own_list: StoreRevision, report: PastReport) {
+        if report.list < own_list {
+            return;
+        }
+        if let PastVersions::UnknownUntil(until) = &mut self.past {
+            *until = (*until).min(now + report.left);
+        }
+    }
+
+    /// Returns for how long a stream may still be resumed that began before the first list of this
+    /// router, or of any router whose reports it applied; `None` before the first list.
+    #[must_use]
+    pub fn past_unknown_for(&self, now: Moment) -> Option<TimeSpan> {
+        match self.past {
+            PastVersions::Known => Some(TimeSpan(0)),
+            PastVersions::Unlisted => None,
+            PastVersions::UnknownUntil(until) => Some(until.since(now)),
+        }
+    }
+
     /// Returns for how long the service still counts as mixed; zero if it does not.
     #[must_use]
     pub fn mixed_for(&self, now: Moment, service: &ServiceKey) -> TimeSpan {
         let told = self.told.get(&ServiceNumber::of(service));
         let told = told.map_or(TimeSpan(0), |until| until.since(now));
-        told.max(self.seen_mixed_for(now, service))
+        let past = self.past_unknown_for(now).unwrap_or(self.memory);
+        told.max(past).max(self.seen_mixed_for(now, service))
     }
 
     /// Returns true if streams that began at several versions of the service may be resumed.
@@ -133,10 +198,11 @@
     pub fn is_mixed_number(&self, now: Moment, service: ServiceNumber) -> bool {
         let told = self.told.get(&service);
         let is_told = told.is_some_and(|until| now < *until);
+        let is_past_unknown = self.past_unknown_for(now) != Some(TimeSpan(0));
         let mut keys = self.versions.keys();
         let is_mixed_here =
             |key: &ServiceKey| ServiceNumber::of(key) == service && self.is_mixed(now, key);
-        is_told || keys.any(is_mixed_here)
+        is_told || is_past_unknown || keys.any(is_mixed_here)
     }
 
     fn seen_mixed_for(&self, now: Moment, service: &ServiceKey) -> TimeSpan {
--- a/src/gateway/digest.rs
+++ b/src/gateway/digest.rs
@@ -506,6 +506,11 @@
     /// falls silent, see [`super::decide::stream_deposits`]. The incarnation is set.
     #[prost(message, repeated, tag = "27")]
     pub deposited: Vec<BegunStreams>,
+    /// For how long streams may still be resumed that began before anybody known to the sender knew
+    /// the software versions, in ms, rounded up; none before the sender's first list. See
+    /// [`super::decide::version_history`].
+    #[prost(uint32, optional, tag = "28")]
+    pub past_unknown_ms: Option<u32>,
 }
 
 impl RouterDigest {
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -394,6 +394,7 @@
             listed: listed.unwrap_or_default(),
             begun: BegunStreams::group(begun),
             mixed: origin_exchange::mixed_entries(&core.versions.to_report(now)),
+            past_unknown_ms: core.versions.past_unknown_for(now).map(whole_ms),
             ..RouterDigest::default()
         }
         .with_crash_report(&crashes)
@@ -564,6 +565,12 @@
     (bytes / (digest_bytes + DATAGRAM_HEADER_BYTES)).max(1)
 }
 
+/// Returns a time in ms, rounded up: rounded down, it would shrink each time that it is passed on.
+fn whole_ms(span: TimeSpan) -> u32 {
+    let ms = span.0.div_ceil(TimeSpan::from_millis(1).0);
+    u32::try_from(ms).unwrap_or(u32::MAX)
+}
+
 /// Returns this router's entry for one endpoint, or nothing if there is nothing to report. A router
 /// whose own lag or links distort its health observations reports its load only.
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
--- a/src/gateway/origin_exchange.rs
+++ b/src/gateway/origin_exchange.rs
@@ -7,13 +7,16 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::units::Moment;
+use crate::units::TimeSpan;
 
 use super::decide::stream_deposits::DepositorProcess;
 use super::decide::stream_origins::StreamNumber;
 use super::decide::stream_origins::StreamStart;
 use super::decide::stream_origins::holders;
 use super::decide::version_history::MixedService;
+use super::decide::version_history::PastReport;
 use super::digest::RouterDigest;
+use super::follow::StoreRevision;
 use super::shared::SharedState;
 use super::stream_messages::BegunStreams;
 use super::stream_messages::MixedEntry;
@@ -165,9 +168,17 @@
         incarnation: digest.incarnation,
     };
     let mixed: Vec<_> = digest.mixed.iter().map(MixedEntry::decode).collect();
+    let own_list = shared.endpoints_revision();
     {
         let mut core = shared.core();
         core.versions.apply_report(now, &mixed);
+        if let Some(left) = digest.past_unknown_ms {
+            let report = PastReport {
+                list: StoreRevision(digest.endpoints_revision),
+                left: TimeSpan::from_millis(u64::from(left)),
+            };
+            core.versions.apply_past_report(now, own_list, report);
+        }
         core.deposits.record_heard(now, sender);
         for group in digest.begun.iter().chain(&digest.deposited) {
             let start = group.start();
--- a/tests/gateway_stream_origins.rs
+++ b/tests/gateway_stream_origins.rs
@@ -18,9 +18,11 @@
 use verbenaturn::gateway::decide::stream_origins::StreamOrigins;
 use verbenaturn::gateway::decide::stream_origins::StreamStart;
 use verbenaturn::gateway::decide::stream_origins::holders;
+use verbenaturn::gateway::decide::version_history::PastReport;
 use verbenaturn::gateway::decide::version_history::ServiceNumber;
 use verbenaturn::gateway::decide::version_history::VersionHistory;
 use verbenaturn::gateway::digest::RouterDigest;
+use verbenaturn::gateway::follow::StoreRevision;
 use verbenaturn::gateway::origin_exchange::deputies_of;
 use verbenaturn::gateway::origin_exchange::tell_holders;
 use verbenaturn::gateway::peer_table::PeerTable;
@@ -379,3 +381,77 @@
     assert!(message.is_stream_message());
     assert!(message.encoded_len() <= 256, "{}", message.encoded_len());
 }
+
+fn new_process() -> VersionHistory {
+    VersionHistory::with_unknown_past(TimeSpan::from_millis(MEMORY_MS))
+}
+
+/// Guards against a process that takes the version left over from a release for the only one after all
+/// routers were killed: nobody can tell it otherwise. The streams that begin since are told.
+#[test]
+fn after_all_routers_were_killed_one_listed_version_proves_nothing() {
+    let (mut history, mut origins) = (new_process(), origins());
+    assert_eq!(history.past_unknown_for(ms(0)), None);
+    list(&mut history, 1_000, &["b"]);
+    list(&mut history, 2_000, &["b"]);
+    let known = locate(&origins, &history, 2_000, "before", ListStatus::Latest);
+    assert_eq!(known, Location::Ask);
+    let nobody = AskedAnswers::NoRecord(3);
+    let known = StreamOrigins::locate_asked(ms(2_000), &history, &service(), nobody);
+    assert_eq!(known, Location::Unknown);
+    origins.begin(ms(2_000), stream("since"), &service(), &version("b"));
+    let told = origins.take_untold(ms(2_001), &history, 10);
+    assert_eq!(told, [(stream("since"), start("b"))]);
+    let number = ServiceNumber::of(&service());
+    assert!(history.is_mixed_number(ms(2_001), number));
+    let end = 1_000 + MEMORY_MS;
+    assert!(history.is_mixed(ms(end - 1), &service()));
+    assert_eq!(
+        history.only_version(ms(end), &service()),
+        Some(&version("b"))
+    );
+    assert!(!history.is_mixed_number(ms(end), number));
+}
+
+/// Applies what `from` reports of the past, with lists of these revisions.
+fn report_past(to: &mut VersionHistory, now: u64, from: &VersionHistory, lists: (u64, u64)) {
+    let (own, reported) = lists;
+    let report = PastReport {
+        list: StoreRevision(reported),
+        left: from.past_unknown_for(ms(now)).unwrap(),
+    };
+    to.apply_past_report(ms(now), StoreRevision(own), report);
+}
+
+/// Guards against streams that are refused although a router that was not killed has seen all
+/// versions; and against a past that stays unknown since new processes tell each other so.
+#[test]
+fn a_new_process_learns_how_far_back_others_know_the_versions() {
+    let (mut old, mut new, mut newer) = (history(), new_process(), new_process());
+    list(&mut old, 0, &["a"]);
+    list(&mut new, 1_000, &["a"]);
+    list(&mut newer, 11_000, &["a"]);
+    report_past(&mut newer, 11_000, &new, (5, 5));
+    report_past(&mut new, 11_000, &newer, (5, 5));
+    for history in [&new, &newer] {
+        assert!(history.is_mixed(ms(30_999), &service()));
+        assert!(!history.is_mixed(ms(31_000), &service()));
+    }
+    report_past(&mut newer, 12_000, &old, (5, 6));
+    assert!(!newer.is_mixed(ms(12_000), &service()));
+}
+
+/// Guards against a past that is taken from a router that missed a part of it: it stood still through
+/// a release and wakes with the list from before, or the own first list comes later.
+#[test]
+fn a_router_with_an_older_list_does_not_tell_the_past() {
+    let (mut old, mut new, mut unlisted) = (history(), new_process(), new_process());
+    list(&mut old, 0, &["a"]);
+    list(&mut new, 11_000, &["b"]);
+    report_past(&mut new, 12_000, &old, (6, 5));
+    assert!(new.is_mixed(ms(12_000), &service()));
+    report_past(&mut unlisted, 12_000, &old, (0, 5));
+    assert_eq!(unlisted.past_unknown_for(ms(12_000)), None);
+    list(&mut unlisted, 12_500, &["a"]);
+    assert!(unlisted.is_mixed(ms(12_500), &service()));
+}
