--- a/src/gateway/decide/core.rs
+++ b/src/gateway/decide/core.rs
@@ -40,6 +40,7 @@
 use super::shares::ShareTable;
 use super::shares::TeamFlow;
 use super::sizes::SizeTable;
+use super::stream_deposits::StreamDeposits;
 use super::stream_origins::StreamOrigins;
 use super::version_history::VersionHistory;
 
@@ -176,6 +177,8 @@
     pub versions: VersionHistory,
     /// Where streams began.
     pub origins: StreamOrigins,
+    /// Streams of other routers that this one tells of if they can't.
+    pub deposits: StreamDeposits,
     /// Quarantine for requests that crash endpoints.
     pub quarantine: CrashQuarantine,
     budget: RetryBudget,
@@ -205,9 +208,15 @@
             RetryBudget::new(bounds)
         };
         let stream_memory = TimeSpan::from_millis(config.stream_memory_ms);
+        let versions = if config.first_start {
+            VersionHistory::new(stream_memory)
+        } else {
+            VersionHistory::with_unknown_past(stream_memory)
+        };
         Self {
-            versions: VersionHistory::new(stream_memory),
+            versions,
             origins: StreamOrigins::new(stream_memory),
+            deposits: StreamDeposits::new(stream_memory),
             endpoints: EndpointTable::default(),
             shares: ShareTable::new(seconds(config.share_window_s)),
             capacity: CapacityEstimate::default(),
