Requests in the socket of an idle connection go before its close

Callers saw: a request sent on a kept connection before the idle limit gets neither an answer nor a refusal if the process runs again only after the limit. The same holds in the closing stage of a shutdown and when descriptors are scarce.

Cause: the wait for a request chose without order between the socket and the three reasons to close. Order alone does not help: a process that was stopped returns from the system's wait without events, so the runtime fires the timers before it knows of the bytes in the socket.

Ruled out: the refusals of a late router (such a request is read, and gets its 503 with the connection closed).

Why it works: the socket is looked at directly, by a read that does not wait, between the decision to close and the close. A request that is not in the socket by then crosses the close on the wire.

--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -24,6 +24,8 @@
 use super::http::WireStream;
 use super::http::framing::expects_continue;
 use super::http::head::has_connection_option;
+use super::kept_connection::RequestWait;
+use super::kept_connection::wait_for_request;
 use super::load::CallerLoad;
 use super::load::watch_load;
 use super::pool::EndpointPool;
@@ -125,8 +127,9 @@
     }
 }
 
-/// The limits of the routes in force, or the defaults before any routes are known.
-fn current_limits(shared: &SharedState) -> CallerLimits {
+/// Returns the limits of the routes in force, or the defaults before any routes are known.
+#[must_use]
+pub fn current_limits(shared: &SharedState) -> CallerLimits {
     shared
         .routes()
         .map(|table| table.limits.clone())
@@ -140,7 +143,10 @@
 ) -> Result<ReadRequest, ReadEnd> {
     let shared = &traffic.shared;
     if caller.buffer.is_empty() {
-        wait_for_request(traffic, caller).await?;
+        match wait_for_request(traffic, caller).await {
+            RequestWait::Begun => {}
+            RequestWait::CallerLeft | RequestWait::Close(_) => return Err(ReadEnd::NoReply),
+        }
     }
     let limits = current_limits(shared);
     let until = Instant::now() + Duration::from_millis(limits.head_timeout_ms);
@@ -157,25 +163,6 @@
     })
 }
 
-/// Waits for the first byte of a request on an idle connection.
-async fn wait_for_request<P: CallProtocol>(
-    traffic: &TrafficState<P>,
-    caller: &mut WireStream,
-) -> Result<(), ReadEnd> {
-    let shared = &traffic.shared;
-    let idle = Duration::from_millis(current_limits(shared).idle_timeout_ms);
-    let read = tokio::select! {
-        read = caller.fill() => read,
-        () = sleep(idle) => return Err(ReadEnd::NoReply),
-        () = traffic.callers.idle_too_long(Instant::now()) => return Err(ReadEnd::NoReply),
-        () = shared.shutdown_stages.closing.cancelled() => return Err(ReadEnd::NoReply),
-    };
-    match read {
-        Ok(0) | Err(_) => Err(ReadEnd::NoReply),
-        Ok(_) => Ok(()),
-    }
-}
-
 async fn read_head(
     caller: &mut WireStream,
     limits: &CallerLimits,
--- a/src/gateway/http/connection.rs
+++ b/src/gateway/http/connection.rs
@@ -138,6 +138,18 @@
         )
     }
 
+    /// Returns whether bytes have arrived that were not read yet.
+    ///
+    /// Peeks at the socket directly: after a pause of the process the runtime may fire timers before
+    /// it learns what has arrived meanwhile. [`Self::fill`] then reads the bytes without a long wait.
+    #[must_use]
+    pub fn has_unread_bytes(&self) -> bool {
+        let mut ahead = [MaybeUninit::uninit(); 1];
+        SockRef::from(&self.stream)
+            .peek(&mut ahead)
+            .is_ok_and(|count| count > 0)
+    }
+
     /// Returns whether the peer has closed its side, as far as this host knows.
     ///
     /// Peeks at the socket directly: the runtime notices a close only at its next poll, and a
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -31,6 +31,7 @@
 pub mod gossip;
 pub mod handover;
 pub mod http;
+pub mod kept_connection;
 pub mod late;
 pub mod link;
 pub mod load;
