A change of the idle limit closes no connection that callers may use

Callers saw: after a new version of the configuration set a longer idle limit, requests on kept connections got no answer once the old limit had passed; after one set a shorter limit, now and then one request of 40 got none.

Cause: the limit was read once, when the wait for a request began. A longer one did not hold for connections that were already idle.

Why it works: a connection is closed only after the longest of the limits that were in force from its last request on.

--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -25,6 +25,7 @@
 use super::http::framing::expects_continue;
 use super::http::head::has_connection_option;
 use super::kept_connection::RequestWait;
+use super::kept_connection::idle_limit;
 use super::kept_connection::wait_for_request;
 use super::load::CallerLoad;
 use super::load::watch_load;
@@ -105,8 +106,9 @@
 pub async fn serve_connection<P: CallProtocol>(traffic: Rc<TrafficState<P>>, caller: WireStream) {
     let mut caller = caller.metered(&traffic.shared.link);
     let _open = traffic.callers.open();
+    let mut former_limit = Duration::ZERO;
     loop {
-        let request = match read_request(&traffic, &mut caller).await {
+        let request = match read_request(&traffic, &mut caller, former_limit).await {
             Ok(request) => request,
             Err(ReadEnd::NoReply) => return,
             Err(ReadEnd::Reply(reply, cause)) => {
@@ -114,6 +116,7 @@
                 return;
             }
         };
+        former_limit = idle_limit(&traffic.shared);
         let ReadRequest {
             head,
             body,
@@ -140,10 +143,11 @@
 async fn read_request<P: CallProtocol>(
     traffic: &TrafficState<P>,
     caller: &mut WireStream,
+    former_limit: Duration,
 ) -> Result<ReadRequest, ReadEnd> {
     let shared = &traffic.shared;
     if caller.buffer.is_empty() {
-        match wait_for_request(traffic, caller).await {
+        match wait_for_request(traffic, caller, former_limit).await {
             RequestWait::Begun => {}
             RequestWait::CallerLeft | RequestWait::Close(_) => return Err(ReadEnd::NoReply),
         }
--- a/src/gateway/kept_connection.rs
+++ b/src/gateway/kept_connection.rs
@@ -9,11 +9,12 @@
 use std::time::Duration;
 
 use tokio::time::Instant;
-use tokio::time::sleep;
+use tokio::time::sleep_until;
 
 use super::front::TrafficState;
 use super::front::current_limits;
 use super::http::WireStream;
+use super::shared::SharedState;
 
 /// Why the router closes an idle connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -38,7 +39,7 @@
 }
 
 impl RequestWait {
-    fn of(read: io::Result<usize>) -> Self {
+    fn of(read: &io::Result<usize>) -> Self {
         match read {
             Ok(0) | Err(_) => Self::CallerLeft,
             Ok(_) => Self::Begun,
@@ -46,34 +47,55 @@
     }
 }
 
-/// Waits for the first byte of a request on an idle connection.
+/// Waits for the first byte of a request on an idle connection. `former_limit` is the idle limit
+/// that was in force when the last request on it was read.
 ///
 /// The runtime may report that a limit passed before it has looked at the socket, so the socket is
 /// looked at directly before the connection is given up.
 pub async fn wait_for_request<P>(
     traffic: &TrafficState<P>,
     caller: &mut WireStream,
+    former_limit: Duration,
 ) -> RequestWait {
     let reason = tokio::select! {
         biased;
-        read = caller.fill() => return RequestWait::of(read),
-        reason = reason_to_close(traffic) => reason,
+        read = caller.fill() => return RequestWait::of(&read),
+        reason = reason_to_close(traffic, former_limit) => reason,
     };
     if caller.has_unread_bytes() {
-        RequestWait::of(caller.fill().await)
+        RequestWait::of(&caller.fill().await)
     } else {
         RequestWait::Close(reason)
     }
 }
 
 /// Resolves when a connection that is idle from now on is to be closed.
-async fn reason_to_close<P>(traffic: &TrafficState<P>) -> CloseReason {
+async fn reason_to_close<P>(traffic: &TrafficState<P>, former_limit: Duration) -> CloseReason {
     let shared = &traffic.shared;
-    let idle_limit = Duration::from_millis(current_limits(shared).idle_timeout_ms);
+    let since = Instant::now();
     tokio::select! {
         biased;
         () = shared.shutdown_stages.closing.cancelled() => CloseReason::Shutdown,
-        () = traffic.callers.idle_too_long(Instant::now()) => CloseReason::Scarce,
-        () = sleep(idle_limit) => CloseReason::Idle,
+        () = traffic.callers.idle_too_long(since) => CloseReason::Scarce,
+        () = idle_limit_passed(shared, since, former_limit) => CloseReason::Idle,
     }
 }
+
+/// Resolves when a connection that is idle since `since` has been so for longer than each limit that
+/// was in force from its last request on.
+///
+/// A caller may learn of a change of the limit before or after this router, so none of these limits
+/// may end a connection that another one allows the caller to use.
+async fn idle_limit_passed(shared: &SharedState, since: Instant, former_limit: Duration) {
+    let mut limit = former_limit.max(idle_limit(shared));
+    while since.elapsed() < limit {
+        sleep_until(since + limit).await;
+        limit = limit.max(idle_limit(shared));
+    }
+}
+
+/// Returns the idle limit in force.
+#[must_use]
+pub fn idle_limit(shared: &SharedState) -> Duration {
+    Duration::from_millis(current_limits(shared).idle_timeout_ms)
+}
