A shutdown waits for callers' connections, not only for calls

Callers saw: requests that were being read, or lay in the sockets of new connections, when the last call of a router that shuts down had ended got neither an answer nor a refusal.

Cause: the drain waited for calls, which are counted once their request is read, and the process then ended with whatever its accept queue held. A new connection was also closed at once in the closing stage, before its first request could arrive.

Why it works: the traffic thread ends the drain. It does so when no connection is open and the accept queue, looked at directly, is empty, and closes the listener in the same turn, so that later connections are refused. Connections end by themselves in the closing stage: idle ones are closed, a request that is read is refused, and one that comes too slowly meets its time limit or the end of the grace time.

--- a/src/gateway/accept.rs
+++ b/src/gateway/accept.rs
@@ -29,6 +29,9 @@
 use super::protocol::CallFacts;
 use super::protocol::CallProtocol;
 
+/// Interval at which a router that shuts down checks whether its last connection has ended.
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+
 /// Pause after a failed accept. Descriptors free up within that time.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -42,7 +45,7 @@
 /// the caller would lose the reply.
 const INLINE_REFUSAL_BYTES: usize = 8_192;
 
-/// Accepts callers until the router stops.
+/// Accepts callers until the router stops, or until none is left during its shutdown.
 ///
 /// Guards against a flood of new connections: if they were accepted faster than their requests are
 /// read, they would use up all descriptors, and callers would wait unserved until they time out.
@@ -50,14 +53,53 @@
     traffic: Rc<TrafficState<P>>,
     listener: AsyncFd<TcpListener>,
 ) {
+    let stages = &traffic.shared.shutdown_stages;
     let mut scratch = vec![0; INLINE_REFUSAL_BYTES];
     loop {
-        if let Err(fault) = accept_turn(&traffic, &listener, &mut scratch).await {
+        let turn = tokio::select! {
+            biased;
+            turn = accept_turn(&traffic, &listener, &mut scratch) => turn,
+            () = drain_check(&traffic) => match accept_last(&traffic, &listener, &mut scratch) {
+                Ok(true) => Ok(()),
+                Ok(false) => break,
+                Err(fault) => Err(fault),
+            },
+        };
+        if let Err(fault) = turn {
             spdlog::warn!("gateway: step=accept fault=\"{fault}\"");
             sleep(ACCEPT_PAUSE).await;
         }
         yield_now().await;
     }
+    drop(listener);
+    stages.drained.cancel();
+}
+
+/// Resolves in the closing stage of a shutdown, a little later, if no connection is open.
+async fn drain_check<P>(traffic: &TrafficState<P>) {
+    traffic.shared.shutdown_stages.closing.cancelled().await;
+    loop {
+        sleep(DRAIN_POLL).await;
+        if traffic.callers.count() == 0 {
+            return;
+        }
+    }
+}
+
+/// Accepts a connection from the queue of a router that shuts down. Returns false if there is none.
+///
+/// Looks at the listener directly: after a pause of the process the runtime may fire timers before
+/// it learns which connections have arrived meanwhile.
+fn accept_last<P: CallProtocol>(
+    traffic: &Rc<TrafficState<P>>,
+    listener: &AsyncFd<TcpListener>,
+    scratch: &mut [u8],
+) -> io::Result<bool> {
+    match listener.get_ref().accept() {
+        Ok((stream, _)) => begin_connection(traffic, stream, scratch).map(|()| true),
+        Err(fault) if fault.kind() == io::ErrorKind::WouldBlock => Ok(false),
+        Err(fault) => Err(fault),
+    }
 }
 
 /// Waits for a connection, then accepts all that are pending, up to the limit of one turn.
@@ -73,20 +115,31 @@
             return Ok(());
         };
         let (stream, _) = accepted?;
-        let now = Instant::now();
-        traffic.callers.record_accepted_connection(now);
-        let mut arrived = BytesMut::new();
-        if must_refuse_all(traffic, now) {
-            arrived = read_available(&stream, scratch);
-            if try_refuse(traffic, &stream, &arrived) {
-                continue;
-            }
+        begin_connection(traffic, stream, scratch)?;
+    }
+    Ok(())
+}
+
+/// Refuses the request of an accepted connection at once, or starts the task that serves it.
+fn begin_connection<P: CallProtocol>(
+    traffic: &Rc<TrafficState<P>>,
+    stream: TcpStream,
+    scratch: &mut [u8],
+) -> io::Result<()> {
+    let now = Instant::now();
+    traffic.callers.record_accepted_connection(now);
+    let mut arrived = BytesMut::new();
+    if must_refuse_all(traffic, now) {
+        arrived = read_available(&stream, scratch);
+        if try_refuse(traffic, &stream, &arrived) {
+            return Ok(());
         }
-        let stream = tokio::net::TcpStream::from_std(stream.into())?;
-        let mut caller = WireStream::new(stream);
-        caller.buffer = arrived;
-        spawn_local(serve_connection(Rc::clone(traffic), caller));
     }
+    let stream = tokio::net::TcpStream::from_std(stream.into())?;
+    let mut caller = WireStream::new(stream);
+    caller.buffer = arrived;
+    let open = traffic.callers.open();
+    spawn_local(serve_connection(Rc::clone(traffic), caller, open));
     Ok(())
 }
 
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -27,6 +27,7 @@
 use super::kept_connection::RequestWait;
 use super::kept_connection::idle_limit;
 use super::kept_connection::wait_for_request;
+use super::load::CallerGuard;
 use super::load::CallerLoad;
 use super::load::watch_load;
 use super::pool::EndpointPool;
@@ -103,10 +104,13 @@
 }
 
 /// Serves the calls of one connection. Its buffer may already hold the start of the first request.
-pub async fn serve_connection<P: CallProtocol>(traffic: Rc<TrafficState<P>>, caller: WireStream) {
+pub async fn serve_connection<P: CallProtocol>(
+    traffic: Rc<TrafficState<P>>,
+    caller: WireStream,
+    _open: CallerGuard,
+) {
     let mut caller = caller.metered(&traffic.shared.link);
-    let _open = traffic.callers.open();
-    let mut former_limit = Duration::ZERO;
+    let mut former_limit = None;
     loop {
         let request = match read_request(&traffic, &mut caller, former_limit).await {
             Ok(request) => request,
@@ -116,7 +120,7 @@
                 return;
             }
         };
-        former_limit = idle_limit(&traffic.shared);
+        former_limit = Some(idle_limit(&traffic.shared));
         let ReadRequest {
             head,
             body,
@@ -143,7 +147,7 @@
 async fn read_request<P: CallProtocol>(
     traffic: &TrafficState<P>,
     caller: &mut WireStream,
-    former_limit: Duration,
+    former_limit: Option<Duration>,
 ) -> Result<ReadRequest, ReadEnd> {
     let shared = &traffic.shared;
     if caller.buffer.is_empty() {
--- a/src/gateway/kept_connection.rs
+++ b/src/gateway/kept_connection.rs
@@ -16,6 +16,10 @@
 use super::http::WireStream;
 use super::shared::SharedState;
 
+/// Time from the opening of a connection in which a caller sends its first request. Covers a round
+/// trip on a link whose packets wait.
+const FIRST_REQUEST_TIME: Duration = Duration::from_millis(300);
+
 /// Why the router closes an idle connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CloseReason {
@@ -48,14 +52,14 @@
 }
 
 /// Waits for the first byte of a request on an idle connection. `former_limit` is the idle limit
-/// that was in force when the last request on it was read.
+/// that was in force when the last request on it was read, `None` before the first one.
 ///
 /// The runtime may report that a limit passed before it has looked at the socket, so the socket is
 /// looked at directly before the connection is given up.
 pub async fn wait_for_request<P>(
     traffic: &TrafficState<P>,
     caller: &mut WireStream,
-    former_limit: Duration,
+    former_limit: Option<Duration>,
 ) -> RequestWait {
     let reason = tokio::select! {
         biased;
@@ -70,24 +74,36 @@
 }
 
 /// Resolves when a connection that is idle from now on is to be closed.
-async fn reason_to_close<P>(traffic: &TrafficState<P>, former_limit: Duration) -> CloseReason {
+async fn reason_to_close<P>(
+    traffic: &TrafficState<P>,
+    former_limit: Option<Duration>,
+) -> CloseReason {
     let shared = &traffic.shared;
     let since = Instant::now();
     tokio::select! {
         biased;
-        () = shared.shutdown_stages.closing.cancelled() => CloseReason::Shutdown,
+        () = shutdown_closes(shared, since, former_limit) => CloseReason::Shutdown,
         () = traffic.callers.idle_too_long(since) => CloseReason::Scarce,
         () = idle_limit_passed(shared, since, former_limit) => CloseReason::Idle,
     }
 }
 
+/// Resolves in the closing stage of a shutdown. A connection without a former request is new: its
+/// caller is about to send one and gets the time for it.
+async fn shutdown_closes(shared: &SharedState, since: Instant, former_limit: Option<Duration>) {
+    shared.shutdown_stages.closing.cancelled().await;
+    if former_limit.is_none() {
+        sleep_until(since + FIRST_REQUEST_TIME).await;
+    }
+}
+
 /// Resolves when a connection that is idle since `since` has been so for longer than each limit that
 /// was in force from its last request on.
 ///
 /// A caller may learn of a change of the limit before or after this router, so none of these limits
 /// may end a connection that another one allows the caller to use.
-async fn idle_limit_passed(shared: &SharedState, since: Instant, former_limit: Duration) {
-    let mut limit = former_limit.max(idle_limit(shared));
+async fn idle_limit_passed(shared: &SharedState, since: Instant, former_limit: Option<Duration>) {
+    let mut limit = former_limit.unwrap_or_default().max(idle_limit(shared));
     while since.elapsed() < limit {
         sleep_until(since + limit).await;
         limit = limit.max(idle_limit(shared));
--- a/src/gateway/load.rs
+++ b/src/gateway/load.rs
@@ -121,7 +121,7 @@
 /// traffic thread.
 #[derive(Debug, Default)]
 pub struct CallerLoad {
-    count: Cell<usize>,
+    count: Rc<Cell<usize>>,
     /// Delay of the timer at the last load check, in ms.
     timer_delay_ms: Cell<f64>,
     queue: Cell<AcceptQueue>,
@@ -130,9 +130,11 @@
 
 impl CallerLoad {
     /// Counts a connection until the guard is dropped.
-    pub fn open(&self) -> CallerGuard<'_> {
+    pub fn open(&self) -> CallerGuard {
         self.count.set(self.count.get() + 1);
-        CallerGuard { table: self }
+        CallerGuard {
+            count: Rc::clone(&self.count),
+        }
     }
 
     /// The router's current lag level.
@@ -182,13 +184,13 @@
 
 /// Counts an open connection of a caller until it is dropped.
 #[derive(Debug)]
-pub struct CallerGuard<'a> {
-    table: &'a CallerLoad,
+pub struct CallerGuard {
+    count: Rc<Cell<usize>>,
 }
 
-impl Drop for CallerGuard<'_> {
+impl Drop for CallerGuard {
     fn drop(&mut self) {
-        self.table.count.set(self.table.count.get() - 1);
+        self.count.set(self.count.get() - 1);
     }
 }
 
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -25,6 +25,7 @@
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::sleep_until;
+use tokio::time::timeout_at;
 
 use crate::daemon::logs;
 use crate::daemon::signals::ProcessSignals;
@@ -52,8 +53,8 @@
 use super::readiness::serve_listener;
 use super::shared::SharedState;
 
-/// Interval at which the drain checks whether the last call has ended.
-const DRAIN_POLL: Duration = Duration::from_millis(50);
+/// Time between the last answer and the end of the process, in which its last bytes are sent.
+const LAST_BYTES_TIME: Duration = Duration::from_millis(50);
 
 /// Length of the accept queue: as many connections as the smallest host can refuse in half a
 /// second. The system of a client that finds the queue full retries after a second or gives up.
@@ -107,7 +108,6 @@
 }
 
 struct Listeners {
-    callers: std::net::TcpListener,
     readiness: std::net::TcpListener,
     metrics: Option<std::net::TcpListener>,
     peers: std::net::TcpListener,
@@ -118,7 +118,6 @@
     fn bind(settings: &GatewaySettings) -> io::Result<Self> {
         let metrics = settings.metrics.as_ref();
         Ok(Self {
-            callers: tcp(settings.callers.listen)?,
             readiness: tcp(settings.readiness.listen)?,
             metrics: metrics.map(|metrics| tcp(metrics.listen)).transpose()?,
             peers: tcp(settings.peers.listen)?,
@@ -157,16 +156,14 @@
     let metrics = GatewayMetrics::new().change_context(GatewayError::at("set up metrics"))?;
     let domain = settings.domain.as_str().into();
     let shared = Arc::new(SharedState::new(settings.gateway.clone(), domain, metrics));
+    let callers = tcp(settings.callers.listen).change_context(GatewayError::at("bind"))?;
     let listeners = Listeners::bind(&settings).change_context(GatewayError::at("bind"))?;
     let control = single_runtime().change_context(GatewayError::at("start control thread"))?;
     let store = Arc::new(deployment.store(&settings));
     let traffic = TrafficThread {
         shared: Arc::clone(&shared),
         protocol: deployment.protocol(),
-        callers: listeners
-            .callers
-            .try_clone()
-            .change_context(GatewayError::at("bind"))?,
+        callers,
     };
     let traffic = thread::Builder::new()
         .name("traffic".to_owned())
@@ -278,6 +275,9 @@
 
 /// Shuts down in stages: not ready at once, calls served for a while, then everything in flight
 /// ends.
+///
+/// The last stage waits for callers' connections and not for calls, since a request that is being
+/// read or lies in a socket is not yet a call.
 async fn drain(shared: &SharedState) {
     let begun = Instant::now();
     let linger = begun + Duration::from_millis(shared.config.linger_ms);
@@ -286,13 +286,11 @@
     shared.shutdown_stages.draining.cancel();
     sleep_until(linger).await;
     shared.shutdown_stages.closing.cancel();
-    while shared.in_flight() > 0 && Instant::now() < grace {
-        sleep(DRAIN_POLL).await;
-    }
+    let drained = shared.shutdown_stages.drained.cancelled();
+    let in_time = timeout_at(grace, drained).await.is_ok();
     let cut = shared.in_flight();
-    spdlog::info!("daemon: drain ends cut={cut}");
-    // Lets the last bytes be sent before the process exits.
-    sleep(DRAIN_POLL).await;
+    spdlog::info!("daemon: drain ends cut={cut} in_time={in_time}");
+    sleep(LAST_BYTES_TIME).await;
     shared.shutdown_stages.ended.cancel();
 }
 
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -40,6 +40,9 @@
     pub draining: CancellationToken,
     /// Callers have had time to notice: idle connections are closed and new calls refused.
     pub closing: CancellationToken,
+    /// No caller is left: no connection is open, none waits in the accept queue, and the listener
+    /// is closed.
+    pub drained: CancellationToken,
     /// Everything in flight is aborted.
     pub ended: CancellationToken,
 }
@@ -54,6 +57,7 @@
         Self {
             draining,
             closing,
+            drained: CancellationToken::new(),
             ended,
         }
     }
