Idle connections that the router closes are counted by reason

Operators could not see closes of kept connections beside a change of the configuration: they had neither a log line nor a counter.

verbenaturn_gateway_closed_connections_total counts them by reason, idle limit, scarce descriptors or shutdown.

--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -153,7 +153,11 @@
     if caller.buffer.is_empty() {
         match wait_for_request(traffic, caller, former_limit).await {
             RequestWait::Begun => {}
-            RequestWait::CallerLeft | RequestWait::Close(_) => return Err(ReadEnd::NoReply),
+            RequestWait::CallerLeft => return Err(ReadEnd::NoReply),
+            RequestWait::Close(reason) => {
+                shared.metrics.closed_connection(reason.label());
+                return Err(ReadEnd::NoReply);
+            }
         }
     }
     let limits = current_limits(shared);
--- a/src/gateway/kept_connection.rs
+++ b/src/gateway/kept_connection.rs
@@ -31,6 +31,18 @@
     Idle,
 }
 
+impl CloseReason {
+    /// Its name in metrics.
+    #[must_use]
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Shutdown => "shutdown",
+            Self::Scarce => "scarce",
+            Self::Idle => "idle",
+        }
+    }
+}
+
 /// How the wait for a request ended.
 #[derive(Debug)]
 pub enum RequestWait {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -29,6 +29,7 @@
     store_failures: Counter<u64>,
     retries: Counter<u64>,
     resumed_streams: Counter<u64>,
+    closed_connections: Counter<u64>,
     _provider: SdkMeterProvider,
 }
 
@@ -91,6 +92,10 @@
                      compares with the one that began them.",
                 )
                 .build(),
+            closed_connections: meter
+                .u64_counter("verbenaturn_gateway_closed_connections")
+                .with_description("Idle connections of callers that the router closed, by reason.")
+                .build(),
             registry,
             _provider: provider,
         })
@@ -148,6 +153,12 @@
         self.resumed_streams.add(1, &[resumption, software]);
     }
 
+    /// Counts an idle connection of a caller that the router closes.
+    pub fn closed_connection(&self, reason: &'static str) {
+        self.closed_connections
+            .add(1, &[KeyValue::new("reason", reason)]);
+    }
+
     /// All metrics in Prometheus text format.
     #[must_use]
     pub fn text(&self) -> Vec<u8> {
