The pool looks at a connection's socket, not at what the runtime knows

Callers may see: a request is sent on a kept connection that its endpoint has closed; one that may run at most once then fails, since it may have run. This was found by reading, not in a run of the router.

Cause: the check before reuse was a read through the runtime, which takes a socket for empty until it has polled it again. A close, or bytes of no request, that arrived while other tasks ran were not noticed; the later the process, the longer that time.

Why it works: the check peeks at the socket by a system call of its own, as the one for callers that have left does. A close that arrives after it crosses the request on the wire.

--- a/src/gateway/http/connection.rs
+++ b/src/gateway/http/connection.rs
@@ -126,16 +126,16 @@
 
     /// Returns whether an idle connection can take another request: it is open and has no
     /// unrequested bytes to read.
+    ///
+    /// Peeks at the socket directly: what arrives while other tasks run is not known to the runtime
+    /// until its next poll.
     #[must_use]
-    pub fn is_clean(&mut self) -> bool {
-        if !self.buffer.is_empty() {
-            return false;
-        }
-        let mut probe = [0_u8; 1];
-        matches!(
-            self.stream.try_read(&mut probe),
-            Err(fault) if fault.kind() == io::ErrorKind::WouldBlock
-        )
+    pub fn is_clean(&self) -> bool {
+        let mut ahead = [MaybeUninit::uninit(); 1];
+        self.buffer.is_empty()
+            && SockRef::from(&self.stream)
+                .peek(&mut ahead)
+                .is_err_and(|fault| fault.kind() == io::ErrorKind::WouldBlock)
     }
 
     /// Returns whether bytes have arrived that were not read yet.
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -62,7 +62,7 @@
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(endpoint)?;
         let now = Instant::now();
-        while let Some(mut connection) = connections.pop() {
+        while let Some(connection) = connections.pop() {
             self.count.set(self.count.get() - 1);
             if connection.usable_until > now && connection.stream.is_clean() {
                 return Some(connection.stream);
@@ -79,7 +79,7 @@
         };
         let (now, before) = (Instant::now(), connections.len());
         connections
-            .retain_mut(|connection| connection.usable_until > now && connection.stream.is_clean());
+            .retain(|connection| connection.usable_until > now && connection.stream.is_clean());
         self.count
             .set(self.count.get() - (before - connections.len()));
         !connections.is_empty()
