Parts of a request that have arrived go before its time limit

Callers saw: a 408 for a request whose rest lay in the socket when the router, which had not run for a while, found the head's time limit passed. The same holds for the pauses of a body.

Cause: as with idle connections, the runtime fires the timer before it knows of the bytes.

Bodies take the same path and were not tried.

Why it works: the socket is looked at directly before the time limit counts. After the limit a head goes on only as long as bytes are there at each look, and its size limit holds.

--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -11,7 +11,6 @@
 use tokio::task::spawn_local;
 use tokio::time::Instant;
 use tokio::time::sleep;
-use tokio::time::timeout_at;
 
 use super::accept::accept_callers;
 use super::call::AfterCall;
@@ -191,10 +190,10 @@
                 return Err(ReadEnd::of(OwnStatus::HeadTooLarge, "head is too large"));
             }
         }
-        match timeout_at(until, caller.fill()).await {
-            Ok(Ok(0) | Err(_)) => return Err(ReadEnd::NoReply),
-            Ok(Ok(_)) => {}
-            Err(_) => return Err(ReadEnd::of(OwnStatus::RequestTimeout, "slow head")),
+        match caller.fill_until(until).await {
+            Some(Ok(0) | Err(_)) => return Err(ReadEnd::NoReply),
+            Some(Ok(_)) => {}
+            None => return Err(ReadEnd::of(OwnStatus::RequestTimeout, "slow head")),
         }
     }
 }
@@ -237,10 +236,10 @@
         if decoder.is_complete() {
             return Ok((body.freeze(), Some(memory)));
         }
-        match timeout_at(Instant::now() + pause, caller.fill()).await {
-            Ok(Ok(0) | Err(_)) => return Err(ReadEnd::NoReply),
-            Ok(Ok(_)) => {}
-            Err(_) => return Err(ReadEnd::of(OwnStatus::RequestTimeout, "slow body")),
+        match caller.fill_until(Instant::now() + pause).await {
+            Some(Ok(0) | Err(_)) => return Err(ReadEnd::NoReply),
+            Some(Ok(_)) => {}
+            None => return Err(ReadEnd::of(OwnStatus::RequestTimeout, "slow body")),
         }
     }
 }
--- a/src/gateway/http/connection.rs
+++ b/src/gateway/http/connection.rs
@@ -12,6 +12,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time;
+use tokio::time::Instant;
 
 use crate::gateway::link::LinkMeter;
 
@@ -88,6 +89,18 @@
         Ok(read)
     }
 
+    /// Reads more bytes into the buffer like [`Self::fill`]; `None` if none have arrived by `until`,
+    /// or by the time at which a late process looks.
+    pub async fn fill_until(&mut self, until: Instant) -> Option<io::Result<usize>> {
+        if let Ok(read) = time::timeout_at(until, self.fill()).await {
+            return Some(read);
+        }
+        if self.has_unread_bytes() {
+            return Some(self.fill().await);
+        }
+        None
+    }
+
     /// Writes all of `bytes`.
     ///
     /// # Errors
