--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -11,7 +11,6 @@
 use tokio::task::spawn_local;
 use tokio::time::Instant;
 use tokio::time::sleep;
-use tokio::time::timeout_at;
 
 use super::accept::accept_callers;
 use super::call::AfterCall;
@@ -24,6 +23,10 @@
 use super::http::WireStream;
 use super::http::framing::expects_continue;
 use super::http::head::has_connection_option;
+use super::kept_connection::RequestWait;
+use super::kept_connection::idle_limit;
+use super::kept_connection::wait_for_request;
+use super::load::CallerGuard;
 use super::load::CallerLoad;
 use super::load::watch_load;
 use super::pool::EndpointPool;
@@ -100,11 +103,15 @@
 }
 
 /// Serves the calls of one connection. Its buffer may already hold the start of the first request.
-pub async fn serve_connection<P: CallProtocol>(traffic: Rc<TrafficState<P>>, caller: WireStream) {
+pub async fn serve_connection<P: CallProtocol>(
+    traffic: Rc<TrafficState<P>>,
+    caller: WireStream,
+    _open: CallerGuard,
+) {
     let mut caller = caller.metered(&traffic.shared.link);
-    let _open = traffic.callers.open();
+    let mut former_limit = None;
     loop {
-        let request = match read_request(&traffic, &mut caller).await {
+        let request = match read_request(&traffic, &mut caller, former_limit).await {
             Ok(request) => request,
             Err(ReadEnd::NoReply) => return,
             Err(ReadEnd::Reply(reply, cause)) => {
@@ -112,6 +119,7 @@
                 return;
             }
         };
+        former_limit = Some(idle_limit(&traffic.shared));
         let ReadRequest {
             head,
             body,
@@ -125,8 +133,9 @@
     }
 }
 
-/// The limits of the routes in force, or the defaults before any routes are known.
-fn current_limits(shared: &SharedState) -> CallerLimits {
+/// Returns the limits of the routes in force, or the defaults before any routes are known.
+#[must_use]
+pub fn current_limits(shared: &SharedState) -> CallerLimits {
     shared
         .routes()
         .map(|table| table.limits.clone())
@@ -137,10 +146,18 @@
 async fn read_request<P: CallProtocol>(
     traffic: &TrafficState<P>,
     caller: &mut WireStream,
+    former_limit: Option<Duration>,
 ) -> Result<ReadRequest, ReadEnd> {
     let shared = &traffic.shared;
     if caller.buffer.is_empty() {
-        wait_for_request(traffic, caller).await?;
+        match wait_for_request(traffic, caller, former_limit).await {
+            RequestWait::Begun => {}
+            RequestWait::CallerLeft => return Err(ReadEnd::NoReply),
+            RequestWait::Close(reason) => {
+                shared.metrics.closed_connection(reason.label());
+                return Err(ReadEnd::NoReply);
+            }
+        }
     }
     let limits = current_limits(shared);
     let until = Instant::now() + Duration::from_millis(limits.head_timeout_ms);
@@ -157,25 +174,6 @@
     })
 }
 
-/// Waits for the first byte of a request on an idle connection.
-async fn wait_for_request<P: CallProtocol>(
-    traffic: &TrafficState<P>,
-    caller: &mut WireStream,
-) -> Result<(), ReadEnd> {
-    let shared = &traffic.shared;
-    let idle = Duration::from_millis(current_limits(shared).idle_timeout_ms);
-    let read = tokio::select! {
-        read = caller.fill() => read,
-        () = sleep(idle) => return Err(ReadEnd::NoReply),
-        () = traffic.callers.idle_too_long(Instant::now()) => return Err(ReadEnd::NoReply),
-        () = shared.shutdown_stages.closing.cancelled() => return Err(ReadEnd::NoReply),
-    };
-    match read {
-        Ok(0) | Err(_) => Err(ReadEnd::NoReply),
-        Ok(_) => Ok(()),
-    }
-}
-
 async fn read_head(
     caller: &mut WireStream,
     limits: &CallerLimits,
@@ -192,10 +190,10 @@
                 return Err(ReadEnd::of(OwnStatus::HeadTooLarge, "head is too large"));
             }
         }
-        match timeout_at(until, caller.fill()).await {
-            Ok(Ok(0) | Err(_)) => return Err(ReadEnd::NoReply),
-            Ok(Ok(_)) => {}
-            Err(_) => return Err(ReadEnd::of(OwnStatus::RequestTimeout, "slow head")),
+        match caller.fill_until(until).await {
+            Some(Ok(0) | Err(_)) => return Err(ReadEnd::NoReply),
+            Some(Ok(_)) => {}
+            None => return Err(ReadEnd::of(OwnStatus::RequestTimeout, "slow head")),
         }
     }
 }
@@ -238,10 +236,10 @@
         if decoder.is_complete() {
             return Ok((body.freeze(), Some(memory)));
         }
-        match timeout_at(Instant::now() + pause, caller.fill()).await {
-            Ok(Ok(0) | Err(_)) => return Err(ReadEnd::NoReply),
-            Ok(Ok(_)) => {}
-            Err(_) => return Err(ReadEnd::of(OwnStatus::RequestTimeout, "slow body")),
+        match caller.fill_until(Instant::now() + pause).await {
+            Some(Ok(0) | Err(_)) => return Err(ReadEnd::NoReply),
+            Some(Ok(_)) => {}
+            None => return Err(ReadEnd::of(OwnStatus::RequestTimeout, "slow body")),
         }
     }
 }
--- a/src/gateway/http/connection.rs
+++ b/src/gateway/http/connection.rs
@@ -13,6 +13,7 @@
 use tokio::net::TcpStream;
 use tokio::task::yield_now;
 use tokio::time;
+use tokio::time::Instant;
 
 use crate::gateway::link::LinkMeter;
 
@@ -116,6 +117,18 @@
         }
     }
 
+    /// Reads more bytes into the buffer like [`Self::fill`]; `None` if none have arrived by `until`,
+    /// or by the time at which a late process looks.
+    pub async fn fill_until(&mut self, until: Instant) -> Option<io::Result<usize>> {
+        if let Ok(read) = time::timeout_at(until, self.fill()).await {
+            return Some(read);
+        }
+        if self.has_unread_bytes() {
+            return Some(self.fill().await);
+        }
+        None
+    }
+
     /// Writes all of `bytes`.
     ///
     /// # Errors
@@ -158,16 +171,28 @@
 
     /// Returns whether an idle connection can take another request: it is open and has no
     /// unrequested bytes to read.
+    ///
+    /// Peeks at the socket directly: what arrives while other tasks run is not known to the runtime
+    /// until its next poll.
     #[must_use]
-    pub fn is_clean(&mut self) -> bool {
-        if !self.buffer.is_empty() {
-            return false;
-        }
-        let mut probe = [0_u8; 1];
-        matches!(
-            self.stream.try_read(&mut probe),
-            Err(fault) if fault.kind() == io::ErrorKind::WouldBlock
-        )
+    pub fn is_clean(&self) -> bool {
+        let mut ahead = [MaybeUninit::uninit(); 1];
+        self.buffer.is_empty()
+            && SockRef::from(&self.stream)
+                .peek(&mut ahead)
+                .is_err_and(|fault| fault.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    /// Returns whether bytes have arrived that were not read yet.
+    ///
+    /// Peeks at the socket directly: after a pause of the process the runtime may fire timers before
+    /// it learns what has arrived meanwhile. [`Self::fill`] then reads the bytes without a long wait.
+    #[must_use]
+    pub fn has_unread_bytes(&self) -> bool {
+        let mut ahead = [MaybeUninit::uninit(); 1];
+        SockRef::from(&self.stream)
+            .peek(&mut ahead)
+            .is_ok_and(|count| count > 0)
     }
 
     /// Returns whether the peer has closed its side, as far as this host knows.
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -42,6 +42,9 @@
     pub draining: CancellationToken,
     /// Callers have had time to notice: idle connections are closed and new calls refused.
     pub closing: CancellationToken,
+    /// No caller is left: no connection is open, none waits in the accept queue, and the listener
+    /// is closed.
+    pub drained: CancellationToken,
     /// Everything in flight is aborted.
     pub ended: CancellationToken,
 }
@@ -56,6 +59,7 @@
         Self {
             draining,
             closing,
+            drained: CancellationToken::new(),
             ended,
         }
     }
