--- a/src/gateway/decide/shares.rs
+++ b/src/gateway/decide/shares.rs
@@ -131,6 +131,8 @@
     pub asked_here: f64,
     /// Rate that this router may serve within the share.
     pub allowed_here: f64,
+    /// Rate that this router may serve beyond the share; `None` while that is unbounded.
+    pub beyond_here: Option<f64>,
     /// Demand at this router in the last [`RECENT_WINDOW`] that it refused without looking at it.
     pub unseen_here: f64,
     /// Start of the limit.
@@ -458,6 +460,7 @@
                 flow: counts.flow,
                 asked_here: counts.here.asked,
                 allowed_here: counts.allowed?,
+                beyond_here: counts.spare,
                 unseen_here: counts.here.unseen,
                 since: counts.limited_since?,
             })
--- a/src/gateway/decide/team_logs.rs
+++ b/src/gateway/decide/team_logs.rs
@@ -74,14 +74,18 @@
                 flow,
                 asked_here,
                 allowed_here,
+                beyond_here,
                 unseen_here,
                 since,
             } = held;
             let held_ms = now.since(*since).as_millis();
+            let beyond_here =
+                beyond_here.map_or(String::from("unbounded"), |rate| format!("{rate:.0}"));
             spdlog::info!(
                 "shares: team={team} held_ms={held_ms} level={level:.0} asked={:.0} served={:.0} \
                  asked_here={asked_here:.0} unseen_here={unseen_here:.0} \
-                 allowed_here={allowed_here:.0} held={count} rate={rate:.0}",
+                 allowed_here={allowed_here:.0} beyond_here={beyond_here} held={count} \
+                 rate={rate:.0}",
                 flow.asked,
                 flow.served,
             );
