A flood keeps its bound beyond the share between messages on the other team

Trace: from 11 to 17 s the growing team began 4.0 million within its share of 3.6, so its share is not the excess; 4.8 lay beyond it, where the allowance is 2.7. At 10 to 36 in 100 routers that allowance had no bound and was not charged.

Cause: a team counts as waiting only if its demand of the last 0.3 s is known. At routers other than its own two that comes by message, every half a second from a busy router, so it is missing in between; the growing team then seems to be the only one above the level, and is also compared with nobody's service.

Ruled out: what it gets before it is detected (it was limited at most routers long before it grew); requests that are looked at together before one is charged (no wait lies between looking and charging). Parts that add up to more than the whole while it grows (1.2 to 1.6 of the share in two of the six seconds) are a smaller part, and remain.

Mend: a team stays above the level for 1.5 s after its recent demand was last seen there.

Files gateway_floods, gateway_shares and gateway_unequal_hosts pass, their other tests unchanged.

--- a/src/gateway/decide/levels.rs
+++ b/src/gateway/decide/levels.rs
@@ -11,6 +11,9 @@
 
 use std::collections::BTreeMap;
 
+use crate::units::Moment;
+use crate::units::TimeSpan;
+
 use super::shares::TeamFlow;
 
 /// Exponent of the correction of a team's allowance by its service. If one of two teams would be
@@ -34,24 +37,53 @@
 /// gets its share at least, so no other team gets much more than one and three quarters of what it gets.
 const MAX_SPARE: f64 = 0.75;
 
+/// Time for which a team counts as above the level after its recent demand was last seen above it. Recent
+/// demand covers 0.3 s, while in a fleet of ninety the busiest routers are heard every half a second, and
+/// one with few calls at endpoints, such as one that lags, every few seconds.
+const ABOVE_MEMORY: TimeSpan = TimeSpan::from_millis(1_500);
+
 /// Allowance beyond the share, as a multiple of what the teams above the level are served beyond
 /// it, on average. The excess over 1 lets the routers find out that endpoints can do more, and
 /// makes up for the parts of allowances that lie at routers which do not use them.
 const SPARE_GROWTH: f64 = 1.5;
 
-/// Returns the flows of the teams whose demand is above the level, both over the share window and
-/// over [`super::shares::RECENT_WINDOW`]. What lagging routers refused unseen is recent demand too:
-/// a team all of whose routers lag is still waiting.
-pub fn teams_above_level(
-    level: f64,
-    flows: &BTreeMap<u64, TeamFlow>,
-) -> impl Iterator<Item = &TeamFlow> {
-    let flows = flows.values();
-    flows.filter(move |flow| flow.asked > level && flow.asked_recently + flow.unseen > level)
+/// The teams that ask more than the level, by the hash of the team's key.
+///
+/// Load pattern: two teams flood, one through all routers and one through two. The second one's recent
+/// demand is known only from the messages of its two routers, so at any other router it is missing in
+/// every second round, and the first team would seem to be the only one above the level.
+#[derive(Debug, Default)]
+pub struct TeamsAboveLevel {
+    /// When a team's recent demand was last seen above the level.
+    seen_at: BTreeMap<u64, Moment>,
+}
+
+impl TeamsAboveLevel {
+    /// Updates the teams, and returns the flows of those whose demand is above the level, both over the
+    /// share window and, within [`ABOVE_MEMORY`], over [`super::shares::RECENT_WINDOW`]. What lagging
+    /// routers refused unseen is recent demand too: a team all of whose routers lag is still waiting.
+    pub fn update(
+        &mut self,
+        now: Moment,
+        level: f64,
+        flows: &BTreeMap<u64, TeamFlow>,
+    ) -> Vec<TeamFlow> {
+        self.seen_at
+            .retain(|_, seen_at| now.since(*seen_at) < ABOVE_MEMORY);
+        for (team, flow) in flows {
+            if flow.asked_recently + flow.unseen > level {
+                self.seen_at.insert(*team, now);
+            }
+        }
+        let above = flows
+            .iter()
+            .filter(|(team, flow)| flow.asked > level && self.seen_at.contains_key(team));
+        above.map(|(_, flow)| *flow).collect()
+    }
 }
 
-/// Returns the rate that each team above the level may get beyond it, in tokens a second; `None` if
-/// fewer than two teams are above it.
+/// Returns the rate that each team above the level may get beyond it, in tokens a second, from the flows
+/// of the teams above it; `None` if these are fewer than two.
 ///
 /// Guards against oscillating service. Whether a request beyond its team's share finds an endpoint
 /// empty enough depends on the team's service, which is known a second or two late. Without a limit
@@ -60,8 +92,9 @@
 /// level is known just as late, but hardly changes.
 #[must_use]
 #[allow(clippy::cast_precision_loss)]
-pub fn allowance_beyond_level(level: f64, flows: &BTreeMap<u64, TeamFlow>) -> Option<f64> {
-    let beyond: Vec<f64> = teams_above_level(level, flows)
+pub fn allowance_beyond_level(level: f64, above: &[TeamFlow]) -> Option<f64> {
+    let beyond: Vec<f64> = above
+        .iter()
         .map(|flow| (flow.served - level).max(0.0))
         .collect();
     if beyond.len() < 2 {
@@ -71,15 +104,15 @@
     Some((SPARE_GROWTH * mean).clamp(MIN_SPARE * level, MAX_SPARE * level))
 }
 
-/// Returns the service of the least served team above the level, at least the level; infinite if no
-/// team is above it.
+/// Returns the service of the least served of the teams above the level, at least the level; infinite if
+/// no team is above it.
 ///
 /// Capacity beyond the published rate goes to the team that finds an endpoint nearly idle, which is
 /// more often the team with more requests and shorter prompts. When compared with its share alone,
 /// such a team got twice the level while another one got the level.
 #[must_use]
-pub fn least_served(level: f64, flows: &BTreeMap<u64, TeamFlow>) -> f64 {
-    let served = teams_above_level(level, flows).map(|flow| flow.served);
+pub fn least_served(level: f64, above: &[TeamFlow]) -> f64 {
+    let served = above.iter().map(|flow| flow.served);
     let least = served.fold(f64::INFINITY, f64::min);
     least.max(level)
 }
--- a/src/gateway/decide/shares.rs
+++ b/src/gateway/decide/shares.rs
@@ -30,6 +30,7 @@
 use crate::units::TimeSpan;
 
 use super::super::routes::TeamKey;
+use super::levels::TeamsAboveLevel;
 use super::levels::allowance_beyond_level;
 use super::levels::correction;
 use super::levels::least_served;
@@ -311,6 +312,7 @@
     /// 0 as soon as a team has asked, although no team is limited then.
     level: f64,
     teams: BTreeMap<TeamKey, TeamCounts>,
+    above: TeamsAboveLevel,
     /// Values of the last time that shares were set, and the flows of all teams at all routers
     /// then, by the hash of the team's key.
     terms: Option<ShareTerms>,
@@ -328,6 +330,7 @@
             mean_tokens: FIRST_TOKENS,
             level: f64::INFINITY,
             teams: BTreeMap::new(),
+            above: TeamsAboveLevel::default(),
             terms: None,
             flows: BTreeMap::new(),
         }
@@ -485,10 +488,11 @@
         }
         let demands = self.demands(now, &own, &flows);
         let level = max_min_level(rate, demands.values().map(|demand| demand.asked));
+        let above = self.above.update(now, level, &flows);
         let terms = ShareTerms {
             level: if rate > 0.0 { level } else { f64::INFINITY },
-            least: least_served(level, &flows),
-            spare: allowance_beyond_level(level, &flows),
+            least: least_served(level, &above),
+            spare: allowance_beyond_level(level, &above),
             coverage: self.window_coverage(now),
             window: self.window,
         };
