--- a/src/gateway/decide/shares.rs
+++ b/src/gateway/decide/shares.rs
@@ -30,6 +30,7 @@
 use crate::units::TimeSpan;
 
 use super::super::routes::TeamKey;
+use super::levels::TeamsAboveLevel;
 use super::levels::allowance_beyond_level;
 use super::levels::correction;
 use super::levels::least_served;
@@ -131,6 +132,8 @@
     pub asked_here: f64,
     /// Rate that this router may serve within the share.
     pub allowed_here: f64,
+    /// Rate that this router may serve beyond the share; `None` while that is unbounded.
+    pub beyond_here: Option<f64>,
     /// Demand at this router in the last [`RECENT_WINDOW`] that it refused without looking at it.
     pub unseen_here: f64,
     /// Start of the limit.
@@ -309,6 +312,7 @@
     /// 0 as soon as a team has asked, although no team is limited then.
     level: f64,
     teams: BTreeMap<TeamKey, TeamCounts>,
+    above: TeamsAboveLevel,
     /// Values of the last time that shares were set, and the flows of all teams at all routers
     /// then, by the hash of the team's key.
     terms: Option<ShareTerms>,
@@ -326,6 +330,7 @@
             mean_tokens: FIRST_TOKENS,
             level: f64::INFINITY,
             teams: BTreeMap::new(),
+            above: TeamsAboveLevel::default(),
             terms: None,
             flows: BTreeMap::new(),
         }
@@ -458,6 +463,7 @@
                 flow: counts.flow,
                 asked_here: counts.here.asked,
                 allowed_here: counts.allowed?,
+                beyond_here: counts.spare,
                 unseen_here: counts.here.unseen,
                 since: counts.limited_since?,
             })
@@ -482,10 +488,11 @@
         }
         let demands = self.demands(now, &own, &flows);
         let level = max_min_level(rate, demands.values().map(|demand| demand.asked));
+        let above = self.above.update(now, level, &flows);
         let terms = ShareTerms {
             level: if rate > 0.0 { level } else { f64::INFINITY },
-            least: least_served(level, &flows),
-            spare: allowance_beyond_level(level, &flows),
+            least: least_served(level, &above),
+            spare: allowance_beyond_level(level, &above),
             coverage: self.window_coverage(now),
             window: self.window,
         };
