--- a/tests/gateway_begun_answers.rs
+++ b/tests/gateway_begun_answers.rs
@@ -6,6 +6,7 @@
 use verbenaturn::gateway::decide::Admission;
 use verbenaturn::gateway::decide::AdmissionLimit;
 use verbenaturn::gateway::decide::AdmissionRequest;
+use verbenaturn::gateway::decide::GatewayCore;
 use verbenaturn::gateway::decide::shares::ShareStanding;
 use verbenaturn::units::TimeSpan;
 
@@ -23,14 +24,14 @@
 /// Objective of the calls, in ms.
 const OBJECTIVE_MS: u64 = 800;
 
-/// Returns whether a call is admitted that arrived `waited_ms` ago and has `left_ms` left.
-fn is_admitted(
+/// Asks for the admission of a call that arrived `waited_ms` ago and has `left_ms` left.
+fn admit(
+    core: &mut GatewayCore,
     limit: AdmissionLimit,
     standing: ShareStanding,
     waited_ms: u64,
     left_ms: u64,
-) -> bool {
-    let mut core = three_engines();
+) -> Admission {
     let (route, service, shape, team) = (
         route("r", OBJECTIVE_MS),
         service(),
@@ -44,10 +45,18 @@
         limit,
         ..ask(&route, &service, &shape, &team, &prompt)
     };
-    matches!(
-        core.admit(ms(5_000), &request, standing),
-        Admission::Send(_)
-    )
+    core.admit(ms(5_000), &request, standing)
+}
+
+/// Returns whether idle engines admit such a call.
+fn is_admitted(
+    limit: AdmissionLimit,
+    standing: ShareStanding,
+    waited_ms: u64,
+    left_ms: u64,
+) -> bool {
+    let admission = admit(&mut three_engines(), limit, standing, waited_ms, left_ms);
+    matches!(admission, Admission::Send(_))
 }
 
 /// Guards against an answer that is cut although endpoints are idle, because the time since its call
@@ -98,24 +107,11 @@
 #[test]
 fn a_search_for_another_endpoint_is_no_refused_demand() {
     let mut core = three_engines();
-    let (route, service, shape, team) = (
-        route("r", OBJECTIVE_MS),
-        service(),
-        engine_service(),
-        nadi(),
-    );
-    let prompt = prompt(7, 1_000, 4_000);
-    let late = AdmissionRequest {
-        waited: TimeSpan::from_millis(1_000),
-        left: TimeSpan::from_millis(5),
-        ..ask(&route, &service, &shape, &team, &prompt)
-    };
     for (limit, is_counted) in [
         (AdmissionLimit::Deadline, false),
         (AdmissionLimit::Objective, true),
     ] {
-        let late = AdmissionRequest { limit, ..late };
-        let refused = core.admit(ms(5_000), &late, ShareStanding::Within);
+        let refused = admit(&mut core, limit, ShareStanding::Within, 1_000, 5);
         assert!(matches!(refused, Admission::Refuse { .. }));
         let turned_away = core.shares.turned_away_per_s(ms(5_000));
         assert_eq!(turned_away > 0.0, is_counted, "{limit:?}");
