Routers send a new process the records of where streams began

Callers saw: 24 of 24 streams refused (503, version_unknown) at routers in touch, while six engines of their version served and all new streams began: two versions side by side, all routers but the one at which the streams began were killed in turn and started again, then that one was killed. The same if one version served and a release came after the series, if the first router was killed before the others, in a fleet of fourteen, and in one of fourteen whose deputies were killed before their depositor stood still.

Cause: what has to outlive a process was told once, to those that lived then. Each restart thins the copies, and nobody fills them up again; a process that starts is told of mixed services and of the past, but not of the records. Same class as the router that stands still when a release begins, over time instead of over hosts.

Ruled out: that new processes were not found or not asked (known_by=nobody after 121 ms, that is after two rounds of questions that all were answered), and that records had expired (8 s old, kept for 30 s).

Why it works: a router that hears a new process sends it the records that it would hold. Of a small fleet each record comes from its beginner and two more, which differ by stream; of a larger one the keepers of a record that live send it, and a depositor deposits again at a new deputy.

--- a/src/gateway/decide/mod.rs
+++ b/src/gateway/decide/mod.rs
@@ -29,6 +29,7 @@
 pub mod placement;
 pub mod process_ends;
 pub mod quarantine;
+pub mod record_refill;
 pub mod shares;
 pub mod sizes;
 pub mod stream_deposits;
--- a/src/gateway/decide/stream_origins.rs
+++ b/src/gateway/decide/stream_origins.rs
@@ -15,6 +15,7 @@
 //! ([`super::stream_deposits`]).
 //!
 //! Streams that end are told no more. A record is kept for as long as a caller may resume a stream.
+//! New processes of routers are sent the records that they would hold ([`super::record_refill`]).
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
@@ -89,10 +90,22 @@
     NoRecord(usize),
 }
 
+/// A stream with a record.
+#[derive(Debug, Clone, Copy)]
+pub struct KnownStream<'a> {
+    /// Its number.
+    pub number: StreamNumber,
+    /// Where it began.
+    pub start: &'a StreamStart,
+    /// Whether this router passed on its first event, or the first one of a further answer.
+    pub began_here: bool,
+}
+
 #[derive(Debug)]
 struct OriginRecord {
     start: StreamStart,
     recorded: Moment,
+    began_here: bool,
 }
 
 #[derive(Debug)]
@@ -140,6 +153,9 @@
             software: software.clone(),
         };
         self.record(now, stream, start);
+        if let Some(record) = self.records.get_mut(&stream) {
+            record.began_here = true;
+        }
         let untold = UntoldStream {
             service: service.clone(),
             is_deposited: false,
@@ -158,9 +174,12 @@
         if let Some(known) = self.records.get_mut(&stream) {
             known.recorded = now;
         } else {
-            let recorded = now;
-            self.records
-                .insert(stream, OriginRecord { start, recorded });
+            let record = OriginRecord {
+                start,
+                recorded: now,
+                began_here: false,
+            };
+            self.records.insert(stream, record);
         }
         self.order.push_back((now, stream));
     }
@@ -171,6 +190,15 @@
         self.records.get(&stream).map(|record| &record.start)
     }
 
+    /// Returns all streams with records.
+    pub fn known(&self) -> impl Iterator<Item = KnownStream<'_>> {
+        self.records.iter().map(|(number, record)| KnownStream {
+            number: *number,
+            start: &record.start,
+            began_here: record.began_here,
+        })
+    }
+
     /// Returns what is known of a stream that a caller resumes at this service. `stream` is `None` if
     /// the caller doesn't name it.
     #[must_use]
@@ -254,6 +282,14 @@
         self.with_starts(&streams)
     }
 
+    /// Lets all streams that were not told be deposited once more, since a deputy has lost what was
+    /// deposited there.
+    pub fn deposit_again(&mut self) {
+        for untold in self.untold.values_mut() {
+            untold.is_deposited = false;
+        }
+    }
+
     /// Returns these streams with where they began, if that is recorded.
     #[must_use]
     pub fn with_starts(&self, streams: &[StreamNumber]) -> Vec<(StreamNumber, StreamStart)> {
@@ -294,11 +330,8 @@
 /// rendezvous order, which is the same for all routers with the same list.
 #[must_use]
 pub fn holders(routers: &[IpAddr], stream: StreamNumber, count: usize) -> Vec<IpAddr> {
-    let rank = |router: &IpAddr| match router {
-        IpAddr::V4(address) => xxh3_64_with_seed(&address.octets(), stream.0),
-        IpAddr::V6(address) => xxh3_64_with_seed(&address.octets(), stream.0),
-    };
-    let mut ranked: Vec<(u64, IpAddr)> = routers.iter().map(|ip| (rank(ip), *ip)).collect();
+    let ranked = routers.iter().map(|router| rank(*router, stream));
+    let mut ranked: Vec<RouterRank> = ranked.collect();
     let count = count.min(ranked.len());
     if count > 0 && count < ranked.len() {
         ranked.select_nth_unstable_by(count - 1, |left, right| right.cmp(left));
@@ -306,3 +339,30 @@
     ranked.truncate(count);
     ranked.into_iter().map(|(_, ip)| ip).collect()
 }
+
+/// Returns true if a router is among the [`holders`] in a fleet of it and these others.
+///
+/// It compares until `count` others come before the router, about twice `count` of them, so that a
+/// router can look at all its records when another one starts.
+#[must_use]
+pub fn is_holder(
+    others: impl Iterator<Item = IpAddr>,
+    router: IpAddr,
+    stream: StreamNumber,
+    count: usize,
+) -> bool {
+    let own = rank(router, stream);
+    let before = others.filter(|other| *other != router && rank(*other, stream) > own);
+    before.take(count).count() < count
+}
+
+/// Place of a router in a stream's rendezvous order; the highest comes first.
+type RouterRank = (u64, IpAddr);
+
+fn rank(router: IpAddr, stream: StreamNumber) -> RouterRank {
+    let hash = match router {
+        IpAddr::V4(address) => xxh3_64_with_seed(&address.octets(), stream.0),
+        IpAddr::V6(address) => xxh3_64_with_seed(&address.octets(), stream.0),
+    };
+    (hash, router)
+}
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -24,6 +24,9 @@
 
 use super::decide::departures::FirstList;
 use super::decide::endpoints::EndpointRow;
+use super::decide::record_refill::FleetView;
+use super::decide::record_refill::RecordRefill;
+use super::decide::record_refill::ToldRouters;
 use super::decide::stream_deposits::DepositorProcess;
 use super::decide::stream_origins::ListStatus;
 use super::decide::stream_origins::StreamNumber;
@@ -36,7 +39,6 @@
 use super::handover;
 use super::link::LinkSpeed;
 use super::origin_exchange;
-use super::origin_exchange::ToldRouters;
 use super::peer_table::ElectionLimits;
 use super::peer_table::PeerTable;
 use super::readers::ReaderElection;
@@ -139,6 +141,8 @@
     sent_in_touch: bool,
     /// Whether any other router was ever heard.
     has_met_others: bool,
+    /// Records for routers' new processes.
+    refill: RecordRefill,
 }
 
 /// Exchanges digests with other routers until the process ends.
@@ -160,6 +164,7 @@
         sent_versions: (0, 0),
         sent_in_touch: false,
         has_met_others: false,
+        refill: RecordRefill::default(),
     };
     let pause = Duration::from_millis(gossip.shared.config.gossip_ms.max(1));
     let mut ticks = interval(pause);
@@ -322,6 +327,17 @@
         } else {
             origin_exchange::take_untold(&self.shared, now, told_routers)
         };
+        let fleet = FleetView {
+            own: self.plan.listen.ip(),
+            others: &live,
+            told: told_routers,
+        };
+        if !self.new_peers.is_empty() {
+            origin_exchange::refill(&self.shared, now, fleet, &self.new_peers, &mut self.refill);
+        }
+        for (address, message) in origin_exchange::refill_round(&mut self.refill) {
+            self.send(address, &message).await;
+        }
         let told = if tells_all { &begun[..] } else { &[] };
         let digest = self.digest(now, told).encode_to_vec();
         for address in self.receivers(now, digest.len()) {
--- a/src/gateway/origin_exchange.rs
+++ b/src/gateway/origin_exchange.rs
@@ -2,6 +2,7 @@
 //! [`super::gossip`]'s.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::IpAddr;
 
 use xxhash_rust::xxh3::xxh3_64;
@@ -9,6 +10,12 @@
 use crate::units::Moment;
 use crate::units::TimeSpan;
 
+use super::decide::record_refill::FleetView;
+use super::decide::record_refill::RECORD_KEEPERS;
+use super::decide::record_refill::RecordRefill;
+use super::decide::record_refill::RefillMessage;
+use super::decide::record_refill::ToldRouters;
+use super::decide::record_refill::records_for;
 use super::decide::stream_deposits::DepositorProcess;
 use super::decide::stream_origins::StreamNumber;
 use super::decide::stream_origins::StreamStart;
@@ -31,7 +38,7 @@
 
 /// Routers that are asked for a stream in such a fleet: those that were told, also if the two routers
 /// know different fleets by one, and the one that began it if it counts itself in.
-const ASKED_ROUTERS: usize = 3;
+const ASKED_ROUTERS: usize = RECORD_KEEPERS;
 
 /// Maximum number of streams told in one round, or deposited at once: 2 KB. When a release begins,
 /// all running streams are to be told.
@@ -43,15 +50,6 @@
 /// A message and its receiver.
 pub type AddressedDigest = (IpAddr, RouterDigest);
 
-/// Who is told of streams in a round.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ToldRouters {
-    /// All other routers, in the digests.
-    All,
-    /// The holders of each stream.
-    Holders,
-}
-
 /// Takes the streams that are to be told in this round.
 pub fn take_untold(
     shared: &SharedState,
@@ -126,6 +124,44 @@
     messages.collect()
 }
 
+/// Queues the records for routers' new processes, and has this router's streams deposited once more if
+/// one of them is its deputy.
+pub fn refill(
+    shared: &SharedState,
+    now: Moment,
+    fleet: FleetView<'_>,
+    new: &BTreeSet<IpAddr>,
+    waiting: &mut RecordRefill,
+) {
+    let mut core = shared.core();
+    for receiver in new {
+        let records = records_for(now, fleet, *receiver, &core.origins, &core.versions);
+        if !records.is_empty() {
+            let queued = waiting.add(*receiver, &records);
+            let known = records.len();
+            spdlog::info!("peers: router={receiver} step=refill streams={known} queued={queued}");
+        }
+    }
+    let deputies = deputies_of(fleet.own, fleet.others);
+    if deputies.iter().any(|deputy| new.contains(deputy)) {
+        core.origins.deposit_again();
+    }
+}
+
+/// Returns the next messages with records for routers' new processes.
+#[must_use]
+pub fn refill_round(waiting: &mut RecordRefill) -> Vec<AddressedDigest> {
+    let messages = waiting.take_round().into_iter();
+    let messages = messages.map(|RefillMessage { receiver, records }| {
+        let message = RouterDigest {
+            begun: BegunStreams::group(&records),
+            ..RouterDigest::default()
+        };
+        (receiver, message)
+    });
+    messages.collect()
+}
+
 /// Returns the questions that were not sent yet; `asks_all` in a fleet in which all routers are told.
 #[must_use]
 pub fn take_questions(
