The store's history tells new processes which versions were listed before

Cause: a new process had no evidence of the past but the memory of others, and without any took the past for unknown until stream_memory_ms were over.

The past is known if the history is at least as long as the longest resumable stream by the routes in force (platform: 20 s of history, 15 s), no entry of unknown content was written over or removed in it, and no endpoint that is new by its start time lacks its registration, which shows a history dropped sooner. A second version in it makes the service mixed, as before. Only the fleet's oldest processes ask, in the first three seconds: a later one would see less and override what the older have found.

Left: an entry without a start time can't show a history that was dropped. Then a service whose former version left without new endpoints, in a dropped part of the last 15 s, before all routers were killed, counts as one with one version.

--- a/src/gateway/config.rs
+++ b/src/gateway/config.rs
@@ -13,6 +13,7 @@
 use crate::settings::LogSettings;
 use crate::units::DomainName;
 use crate::units::HostName;
+use crate::units::TimeSpan;
 
 use super::link::LinkSpeed;
 
@@ -119,6 +120,9 @@
     /// Longest time for which a broken stream may be resumed, in ms, counted from its last event. Where
     /// streams began is remembered for as long.
     pub stream_memory_ms: u64,
+    /// Time for which the store keeps its changes, in s; 0 if it keeps none. They tell a process which
+    /// software versions endpoints had before its start.
+    pub store_history_s: f64,
     /// Time limit for connecting to an endpoint, in ms.
     pub connect_timeout_ms: u64,
     /// Idle time after which a connection to an endpoint is not reused, in ms, unless the endpoint
@@ -185,6 +189,7 @@
             elsewhere_retry_ms: 20,
             part_memory_ms: 10_000,
             stream_memory_ms: 30_000,
+            store_history_s: 20.0,
             connect_timeout_ms: 300,
             idle_reuse_ms: 300,
             link_mbps: LinkSpeed(1_000.0),
@@ -207,6 +212,14 @@
     }
 }
 
+impl GatewayConfig {
+    /// Returns the time for which the store keeps its changes.
+    #[must_use]
+    pub fn store_history(&self) -> TimeSpan {
+        seconds(self.store_history_s)
+    }
+}
+
 /// Reads and validates settings.
 ///
 /// # Errors
@@ -214,3 +227,9 @@
 pub fn read_gateway_settings(text: &[u8]) -> Result<GatewaySettings, FaultList> {
     read_document(text)
 }
+
+/// Returns a setting in seconds as a time span.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+pub(super) fn seconds(seconds: f64) -> TimeSpan {
+    TimeSpan((seconds * 1e6) as u64)
+}
--- a/src/gateway/decide/core.rs
+++ b/src/gateway/decide/core.rs
@@ -9,6 +9,7 @@
 use crate::units::TimeSpan;
 
 use super::super::config::GatewayConfig;
+use super::super::config::seconds;
 use super::super::protocol::PartIds;
 use super::super::protocol::PromptShape;
 use super::super::routes::EndpointEntry;
@@ -148,11 +149,6 @@
     }
 }
 
-#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-fn seconds(seconds: f64) -> TimeSpan {
-    TimeSpan((seconds * 1e6) as u64)
-}
-
 /// Time left until the call's deadline, in ms.
 #[allow(clippy::cast_precision_loss)]
 fn left_ms(request: &AdmissionRequest<'_>) -> f64 {
--- a/src/gateway/decide/mod.rs
+++ b/src/gateway/decide/mod.rs
@@ -26,6 +26,7 @@
 pub mod notices;
 pub mod outcomes;
 pub mod part_crashes;
+pub mod past_versions;
 pub mod placement;
 pub mod process_ends;
 pub mod quarantine;
--- a/src/gateway/decide/version_history.rs
+++ b/src/gateway/decide/version_history.rs
@@ -10,9 +10,11 @@
 //! same time however often it is passed on. In the same way it learns for how long a stream may
 //! still be resumed that began before the first list of the oldest process. Until then a service
 //! with one version may have had another, and counts as mixed: after all routers were killed,
-//! nobody knows the versions from before.
+//! nobody knows the versions from before, unless the store's history tells them
+//! ([`super::past_versions`]).
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use crate::units::Moment;
 use crate::units::TimeSpan;
@@ -29,6 +31,10 @@
 /// sender could report any number.
 const MAX_MIXED_TOLD: usize = 256;
 
+/// Time after the first list of the oldest router in which the store's history is asked for the
+/// versions before.
+const HISTORY_TIME: TimeSpan = TimeSpan::from_millis(3_000);
+
 /// A service in messages between routers: the low 32 bits of the hash of its name.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ServiceNumber(pub u32);
@@ -140,6 +146,29 @@
         self.told.retain(|_, until| now < *until);
     }
 
+    /// Returns true if the store's history may tell the versions before the first list: the oldest
+    /// router has just got its own. Later the history covers less of the past, and an older router
+    /// has found already that it doesn't tell.
+    #[must_use]
+    pub fn may_ask_history(&self, now: Moment) -> bool {
+        let PastVersions::UnknownUntil(until) = self.past else {
+            return false;
+        };
+        until.since(now).0 + HISTORY_TIME.0 > self.memory.0
+    }
+
+    /// Records all versions that endpoints had before the first list, and the current ones. Nothing
+    /// from before is unknown then.
+    pub fn record_past(&mut self, now: Moment, versions: BTreeSet<(ServiceKey, SoftwareVersion)>) {
+        for (service, software) in versions {
+            let versions = self.versions.entry(service).or_default();
+            versions.entry(software).or_insert(LastListed::Until(now));
+        }
+        if self.past != PastVersions::Known {
+            self.past = PastVersions::UnknownUntil(now);
+        }
+    }
+
     /// Applies another router's report of mixed services.
     pub fn apply_report(&mut self, now: Moment, mixed: &[MixedService]) {
         for MixedService { service, left } in mixed {
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -14,6 +14,7 @@
 
 use super::endpoint_view::EndpointView;
 use super::freshness::watch_wait;
+use super::past::learn_past;
 use super::routes::EndpointEntry;
 use super::routes::EndpointKey;
 use super::routes::RouteTable;
@@ -122,6 +123,28 @@
     pub as_of: StoreRevision,
 }
 
+/// What an endpoint's entry held after a change.
+#[derive(Debug, Clone, PartialEq)]
+pub enum PastContent {
+    /// This entry.
+    Entry(EndpointEntry),
+    /// Content that names no endpoint to use.
+    Unusable,
+    /// Nothing: it was removed.
+    Removed,
+}
+
+/// A change in the store's history of an endpoint's entry.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PastChange {
+    /// The endpoint.
+    pub key: EndpointKey,
+    /// True if the store had no entry of that name before.
+    pub is_creation: bool,
+    /// What the entry held since.
+    pub content: PastContent,
+}
+
 /// The reason why a call to the store failed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum StoreFault {
@@ -162,6 +185,15 @@
         after: StoreRevision,
         wait: Duration,
     ) -> impl Future<Output = Result<StateChanges, StoreFault>> + Send;
+
+    /// Returns the changes of endpoints after a revision, oldest first.
+    ///
+    /// # Errors
+    /// As for [`Self::watch`].
+    fn history(
+        &self,
+        after: StoreRevision,
+    ) -> impl Future<Output = Result<Vec<PastChange>, StoreFault>> + Send;
 }
 
 /// Time after a watch's own wait at which its connection counts as dead. Even a store that is fifty
@@ -205,6 +237,9 @@
             follower.shared.wait_until_reader().await;
         }
         if let Some(as_of) = follower.read().await {
+            if section == StateSection::Endpoints {
+                learn_past(&*follower.store, &follower.shared, as_of).await;
+            }
             follower.watch_from(as_of).await;
         }
         follower.shared.set_in_touch(section, false);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -38,6 +38,7 @@
 pub mod metrics;
 pub mod origin_exchange;
 pub mod origin_lookup;
+pub mod past;
 pub mod peer_table;
 pub mod place;
 pub mod pool;
--- a/src/gateway/routes.rs
+++ b/src/gateway/routes.rs
@@ -13,6 +13,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::units::TimeSpan;
+
 use super::link::LinkSpeed;
 
 macro_rules! text_key {
@@ -207,6 +209,16 @@
         }
     }
 
+    /// Returns the longest time that a stream lasts which may be resumed.
+    #[must_use]
+    pub fn longest_stream(&self) -> TimeSpan {
+        let routes = self.hosts.values().flatten();
+        let streams =
+            routes.filter(|route| route.streams && route.repeats == Repeatability::Resumable);
+        let longest = streams.map(|route| route.timeout_ms).max();
+        TimeSpan::from_millis(longest.unwrap_or(0))
+    }
+
     /// Returns the route for a host and path.
     #[must_use]
     pub fn route(&self, host: &str, path: &[u8]) -> Option<&RouteEntry> {
--- a/tests/stores/mod.rs
+++ b/tests/stores/mod.rs
@@ -15,6 +15,7 @@
 use tokio::time::sleep;
 
 use verbenaturn::gateway::config::GatewayConfig;
+use verbenaturn::gateway::follow::PastChange;
 use verbenaturn::gateway::follow::StateChange;
 use verbenaturn::gateway::follow::StateChanges;
 use verbenaturn::gateway::follow::StateItem;
@@ -130,6 +131,10 @@
             }
         }
     }
+
+    async fn history(&self, _: StoreRevision) -> Result<Vec<PastChange>, StoreFault> {
+        Err(StoreFault::Compacted)
+    }
 }
 
 /// Time for which routers in these tests keep endpoints with lapsed registrations.
