--- a/src/gateway/past.rs
+++ b/src/gateway/past.rs
@@ -22,10 +22,12 @@
 /// Number of attempts to read the history; a store that fails more often is left alone.
 const MAX_ATTEMPTS: u32 = 3;
 
-/// Pause before it is looked again whether the first routes have arrived, and the number of looks.
-/// Routes and endpoints are read at the same time.
+/// Pause between two checks whether the first routes have arrived; they are read at the same time as
+/// the endpoints.
 const ROUTES_PAUSE: Duration = Duration::from_millis(20);
-const ROUTES_LOOKS: u32 = 25;
+
+/// Number of such checks, which together take as long as a slow store's answer.
+const MAX_ROUTE_CHECKS: u32 = 25;
 
 /// Learns which versions were listed before this process's first list, which is of `as_of`, unless
 /// that is known already, or an older router has tried.
@@ -99,10 +101,11 @@
     let count = changes.len();
     match evidence {
         PastEvidence::Complete(versions) => {
-            let known: Vec<String> = versions.iter().map(|(s, v)| format!("{s}/{v}")).collect();
-            let known = known.join(",");
+            let names = versions.iter();
+            let names = names.map(|(service, software)| format!("{service}/{software}"));
+            let names = names.collect::<Vec<String>>().join(",");
             spdlog::info!(
-                "store: step=history revision={as_of} changes={count} past=known versions={known:?}"
+                "store: step=history revision={as_of} changes={count} past=known versions={names:?}"
             );
             let now = shared.clock.now();
             shared.core().versions.record_past(now, versions);
@@ -115,7 +118,7 @@
 
 /// Returns the longest time that a stream lasts by the routes in force.
 async fn longest_stream(shared: &SharedState) -> TimeSpan {
-    for _ in 0..ROUTES_LOOKS {
+    for _ in 0..MAX_ROUTE_CHECKS {
         if let Some(table) = shared.routes() {
             return table.longest_stream();
         }
