The store's history is read beside the watch of endpoints

Found in reading: a process that reads the history didn't watch the endpoints meanwhile, up to 4 s if the store loses answers, though it counted as in touch: others don't read in its place. It reads in a task of its own now. The list that is judged is taken before the history is read; one that the watch has changed meanwhile could hold a registration that the history read lacks, and the past would count as unknown.

--- a/src/gateway/decide/record_refill.rs
+++ b/src/gateway/decide/record_refill.rs
@@ -32,8 +32,8 @@
 /// Maximum number of records in a message: 4 KB.
 const MAX_MESSAGE_RECORDS: usize = 512;
 
-/// Maximum number of messages per round: 32 KB, or 2.6 Mbit/s at ten rounds per second. All records of
-/// a busy fleet of eight take a second.
+/// Maximum number of messages per round: 32 KB, or 2.6 Mbit/s at ten rounds per second. A router's part
+/// of the records of a busy fleet of eight fits into one round.
 const MAX_ROUND_MESSAGES: usize = 8;
 
 /// Maximum number of messages that wait. Sending them takes 6 s; a stream that is sent later has
--- a/src/gateway/decide/stream_origins.rs
+++ b/src/gateway/decide/stream_origins.rs
@@ -342,8 +342,8 @@
 
 /// Returns true if a router is among the [`holders`] in a fleet of it and these others.
 ///
-/// It compares until `count` others come before the router, about twice `count` of them, so that a
-/// router can look at all its records when another one starts.
+/// It compares until `count` others come before the router, some twenty of 1,300 with a count of three,
+/// so that a router can look at all its records when another one starts.
 #[must_use]
 pub fn is_holder(
     others: impl Iterator<Item = IpAddr>,
--- a/src/gateway/decide/version_history.rs
+++ b/src/gateway/decide/version_history.rs
@@ -157,8 +157,7 @@
         until.since(now).0 + HISTORY_TIME.0 > self.memory.0
     }
 
-    /// Records all versions that endpoints had before the first list, and the current ones. Nothing
-    /// from before is unknown then.
+    /// Records the versions that endpoints had before the first list; no others are to be expected.
     pub fn record_past(&mut self, now: Moment, versions: BTreeSet<(ServiceKey, SoftwareVersion)>) {
         for (service, software) in versions {
             let versions = self.versions.entry(service).or_default();
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -238,7 +238,8 @@
         }
         if let Some(as_of) = follower.read().await {
             if section == StateSection::Endpoints {
-                learn_past(&*follower.store, &follower.shared, as_of).await;
+                let (store, shared) = (Arc::clone(&follower.store), Arc::clone(&follower.shared));
+                tokio::spawn(learn_past(store, shared, as_of));
             }
             follower.watch_from(as_of).await;
         }
--- a/src/gateway/past.rs
+++ b/src/gateway/past.rs
@@ -13,6 +13,7 @@
 use super::decide::past_versions::HistoryScope;
 use super::decide::past_versions::PastEvidence;
 use super::decide::past_versions::judge_history;
+use super::endpoint_list::EndpointList;
 use super::follow::PastChange;
 use super::follow::StateStore;
 use super::follow::StoreFault;
@@ -31,15 +32,21 @@
 
 /// Learns which versions were listed before this process's first list, which is of `as_of`, unless
 /// that is known already, or an older router has tried.
-pub async fn learn_past<S: StateStore>(store: &S, shared: &Arc<SharedState>, as_of: StoreRevision) {
+pub async fn learn_past<S: StateStore>(
+    store: Arc<S>,
+    shared: Arc<SharedState>,
+    as_of: StoreRevision,
+) {
     let limit = Duration::from_millis(shared.config.store_timeout_ms);
     for _ in 0..MAX_ATTEMPTS {
         let now = shared.clock.now();
         if !shared.core().versions.may_ask_history(now) {
             return;
         }
-        let fault = match timeout(limit, read_history(store, as_of)).await {
-            Ok(Ok(changes)) => return apply_history(shared, as_of, &changes).await,
+        // Taken before the history is read, which then holds all registrations of this list.
+        let list = shared.endpoints();
+        let fault = match timeout(limit, read_history(&*store, as_of)).await {
+            Ok(Ok(changes)) => return apply_history(&shared, &list, &changes).await,
             Ok(Err(fault)) => fault.to_string(),
             Err(_) => "no answer in time".to_owned(),
         };
@@ -90,13 +97,13 @@
     StoreRevision::of_era(era, after)
 }
 
-async fn apply_history(shared: &SharedState, as_of: StoreRevision, changes: &[PastChange]) {
+async fn apply_history(shared: &SharedState, list: &EndpointList, changes: &[PastChange]) {
     let scope = HistoryScope {
         unix_ms: unix_seconds() * 1_000,
         kept_for: shared.config.store_history(),
         longest_stream: longest_stream(shared).await,
     };
-    let list = shared.endpoints();
+    let as_of = list.as_of();
     let evidence = judge_history(scope, list.registered().values(), changes);
     let count = changes.len();
     match evidence {
