--- a/src/gateway/decide/record_refill.rs
+++ b/src/gateway/decide/record_refill.rs
@@ -7,7 +7,7 @@
 //! a new process the records that it would hold if it had not started later.
 //!
 //! In a fleet in which all routers hold all records, each of them comes from the router at which
-//! its stream began and from [`SENDERS`] more, which differ by stream: the fleet sends about three
+//! its stream began and from two more, which differ by stream: the fleet sends about three
 //! copies, not one a router. In a larger fleet the few routers that hold a record send it.
 
 use std::collections::VecDeque;
