--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -285,8 +285,9 @@
     takes_work
 }
 
-/// Sends the call to one endpoint, on this connection or one of its own, and reads its answer. A stream is passed on as it arrives; any
-/// other answer is returned whole, so that the caller can still get another endpoint's instead.
+/// Sends the call to one endpoint, on this connection or one of its own, and reads its answer. A
+/// stream is passed on as it arrives; any other answer is returned whole, so that the caller can
+/// still get another endpoint's instead.
 pub async fn run_attempt<P: CallProtocol>(
     traffic: &TrafficState<P>,
     caller: &mut WireStream,
--- a/src/gateway/call_state.rs
+++ b/src/gateway/call_state.rs
@@ -190,13 +190,10 @@
     }
 
     /// How long an endpoint may be silent before its first output: the route's objective plus twice
-    /// the predicted time to the first output. A hanging endpoint is given up for another one only
-    /// if the request may be repeated; otherwise the wait lasts until the deadline.
+    /// the predicted time to the first output. See [`Self::stall_at`] for requests that can't be sent
+    /// to another one.
     #[must_use]
     pub fn silence_limit(&self, ticket: &AttemptTicket) -> Duration {
-        if !self.can_repeat() || !self.has_attempts_left() {
-            return self.deadline.saturating_duration_since(Instant::now());
-        }
         let predicted = Duration::from_secs_f64(ticket.first_ms.max(0.0) / 1e3);
         Duration::from_millis(self.route.objective_ms) + predicted * 2
     }
--- a/src/gateway/config.rs
+++ b/src/gateway/config.rs
@@ -212,14 +212,6 @@
     }
 }
 
-impl GatewayConfig {
-    /// Returns the time for which the store keeps its changes.
-    #[must_use]
-    pub fn store_history(&self) -> TimeSpan {
-        seconds(self.store_history_s)
-    }
-}
-
 /// Reads and validates settings.
 ///
 /// # Errors
--- a/src/gateway/decide/past_versions.rs
+++ b/src/gateway/decide/past_versions.rs
@@ -15,7 +15,6 @@
 use crate::units::TimeSpan;
 
 use super::super::follow::PastChange;
-use super::super::follow::PastContent;
 use super::super::routes::EndpointEntry;
 use super::super::routes::EndpointKey;
 use super::super::routes::ProcessStartTime;
@@ -88,10 +87,7 @@
     let mut versions = BTreeSet::new();
     for change in changes {
         let is_first = seen.insert(&change.key);
-        let entry = match &change.content {
-            PastContent::Entry(entry) => Some(entry),
-            PastContent::Unusable | PastContent::Removed => None,
-        };
+        let entry = change.entry.as_ref();
         // The process of an older entry has had the same version all the while.
         let tells_all = change.is_creation || entry.is_some_and(|entry| !is_new(entry.born));
         if is_first && !tells_all {
--- a/src/gateway/decide/record_refill.rs
+++ b/src/gateway/decide/record_refill.rs
@@ -26,7 +26,9 @@
 /// them may have started just before, without the record.
 const SENDERS: usize = 2;
 
-/// Routers that keep a record in a fleet in which not all do: those that a router asks for it.
+/// Routers that keep a record in a fleet in which not all do, and that are asked for it: those that were
+/// told, also if two routers know different fleets by one, and the one at which the stream began if it
+/// counts itself in.
 pub const RECORD_KEEPERS: usize = 3;
 
 /// Maximum number of records in a message: 4 KB.
--- a/src/gateway/decide/stream_origins.rs
+++ b/src/gateway/decide/stream_origins.rs
@@ -11,9 +11,8 @@
 //! ([`holders`]). A router that doesn't know a stream of a mixed service asks them
 //! ([`Location::Ask`]). On days with one version a stream that nobody recorded began at that version;
 //! the others are asked all the same, since one with a newer list may have begun it at another one. A
-//! larger fleet then tells the holders nothing; each router deposits its
-//! streams at others that tell the holders in its place if it stands still when a release begins
-//! ([`super::stream_deposits`]).
+//! larger fleet then tells the holders nothing; each router deposits its streams at others that tell
+//! the holders in its place if it stands still when a release begins ([`super::stream_deposits`]).
 //!
 //! Streams that end are told no more. A record is kept for as long as a caller may resume a stream.
 //! New processes of routers are sent the records that they would hold ([`super::record_refill`]).
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -123,17 +123,6 @@
     pub as_of: StoreRevision,
 }
 
-/// What an endpoint's entry held after a change.
-#[derive(Debug, Clone, PartialEq)]
-pub enum PastContent {
-    /// This entry.
-    Entry(EndpointEntry),
-    /// Content that names no endpoint to use.
-    Unusable,
-    /// Nothing: it was removed.
-    Removed,
-}
-
 /// A change in the store's history of an endpoint's entry.
 #[derive(Debug, Clone, PartialEq)]
 pub struct PastChange {
@@ -141,8 +130,8 @@
     pub key: EndpointKey,
     /// True if the store had no entry of that name before.
     pub is_creation: bool,
-    /// What the entry held since.
-    pub content: PastContent,
+    /// What it held since; `None` if it was removed, or named no endpoint to use.
+    pub entry: Option<EndpointEntry>,
 }
 
 /// The reason why a call to the store failed.
--- a/src/gateway/origin_exchange.rs
+++ b/src/gateway/origin_exchange.rs
@@ -36,10 +36,6 @@
 /// may stand still together with the depositor.
 const DEPUTIES: usize = 2;
 
-/// Routers that are asked for a stream in such a fleet: those that were told, also if the two routers
-/// know different fleets by one, and the one that began it if it counts itself in.
-const ASKED_ROUTERS: usize = RECORD_KEEPERS;
-
 /// Maximum number of streams told in one round, or deposited at once: 2 KB. When a release begins,
 /// all running streams are to be told.
 const MAX_TOLD_PER_ROUND: usize = 256;
@@ -172,7 +168,7 @@
     let count = if asks_all {
         routers.len()
     } else {
-        ASKED_ROUTERS
+        RECORD_KEEPERS
     };
     let mut asked: BTreeMap<IpAddr, Vec<u64>> = BTreeMap::new();
     for stream in shared.lookups.unsent() {
--- a/src/gateway/past.rs
+++ b/src/gateway/past.rs
@@ -10,6 +10,7 @@
 use crate::report::unix_seconds;
 use crate::units::TimeSpan;
 
+use super::config::seconds;
 use super::decide::past_versions::HistoryScope;
 use super::decide::past_versions::PastEvidence;
 use super::decide::past_versions::judge_history;
@@ -100,7 +101,7 @@
 async fn apply_history(shared: &SharedState, list: &EndpointList, changes: &[PastChange]) {
     let scope = HistoryScope {
         unix_ms: unix_seconds() * 1_000,
-        kept_for: shared.config.store_history(),
+        kept_for: seconds(shared.config.store_history_s),
         longest_stream: longest_stream(shared).await,
     };
     let as_of = list.as_of();
--- a/tests/gateway_past_versions.rs
+++ b/tests/gateway_past_versions.rs
@@ -15,7 +15,6 @@
 use verbenaturn::gateway::decide::version_history::PastReport;
 use verbenaturn::gateway::decide::version_history::VersionHistory;
 use verbenaturn::gateway::follow::PastChange;
-use verbenaturn::gateway::follow::PastContent;
 use verbenaturn::gateway::follow::StateChanges;
 use verbenaturn::gateway::follow::StateSection;
 use verbenaturn::gateway::follow::StateSnapshot;
@@ -62,7 +61,7 @@
     PastChange {
         key: entry.key.clone(),
         is_creation,
-        content: PastContent::Entry(entry),
+        entry: Some(entry),
     }
 }
 
@@ -70,7 +69,7 @@
     PastChange {
         key: key(name),
         is_creation: false,
-        content: PastContent::Removed,
+        entry: None,
     }
 }
 
