Answers whose status is none are not passed on

Callers got an answer with the status 000 as an answer: `HTTP/1.1 0 Unknown`, signed and with the endpoint's body.

Cause: the parser of heads takes any three digits as a status, and `ResponseHead::take` took over what it gave. All readers of the gateway's answers go through that place, so the range of HTTP's status codes (100 to 599) is checked there; an answer outside of it is no answer, as one with a malformed head: the request is tried again if it may be, and ends with 502 otherwise.

Evidence: `an_answer_whose_status_is_none_is_not_passed_on` failed before (000 reached the caller of /read/) and passes: 000, 099, 600 and 999 on routes of all kinds.

Looked for beside it: lines of a head whose name holds a blank or a control byte, or that are no field at all. Fourteen forms were refused before and are (`an_answer_with_a_header_line_that_is_no_field_is_not_passed_on` passed on the former code); the test stays. The store's client refuses a status under 100 by its library and takes 200 and 410 only.

--- a/src/gateway/http/head.rs
+++ b/src/gateway/http/head.rs
@@ -1,6 +1,7 @@
 //! Strict parsing of the heads of requests and answers.
 
 use std::fmt;
+use std::ops::RangeInclusive;
 
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -8,6 +9,9 @@
 /// Most header fields in one head. Callers send about a dozen; proxies may add more.
 const MAX_FIELDS: usize = 64;
 
+/// Status codes of HTTP. The parser takes any three digits.
+const STATUS_CODES: RangeInclusive<u16> = 100..=599;
+
 /// One header field as it was sent.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct HeaderField {
@@ -34,8 +38,8 @@
 /// Why a head is rejected.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum HeadFault {
-    /// Not HTTP/1.1 (or, in answers, 1.0), more than `MAX_FIELDS` fields, or a form that parsers
-    /// read differently (bare line feeds, folded lines).
+    /// Not HTTP/1.1 (or, in answers, 1.0), more than `MAX_FIELDS` fields, a status outside of
+    /// `STATUS_CODES`, or a form that parsers read differently (bare line feeds, folded lines).
     Malformed,
     /// The head is longer than allowed.
     TooLarge,
@@ -195,6 +199,9 @@
         let (Some(status), Some(version)) = (parsed.code, parsed.version) else {
             return Err(HeadFault::Malformed);
         };
+        if !STATUS_CODES.contains(&status) {
+            return Err(HeadFault::Malformed);
+        }
         Ok(Some(Self {
             status,
             fields: copy_fields(&head, parsed.headers),
