An answer reset while its request is sent does not look whole

Callers got a part of an answer as a complete one: an endpoint answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written.

Cause: the system reports a reset once, to whichever call comes first. Here that was the write of the request's body. The answer's part was in the buffer, so the attempt went on to read, and the next read returned 0, as after an orderly close, which ends a body with neither a length nor chunks. The check whether the endpoint's process has ended found it running.

Now a connection remembers that a write failed, and a read that would return 0 returns that error. A write that fails with a broken pipe is left out: the system reports it if the reset came after an orderly close, and all that was sent has arrived then. All readers of bodies, streams too, go through that read.

Ruled out: the peeks at a socket, which can take such an error as well, are used on callers' connections and on idle ones, where each error ends the connection.

`an_answer_closed_in_an_orderly_way_while_its_request_is_sent_is_whole` passed before and holds that ready answers are delivered.

--- a/src/gateway/http/connection.rs
+++ b/src/gateway/http/connection.rs
@@ -29,6 +29,9 @@
 /// Most unconsumed bytes up to which a connection is read while a write waits.
 const MAX_READ_AHEAD_BYTES: usize = 65_536;
 
+/// Error of a write that ended because the peer closed its side in an orderly way.
+const PEER_CLOSED: io::ErrorKind = io::ErrorKind::ConnectionAborted;
+
 /// A TCP connection and its read buffer.
 #[derive(Debug)]
 pub struct WireStream {
@@ -37,6 +40,8 @@
     pub buffer: BytesMut,
     /// Reads after a time limit has passed.
     pub overdue: OverdueReads,
+    /// Why a write failed, if one did because the peer had reset the connection.
+    reset: Option<io::ErrorKind>,
     /// Bytes read since other tasks last had a turn.
     read_in_turn: usize,
     meter: Option<Arc<LinkMeter>>,
@@ -50,6 +55,7 @@
             stream,
             buffer: BytesMut::new(),
             overdue: OverdueReads::default(),
+            reset: None,
             read_in_turn: 0,
             meter: None,
         }
@@ -95,12 +101,20 @@
 
     /// Reads more bytes into the buffer. Returns 0 if the peer closed its side.
     ///
+    /// Guards against a reset that looks like an orderly close, and the part of an answer before it
+    /// like a whole one: the system reports a reset once, and to a write if that comes first.
+    ///
     /// # Errors
-    /// If the connection broke.
+    /// If the connection broke, also if a write has found that before.
     pub async fn fill(&mut self) -> io::Result<usize> {
         self.end_turn().await;
         self.buffer.reserve(READ_BYTES);
         let read = self.stream.read_buf(&mut self.buffer).await?;
+        if read == 0
+            && let Some(kind) = self.reset
+        {
+            return Err(kind.into());
+        }
         self.read_in_turn += read;
         self.count_received(read);
         Ok(read)
@@ -135,7 +149,19 @@
     /// If the connection broke.
     pub async fn send(&mut self, bytes: &[u8]) -> io::Result<()> {
         self.count_sent(bytes.len());
-        self.stream.write_all(bytes).await
+        let sent = self.stream.write_all(bytes).await;
+        self.record_reset(&sent);
+        sent
+    }
+
+    /// Records that a write failed, unless the peer had closed its side before: all that it sent has
+    /// then arrived, and the system reports a broken pipe.
+    fn record_reset(&mut self, sent: &io::Result<()>) {
+        if let Err(fault) = sent
+            && !matches!(fault.kind(), PEER_CLOSED | io::ErrorKind::BrokenPipe)
+        {
+            self.reset = Some(fault.kind());
+        }
     }
 
     /// Writes all of `bytes`. If they don't fit the socket's buffer at once, keeps reading while it
@@ -148,6 +174,12 @@
     /// If the connection broke, or the peer closed its side while the write waited.
     pub async fn send_while_reading(&mut self, bytes: &[u8]) -> io::Result<()> {
         self.count_sent(bytes.len());
+        let sent = self.write_while_reading(bytes).await;
+        self.record_reset(&sent);
+        sent
+    }
+
+    async fn write_while_reading(&mut self, bytes: &[u8]) -> io::Result<()> {
         // Almost every write fits the socket's buffer, so that nothing has to be read meanwhile.
         let mut sent = match self.stream.try_write(bytes) {
             Ok(count) => count,
@@ -161,7 +193,7 @@
                 written = writer.write(&bytes[sent..]) => sent += written?,
                 read = reader.read_buf(&mut self.buffer), if may_read => {
                     if read? == 0 {
-                        return Err(io::ErrorKind::ConnectionAborted.into());
+                        return Err(PEER_CLOSED.into());
                     }
                 }
             }
