verbenaturnd: answers with a status over 599 are not passed on

The same fault as that of the gateway, on the other way to endpoints: a plain service's answer with the status 600 reached the caller. The library refuses a status under 100 and takes all up to 999; the reader dropped interim ones only.

Now only final statuses of HTTP, 200 to 599, count as answers; anything else ends the attempt as garbage, as 101 did before.

Evidence: `an_answer_with_a_head_that_is_none_is_not_passed_on` failed before (600) and passes. 000, 099 and names with blanks or control bytes were refused before, and an answer that is reset while its request is sent was cut before; both tests stay.

--- a/src/endpoint/reader.rs
+++ b/src/endpoint/reader.rs
@@ -2,6 +2,7 @@
 //! ahead of the caller, so a slow caller puts backpressure on its endpoint instead of filling this
 //! router's memory.
 
+use std::ops::RangeInclusive;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -12,7 +13,6 @@
 use http::HeaderMap;
 use http::HeaderValue;
 use http::Response;
-use http::StatusCode;
 use http::header;
 use http_body_util::BodyExt;
 use hyper::body::Body;
@@ -38,6 +38,9 @@
 /// Growth of a stored answer after which its size is reported to the core again, in bytes.
 const STORED_STEP_BYTES: usize = 32 * 1024;
 
+/// Status codes of final answers. The library takes all up to 999.
+const FINAL_STATUS_CODES: RangeInclusive<u16> = 200..=599;
+
 /// How an attempt ended, and the answer's body if its end has not been read yet.
 pub type ReadResult = (AttemptOutcome, Option<Incoming>);
 
@@ -80,7 +83,7 @@
             status: parts.status,
             headers: fields,
         };
-        if head.status.is_informational() || head.status == StatusCode::SWITCHING_PROTOCOLS {
+        if !FINAL_STATUS_CODES.contains(&head.status.as_u16()) {
             return (AttemptOutcome::Garbage, None);
         }
         match self.shape {
