Answers that are collected share a bounded memory

What others saw: a faulty endpoint sent bytes without end until the caller closed; the host that had called it kept them all, ran out of memory, and the requests of all its callers ended with it.

Cause here: each plain answer, and each failure on any route, is collected up to `max_answer_bytes` (4 MiB), and nothing bounded their sum. A test with 4 flooding endpoints of 64 slots and 256 calls, of which 45 are under way when the bytes begin: the process took 173 MB (plain answers) and 199 MB (failures of streams); the smallest hosts allow 110 MB. With three calls, as the former test had, it stays small.

Now all collected answers share `answer_memory_bytes` (24 MiB). An answer may grow while it is no larger than what is left: n endless ones stop at one part in n + 1 each, and shorter answers still find memory; up to 16 KiB are always collected. The memory counts until the answer is written to its caller.

Ruled out: heads (32 KiB), skipped answers, trailers and chunk sizes were bounded; incomplete events are bounded by 256 KiB a stream, 45 streams of them took 30 MB before and after (`many_event_lines_without_end` passed before and stays).

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -395,12 +395,18 @@
     if at_most_once && implies_not_run(answer.head.status) {
         return give_up(traffic, caller, call, "unproven refusal").await;
     }
-    let framing = ReplyFraming::Length(answer.body.len());
-    let mut out = caller_head(&answer.head, framing, call.keep);
-    out.extend_from_slice(&answer.body);
+    let BufferedAnswer {
+        head,
+        body,
+        memory: _memory,
+        ..
+    } = answer;
+    let mut out = caller_head(&head, ReplyFraming::Length(body.len()), call.keep);
+    out.extend_from_slice(&body);
+    drop(body);
     call.first_output = Some(Instant::now());
     match caller.send_while_reading(&out).await {
-        Ok(()) => CallEnd::Answered(answer.head.status),
+        Ok(()) => CallEnd::Answered(head.status),
         Err(_) => CallEnd::CallerLeft,
     }
 }
--- a/src/gateway/config.rs
+++ b/src/gateway/config.rs
@@ -141,6 +141,9 @@
     /// Largest response of a plain service (one without model engines), in bytes; it is forwarded
     /// once it is complete.
     pub max_answer_bytes: usize,
+    /// Bytes of responses that are held in memory at the same time until they are complete and
+    /// forwarded. One response may use half of it, and less while others use much.
+    pub answer_memory_bytes: usize,
     /// Time after an endpoint announced that it is leaving, or its registration ended, after which
     /// it must get no work, in ms.
     pub leave_bound_ms: u64,
@@ -197,6 +200,7 @@
             overload_lag_ms: 60,
             body_memory_bytes: 25_165_824,
             max_answer_bytes: 4_194_304,
+            answer_memory_bytes: 25_165_824,
             leave_bound_ms: 2_000,
             change_bound_ms: 2_000,
             watch_ms: 1_500,
--- a/src/gateway/decide/mod.rs
+++ b/src/gateway/decide/mod.rs
@@ -12,6 +12,7 @@
 //! correctness.
 
 pub mod accounts;
+pub mod answer_memory;
 pub mod answered;
 pub mod attempts;
 pub mod budget;
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -16,6 +16,7 @@
 use super::call::AfterCall;
 use super::call::refuse;
 use super::call::serve_call;
+use super::decide::answer_memory::AnswerMemory;
 use super::http::BodyDecoder;
 use super::http::BodyFraming;
 use super::http::HeadFault;
@@ -50,6 +51,8 @@
     pub protocol: P,
     /// Idle connections to endpoints.
     pub pool: EndpointPool,
+    /// Memory for answers that are collected.
+    pub answers: Rc<AnswerMemory>,
     /// Open connections of callers, lag of the timers and delay of the accept queue.
     pub callers: CallerLoad,
 }
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -35,6 +35,7 @@
 use super::config::GatewayConfig;
 use super::config::GatewaySettings;
 use super::config::read_gateway_settings;
+use super::decide::answer_memory::AnswerMemory;
 use super::follow::StateSection;
 use super::follow::StateStore;
 use super::follow::follow_section;
@@ -219,10 +220,12 @@
         )]
         let listener = AsyncFd::with_interest(listener, Interest::READABLE)?;
         let idle = self.shared.config.descriptors / IDLE_DIVISOR;
+        let answers = AnswerMemory::new(self.shared.config.answer_memory_bytes);
         let traffic = Rc::new(TrafficState {
             shared: self.shared,
             protocol: self.protocol,
             pool: EndpointPool::new(idle),
+            answers,
             callers: CallerLoad::default(),
         });
         serve_callers(traffic, listener).await;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -18,6 +18,7 @@
 use super::call_state::CallState;
 use super::call_state::StreamOrigin;
 use super::decide::AttemptTicket;
+use super::decide::answer_memory::MemoryPart;
 use super::decide::answered::AnswerEnd;
 use super::end_check::ProcessStatus;
 use super::end_check::find_process_status;
@@ -49,6 +50,8 @@
     pub is_proven: bool,
     /// How its end was recognised.
     pub end: AnswerEnd,
+    /// The memory that the body uses.
+    pub memory: MemoryPart,
 }
 
 /// Relays an answer: a successful answer of a streaming route is passed on as it arrives, any other
@@ -94,6 +97,7 @@
     start: &mut AnswerStart,
 ) -> AttemptOutcome {
     let mut body = BytesMut::new();
+    let mut memory = MemoryPart::new(&traffic.answers);
     let bounds = WaitBounds {
         deadline: call.deadline,
         stall: call.deadline,
@@ -109,6 +113,9 @@
         if body.len() > traffic.shared.config.max_answer_bytes {
             return AttemptOutcome::Broken("answer is too large");
         }
+        if !memory.grow_to(body.capacity()) {
+            return AttemptOutcome::Broken("no memory for answers");
+        }
         if start.decoder.is_complete() {
             if start.end == AnswerEnd::Closed {
                 match end_of_closed_answer(traffic, call, ticket).await {
@@ -121,6 +128,7 @@
                 body: body.freeze(),
                 is_proven: start.is_proven,
                 end: start.end,
+                memory,
             });
         }
         match read_or_interrupt(endpoint, caller, ticket, bounds).await {
