Requests that still run when a router ends are answered

Callers saw: in a planned stop, requests whose endpoints still worked at the end of the grace time ended with a closed connection and no answer, among them requests that may not be repeated.

Cause: the last stage of a shutdown ended the traffic thread at once, with all calls in it.

Now a stage before it gives up the calls whose endpoints have not answered: a 502, which promises nothing, or a cut for a stream of which the caller has events already. An answer that is ready at the same moment is passed on.

Evidence: `requests_that_still_run_when_a_router_ends_are_answered` failed before (status 0 on all four kinds of routes) and passes.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -54,6 +54,8 @@
     CallerLeft,
     /// The caller's deadline or the route's timeout passed.
     TimeUp,
+    /// The router ends before the endpoint has answered.
+    RouterEnds,
 }
 
 /// An attempt that takes over from a silent endpoint: it is placed and connected.
@@ -96,14 +98,15 @@
             | Self::HandedOver(_)
             | Self::Broken(_)
             | Self::CallerLeft
-            | Self::TimeUp => return None,
+            | Self::TimeUp
+            | Self::RouterEnds => return None,
         };
         Some(AnswerEvidence { status, end })
     }
 
     /// What the decision core records about the endpoint for this outcome.
     ///
-    /// A caller that left or a time limit that passed says nothing about the endpoint. Another
+    /// A caller that left, a time limit that passed or the router's end says nothing about the endpoint. Another
     /// endpoint at the address means that the intended one was not reached.
     #[must_use]
     pub fn end(&self) -> AttemptEnd {
@@ -118,7 +121,7 @@
             Self::Broken(_) => AttemptEnd::Lost,
             Self::HandedOver(_) => AttemptEnd::Silent,
             Self::NotRun(NotRunCause::Left | NotRunCause::CallerLeft) => AttemptEnd::NotSent,
-            Self::CallerLeft | Self::TimeUp => AttemptEnd::Abandoned,
+            Self::CallerLeft | Self::TimeUp | Self::RouterEnds => AttemptEnd::Abandoned,
         }
     }
 }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -240,7 +240,11 @@
         call.decided.placed(&ticket);
         call.tried_software.clone_from(&ticket.entry.software);
         call.record_attempt(&ticket.entry.key);
-        let outcome = run_attempt(traffic, caller, call, &mut ticket, connection).await;
+        let outcome = tokio::select! {
+            biased;
+            outcome = run_attempt(traffic, caller, call, &mut ticket, connection) => outcome,
+            () = traffic.shared.shutdown_stages.giving_up.cancelled() => AttemptOutcome::RouterEnds,
+        };
         let endpoint = ticket.entry.key.clone();
         end_attempt(traffic, ticket, outcome.end());
         spdlog::debug!(
@@ -307,6 +311,10 @@
             call.may_have_run = true;
             give_up(traffic, caller, call, "time up").await
         }
+        AttemptOutcome::RouterEnds => {
+            call.may_have_run = true;
+            give_up(traffic, caller, call, "router ends").await
+        }
         AttemptOutcome::Answer(answer) => {
             if is_failure(&answer) && call.can_repeat() {
                 call.may_have_run = true;
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -25,6 +25,7 @@
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::sleep_until;
+use tokio::time::timeout;
 use tokio::time::timeout_at;
 
 use crate::daemon::logs;
@@ -57,6 +58,9 @@
 /// Time between the last answer and the end of the process, in which its last bytes are sent.
 const LAST_BYTES_TIME: Duration = Duration::from_millis(50);
 
+/// Longest time for the replies to calls that are given up at the end of the grace time.
+const LAST_REPLIES_TIME: Duration = Duration::from_millis(250);
+
 /// Length of the accept queue: as many connections as the smallest host can refuse in half a
 /// second. The system of a client that finds the queue full retries after a second or gives up.
 const LISTEN_BACKLOG: i32 = 2_048;
@@ -276,8 +280,8 @@
     Ok(ExitCode::SUCCESS)
 }
 
-/// Shuts down in stages: not ready at once, calls served for a while, then everything in flight
-/// ends.
+/// Shuts down in stages: not ready at once, calls served for a while, then what is in flight ends,
+/// and what still is at the end of the grace time is given up.
 ///
 /// The last stage waits for callers' connections and not for calls, since a request that is being
 /// read or lies in a socket is not yet a call.
@@ -293,6 +297,13 @@
     let in_time = timeout_at(grace, drained).await.is_ok();
     let cut = shared.in_flight();
     spdlog::info!("daemon: drain ends cut={cut} in_time={in_time}");
+    if !in_time {
+        shared.shutdown_stages.giving_up.cancel();
+        let drained = shared.shutdown_stages.drained.cancelled();
+        if timeout(LAST_REPLIES_TIME, drained).await.is_err() {
+            spdlog::warn!("daemon: step=give up in_flight={}", shared.in_flight());
+        }
+    }
     sleep(LAST_BYTES_TIME).await;
     shared.shutdown_stages.ended.cancel();
 }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -42,6 +42,8 @@
     pub draining: CancellationToken,
     /// Callers have had time to notice: idle connections are closed and new calls refused.
     pub closing: CancellationToken,
+    /// The time to stop has passed: calls whose endpoints still work are given up and answered.
+    pub giving_up: CancellationToken,
     /// No caller is left: no connection is open, none waits in the accept queue, and the listener
     /// is closed.
     pub drained: CancellationToken,
@@ -54,11 +56,13 @@
     #[must_use]
     pub fn new() -> Self {
         let ended = CancellationToken::new();
-        let closing = ended.child_token();
+        let giving_up = ended.child_token();
+        let closing = giving_up.child_token();
         let draining = closing.child_token();
         Self {
             draining,
             closing,
+            giving_up,
             drained: CancellationToken::new(),
             ended,
         }
