Requests that come late in a planned stop are not taken

Callers saw: in a planned stop, requests that came late in the grace time were taken and passed on, and cut at its end.

Cause here: new calls are served for 3.0 s from when the process notices the signal; the platform counts 3 s from when it sent it. Their endpoints may still work when the router ends.

Now they are served for 2.9 s.

--- a/src/gateway/config.rs
+++ b/src/gateway/config.rs
@@ -170,7 +170,8 @@
     /// Time from SIGTERM within which everything in flight ends, in ms.
     pub grace_ms: u64,
     /// Time from SIGTERM for which new calls are still served, in ms: a load balancer needs time to
-    /// notice that this router is no longer ready.
+    /// notice that this router is no longer ready. Shorter than what the platform allows by the time
+    /// that a busy process takes to notice the signal.
     pub linger_ms: u64,
 }
 
@@ -211,7 +212,7 @@
             gossip_ms: 100,
             peer_timeout_ms: 1_500,
             grace_ms: 7_400,
-            linger_ms: 3_000,
+            linger_ms: 2_900,
         }
     }
 }
