--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -306,15 +306,7 @@
     async fn tick(&mut self) {
         self.round += 1;
         let now = self.shared.clock.now();
-        self.peers.forget(now);
-        self.peers.drop_silent_loads(now, self.timeout());
-        self.shared.expire_kept_endpoints(now);
-        self.apply_reports(now);
-        self.update_reader_role(now);
-        self.fetch_if_behind(now);
-        self.update_list_status(now);
-        self.first_list
-            .record(now, self.shared.endpoints_revision());
+        self.update_view(now);
         let live = self.live(now);
         let tells_all = live.len() <= SMALL_FLEET;
         let told_routers = if tells_all {
@@ -327,17 +319,7 @@
         } else {
             origin_exchange::take_untold(&self.shared, now, told_routers)
         };
-        let fleet = FleetView {
-            own: self.plan.listen.ip(),
-            others: &live,
-            told: told_routers,
-        };
-        if !self.new_peers.is_empty() {
-            origin_exchange::refill(&self.shared, now, fleet, &self.new_peers, &mut self.refill);
-        }
-        for (address, message) in origin_exchange::refill_round(&mut self.refill) {
-            self.send(address, &message).await;
-        }
+        self.refill_new_peers(now, &live, told_routers).await;
         let told = if tells_all { &begun[..] } else { &[] };
         let digest = self.digest(now, told).encode_to_vec();
         for address in self.receivers(now, digest.len()) {
@@ -351,6 +333,34 @@
         }
     }
 
+    /// Drops what is outdated and applies what was heard since the last round.
+    fn update_view(&mut self, now: Moment) {
+        self.peers.forget(now);
+        self.peers.drop_silent_loads(now, self.timeout());
+        self.shared.expire_kept_endpoints(now);
+        self.apply_reports(now);
+        self.update_reader_role(now);
+        self.fetch_if_behind(now);
+        self.update_list_status(now);
+        self.first_list
+            .record(now, self.shared.endpoints_revision());
+    }
+
+    /// Sends new processes, a part each round, the records of where streams began that they would hold.
+    async fn refill_new_peers(&mut self, now: Moment, live: &[IpAddr], told: ToldRouters) {
+        if !self.new_peers.is_empty() {
+            let fleet = FleetView {
+                own: self.plan.listen.ip(),
+                others: live,
+                told,
+            };
+            origin_exchange::refill(&self.shared, now, fleet, &self.new_peers, &mut self.refill);
+        }
+        for (address, message) in origin_exchange::refill_round(&mut self.refill) {
+            self.send(address, &message).await;
+        }
+    }
+
     /// Passes the other routers' reports to the decision core.
     fn apply_reports(&self, now: Moment) {
         let timeout = self.timeout();
