A call that was not sent when its router ends is said not to have run

Such a call, at an endpoint that is still being connected to, got the 502 of those that may have run; a 503 lets its caller go elsewhere at once. Found in reading the change that answers calls at a router's end.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -106,8 +106,8 @@
 
     /// What the decision core records about the endpoint for this outcome.
     ///
-    /// A caller that left, a time limit that passed or the router's end says nothing about the endpoint. Another
-    /// endpoint at the address means that the intended one was not reached.
+    /// A caller that left, a time limit that passed or the router's end says nothing about the
+    /// endpoint. Another endpoint at the address means that the intended one was not reached.
     #[must_use]
     pub fn end(&self) -> AttemptEnd {
         match self {
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -312,7 +312,7 @@
             give_up(traffic, caller, call, "time up").await
         }
         AttemptOutcome::RouterEnds => {
-            call.may_have_run = true;
+            call.may_have_run |= call.sends > 0;
             give_up(traffic, caller, call, "router ends").await
         }
         AttemptOutcome::Answer(answer) => {
