--- a/review/standin-2.rs
+++ b/review/standin-2.rs
@@ -876,6 +876,34 @@
     setting.record.line(&format!(
         "{broken} requests were handled as only version 7 allows"
     ));
+    // What follows is recorded, and not judged.
+    for number in 4..=6 {
+        let id = format!("i-portal{number}");
+        let engine = Engine::start(setting.ip(), &id, &setting.record, Arc::clone(&act))?;
+        let entry = engine.entry("portal-api", "v1");
+        store.put(&format!("servers/{id}"), Some(entry));
+    }
+    for number in 1..=3 {
+        store.put(&format!("servers/i-portal{number}"), None);
+    }
+    setting
+        .record
+        .line("i-portal1 to 3 were replaced by i-portal4 to 6");
+    sleep(Duration::from_secs(5));
+    for (number, gateway) in fleet.iter().enumerate() {
+        ask(gateway, &lasting(3), &format!("replaced{number}"));
+    }
+    let seeds: Vec<Ipv4Addr> = fleet.iter().take(3).map(|gateway| gateway.ip).collect();
+    let late = Gateway::start(&setting.scratch, setting.ip(), &seeds, store.address)?;
+    setting
+        .record
+        .line(&format!("a ninth gateway starts at {}", late.ip));
+    sleep(Duration::from_secs(8));
+    let is_ready = late.is_ready();
+    setting
+        .record
+        .line(&format!("the ninth gateway is ready: {is_ready}"));
+    ask(&late, &lasting(3), "ninth");
     Ok(broken == 0)
 }
 
