A stream that ends inside an event keeps the events before its end

Cause: the splitter takes whole events off and moves the last event's id on; three checks (inside an event, event too large) returned between that and the delivery, so the events were dropped and the next attempt was asked to go on after them. Told apart from: an endpoint that resumes one event too late (the stand-in's record shows that it was asked with the higher id), and events lost by the decoder of chunks (the same end in a read of its own loses nothing).

Now what was taken is delivered before any of the checks ends the attempt. Whole events before bytes that are no chunk are passed on too: they lost nothing where a stream may be resumed, but were made and not delivered where it may not.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -24,6 +24,8 @@
 use super::end_check::find_process_status;
 use super::end_check::find_process_status_early;
 use super::front::TrafficState;
+use super::http::EventSplitter;
+use super::http::FramingFault;
 use super::http::ResponseHead;
 use super::http::WireStream;
 use super::place::read_or_hand_over;
@@ -173,18 +175,10 @@
     call.splitter.restart();
     let mut has_output = false;
     loop {
-        if start
-            .decoder
-            .decode(&mut endpoint.buffer, call.splitter.input())
-            .is_err()
-        {
-            return AttemptOutcome::Broken("malformed stream");
-        }
+        let input = call.splitter.input();
+        let decoded = start.decoder.decode(&mut endpoint.buffer, input);
         let before = call.last_event();
         let mut events = call.splitter.take();
-        if call.splitter.is_too_large() {
-            return AttemptOutcome::Broken("event is too large");
-        }
         if !events.is_empty() && !has_output {
             has_output = true;
             record_stream_part(traffic, call, ticket, before);
@@ -198,8 +192,13 @@
             }
         }
         let ends = start.decoder.is_complete();
-        if ends && call.splitter.is_inside_event() {
-            return AttemptOutcome::Broken("stream ended inside an event");
+        if let Some(cause) = stream_fault(&call.splitter, decoded, ends) {
+            // The next attempt goes on after the events that were taken, so the caller must have them.
+            let delivered = deliver(caller, call, &start.head, &events, false).await;
+            return match delivered {
+                Ok(()) => AttemptOutcome::Broken(cause),
+                Err(_) => AttemptOutcome::CallerLeft,
+            };
         }
         // The caller has the last event before the endpoint is looked at, but not yet the end.
         if ends && start.end == AnswerEnd::Closed {
@@ -240,6 +239,22 @@
     }
 }
 
+/// Returns why an endpoint's stream can't go on after what was decoded of it, if it can't; `ends` if
+/// its framing says that it is complete.
+fn stream_fault(
+    splitter: &EventSplitter,
+    decoded: Result<(), FramingFault>,
+    ends: bool,
+) -> Option<&'static str> {
+    if decoded.is_err() {
+        return Some("malformed stream");
+    }
+    if splitter.is_too_large() {
+        return Some("event is too large");
+    }
+    (ends && splitter.is_inside_event()).then_some("stream ended inside an event")
+}
+
 /// Finds out whether a stream that ended with its connection is complete: the end of the endpoint's
 /// process closes its connections as well, also between two events.
 ///
