A router gets the published state however large it is

Callers got 401, 404 and 503 at routers that don't read the store, for good: keys, routes and endpoints that were added stayed unknown there.

Cause: routes and endpoints went from router to router in one frame of 2 MiB at most, below what the store allows, in one exchange of 0.8 s. A frame over the limit was an error that nobody acted on, logged at debug. A configuration of 0.9 MB is larger once it is decoded (each key with its team's name; optional fields written out), and twelve foreign entries whose version has 300,000 bytes are as well, so any writer of the store could cut off the routers that don't read it. Told apart from: a router that doesn't hear of the version (its messages name it, and it asks each round), and a limit of time alone (the same frame arrives in milliseconds below 2 MiB and never above).

Whatever stops a transfer: a router that has known of a newer state for half of the operators' bound and got nothing reads the store itself. Routers of the program before are served as before.

--- a/src/gateway/freshness.rs
+++ b/src/gateway/freshness.rs
@@ -65,6 +65,13 @@
     TimeSpan(u64::try_from(duration.as_micros()).unwrap_or(u64::MAX))
 }
 
+/// Returns for how long a router tries to get a newer state from others before it reads the store: the
+/// other half of the operator's bound is left to notice the state and to read it.
+#[must_use]
+pub fn stuck_limit(config: &GatewayConfig) -> TimeSpan {
+    span(bound(config) / 2)
+}
+
 /// Returns how long a watch of the store waits for a change.
 #[must_use]
 pub fn watch_wait(config: &GatewayConfig) -> Duration {
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -22,6 +22,8 @@
 use crate::units::Moment;
 use crate::units::TimeSpan;
 
+use super::catch_up::CatchUp;
+use super::catch_up::StateVersions;
 use super::decide::departures::FirstList;
 use super::decide::endpoints::EndpointRow;
 use super::decide::record_refill::FleetView;
@@ -41,6 +43,7 @@
 use super::origin_exchange;
 use super::peer_table::ElectionLimits;
 use super::peer_table::PeerTable;
+use super::readers::ElectionInput;
 use super::readers::ReaderElection;
 use super::shared::SharedState;
 use super::stream_messages::BegunStreams;
@@ -134,9 +137,10 @@
     election: ReaderElection,
     /// Since when another router has had a newer state than this one.
     behind_since: Option<Moment>,
+    catch_up: CatchUp,
     first_list: FirstList,
     /// The version of the routes and the revision of the endpoint list in the last digest.
-    sent_versions: (u64, u64),
+    sent_versions: StateVersions,
     /// Whether the last digest reported contact with the store.
     sent_in_touch: bool,
     /// Whether any other router was ever heard.
@@ -160,8 +164,9 @@
         new_peers: BTreeSet::new(),
         election,
         behind_since: None,
+        catch_up: CatchUp::default(),
         first_list: FirstList::default(),
-        sent_versions: (0, 0),
+        sent_versions: StateVersions::default(),
         sent_in_touch: false,
         has_met_others: false,
         refill: RecordRefill::default(),
@@ -496,9 +501,11 @@
         is_new || is_lost
     }
 
-    fn versions(&self) -> (u64, u64) {
-        let version = self.shared.routes().map_or(0, |table| table.version);
-        (version, self.shared.endpoints_revision().0)
+    fn versions(&self) -> StateVersions {
+        StateVersions {
+            routes: self.shared.routes().map_or(0, |table| table.version),
+            endpoints: self.shared.endpoints_revision().0,
+        }
     }
 
     fn election_limits(&self) -> ElectionLimits {
@@ -514,7 +521,10 @@
         let contact = self.shared.store_contact();
         let own = self.plan.listen.ip();
         let limits = self.election_limits();
-        let election_input = self.peers.election_input(now, limits, own, contact);
+        let election_input = ElectionInput {
+            is_stuck: self.is_stuck(now),
+            ..self.peers.election_input(now, limits, own, contact)
+        };
         self.shared
             .record_peer_contact(now, election_input.contact_count > 0);
         let reads = self.election.should_read(now, election_input);
@@ -525,14 +535,23 @@
             let silence = silence.map_or(-1, |silence| i128::from(silence.as_millis()));
             spdlog::info!(
                 "peers: reads_store={reads} in_touch={} failing={} others_in_touch={contact_count} \
-                 shortage_ms={shortage} reader_silence_ms={silence}",
+                 shortage_ms={shortage} reader_silence_ms={silence} stuck={}",
                 contact.in_touch,
                 contact.is_failing,
+                election_input.is_stuck,
             );
             self.shared.set_reader(reads);
         }
     }
 
+    /// Returns true if this router can't get a newer state that others have.
+    fn is_stuck(&mut self, now: Moment) -> bool {
+        let newest = self.peers.newest(now, self.timeout());
+        let limit = freshness::stuck_limit(&self.shared.config);
+        let own = self.versions();
+        self.catch_up.is_stuck(now, own, newest, limit)
+    }
+
     /// Returns addresses that may belong to routers but don't respond: seeds, addresses from
     /// digests, and routers that fell silent. Their number is limited.
     fn silent(&self, live: &[IpAddr]) -> Vec<IpAddr> {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 pub mod call;
 pub mod call_record;
 pub mod call_state;
+pub mod catch_up;
 pub mod config;
 pub mod decide;
 pub mod digest;
--- a/src/gateway/peer_table.rs
+++ b/src/gateway/peer_table.rs
@@ -10,6 +10,7 @@
 use crate::units::Moment;
 use crate::units::TimeSpan;
 
+use super::catch_up::StateVersions;
 use super::decide::endpoints::PeerLoad;
 use super::decide::shares::RECENT_WINDOW;
 use super::decide::shares::TeamFlow;
@@ -253,13 +254,23 @@
             .count()
     }
 
-    /// Returns a live router with newer routes or endpoints than `known`, the version of the routes
-    /// and the revision of the endpoint list. It is drawn at random, so that requests spread over
-    /// all such routers.
+    /// Returns the newest versions that a live router has.
     #[must_use]
-    pub fn ahead(&self, now: Moment, timeout: TimeSpan, known: (u64, u64)) -> Option<IpAddr> {
+    pub fn newest(&self, now: Moment, timeout: TimeSpan) -> StateVersions {
+        let live = self.live(now, timeout).map(|(_, row)| &row.digest);
+        live.fold(StateVersions::default(), |newest, digest| StateVersions {
+            routes: newest.routes.max(digest.routes_version),
+            endpoints: newest.endpoints.max(digest.endpoints_revision),
+        })
+    }
+
+    /// Returns a live router with newer routes or endpoints than `known`. It is drawn at random, so
+    /// that requests spread over all such routers.
+    #[must_use]
+    pub fn ahead(&self, now: Moment, timeout: TimeSpan, known: StateVersions) -> Option<IpAddr> {
         let newer = self.live(now, timeout).filter(|(_, row)| {
-            row.digest.routes_version > known.0 || row.digest.endpoints_revision > known.1
+            row.digest.routes_version > known.routes
+                || row.digest.endpoints_revision > known.endpoints
         });
         let newer: Vec<&IpAddr> = newer.map(|(address, _)| address).collect();
         if newer.is_empty() {
--- a/src/gateway/readers.rs
+++ b/src/gateway/readers.rs
@@ -50,6 +50,8 @@
     pub in_touch: bool,
     /// True if its last call to the store failed.
     pub is_failing: bool,
+    /// True if it can't get a newer state that others have, see [`super::catch_up`].
+    pub is_stuck: bool,
     /// Other routers that are not in contact with the store and whose last call to it failed.
     pub failing: usize,
     /// Those of them that come before it in the order that all routers share.
@@ -96,13 +98,16 @@
     ///
     /// A router that is in contact remains a reader until enough routers before it in the order are
     /// in contact too, so that readers change only when needed: each new reader reads the whole
-    /// store once.
+    /// store once. A router that can't get what the readers have read reads it itself.
     pub fn should_read(&mut self, now: Moment, election_input: ElectionInput) -> bool {
         let others = self.count_readers(now, election_input);
         let contact_count = others + usize::from(election_input.in_touch);
         if contact_count >= MIN_IN_CONTACT {
             self.sufficient_at = now;
         }
+        if election_input.is_stuck && now >= self.earliest {
+            return !election_input.is_failing || election_input.failing_before < MAX_FAILING;
+        }
         if election_input.in_touch {
             return election_input.contact_before - election_input.silent_before < READERS;
         }
--- a/src/gateway/routes.rs
+++ b/src/gateway/routes.rs
@@ -12,6 +12,7 @@
 use smol_str::SmolStr;
 use xxhash_rust::xxh3::xxh3_64;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::xxh3_128;
 
 use crate::units::TimeSpan;
 
@@ -174,6 +175,22 @@
     }
 }
 
+/// Longest text of a published name that is kept as it is, in bytes.
+const MAX_NAME_BYTES: usize = 64;
+
+/// Returns a published name that is only compared with others, of limited length: a longer one is
+/// replaced by its hash.
+///
+/// Guards against an entry of another writer with a name of a megabyte, which every router would keep,
+/// log, and send to the others.
+#[must_use]
+pub fn short_name(name: &str) -> SmolStr {
+    if name.len() <= MAX_NAME_BYTES {
+        return SmolStr::new(name);
+    }
+    SmolStr::from(format!("xxh3-{:032x}", xxh3_128(name.as_bytes())))
+}
+
 /// One published version of the routes.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct RouteTable {
@@ -184,6 +201,7 @@
     /// Services.
     pub services: BTreeMap<ServiceKey, ServiceEntry>,
     /// Teams by API key.
+    #[serde(with = "grouped_keys")]
     pub keys: BTreeMap<SmolStr, TeamKey>,
     /// True if the publication defines teams, so that calls need a key unless their route is
     /// public.
@@ -192,6 +210,58 @@
     pub limits: CallerLimits,
 }
 
+/// Exchange of API keys between routers, grouped by team: a team has many, and its name may be long.
+mod grouped_keys {
+    use std::collections::BTreeMap;
+
+    use serde::Deserialize;
+    use serde::Deserializer;
+    use serde::Serializer;
+    use smol_str::SmolStr;
+
+    use super::TeamKey;
+
+    /// The value of an entry.
+    #[derive(Deserialize)]
+    #[serde(untagged)]
+    enum KeyGroup {
+        /// The entry's name is a team, with these keys.
+        Keys(Vec<SmolStr>),
+        /// The entry's name is a key of this team, as routers of an earlier program write it.
+        Team(TeamKey),
+    }
+
+    pub fn serialize<S: Serializer>(
+        keys: &BTreeMap<SmolStr, TeamKey>,
+        serializer: S,
+    ) -> Result<S::Ok, S::Error> {
+        let mut groups: BTreeMap<&TeamKey, Vec<&SmolStr>> = BTreeMap::new();
+        for (key, team) in keys {
+            groups.entry(team).or_default().push(key);
+        }
+        serializer.collect_map(groups)
+    }
+
+    pub fn deserialize<'de, D: Deserializer<'de>>(
+        deserializer: D,
+    ) -> Result<BTreeMap<SmolStr, TeamKey>, D::Error> {
+        let groups: BTreeMap<SmolStr, KeyGroup> = BTreeMap::deserialize(deserializer)?;
+        let mut keys = BTreeMap::new();
+        for (name, group) in groups {
+            match group {
+                KeyGroup::Team(team) => {
+                    keys.insert(name, team);
+                }
+                KeyGroup::Keys(listed) => {
+                    let team = TeamKey(name);
+                    keys.extend(listed.into_iter().map(|key| (key, team.clone())));
+                }
+            }
+        }
+        Ok(keys)
+    }
+}
+
 impl RouteTable {
     /// Adds a route; call [`Self::finish`] after the last one.
     pub fn add_route(&mut self, host: &str, route: RouteEntry) {
--- a/tests/gateway_leaving.rs
+++ b/tests/gateway_leaving.rs
@@ -6,17 +6,13 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use smol_str::SmolStr;
 use tokio::net::TcpListener;
-use tokio::net::UdpSocket;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
 use verbenaturn::gateway::endpoint_list::RegisteredEndpoints;
 use verbenaturn::gateway::follow::StateSection;
 use verbenaturn::gateway::follow::StoreRevision;
-use verbenaturn::gateway::gossip::GossipPlan;
-use verbenaturn::gateway::gossip::run_gossip;
 use verbenaturn::gateway::handover::fetch_state;
 use verbenaturn::gateway::handover::serve_state;
 use verbenaturn::gateway::routes::EndpointEntry;
@@ -29,6 +25,7 @@
 use self::engines::endpoints;
 use self::stores::FakeStore;
 use self::stores::GRACE;
+use self::stores::exchanging;
 use self::stores::follow;
 use self::stores::following;
 use self::stores::router;
@@ -86,29 +83,6 @@
     assert_eq!(used(&fetching).len(), 3);
 }
 
-/// Starts gossip between the routers on loopback and returns its tasks. None of the routers serves
-/// its list to others.
-async fn exchanging(routers: &[Arc<SharedState>]) -> Vec<JoinHandle<()>> {
-    let mut tasks = Vec::new();
-    let mut port = 0;
-    let addresses: Vec<String> = (1..=routers.len())
-        .map(|number| format!("127.0.0.{number}"))
-        .collect();
-    for (shared, address) in routers.iter().zip(&addresses) {
-        let socket = UdpSocket::bind((address.as_str(), port)).await.unwrap();
-        let listen = socket.local_addr().unwrap();
-        port = listen.port();
-        let plan = GossipPlan {
-            listen,
-            seeds: addresses.iter().map(SmolStr::new).collect(),
-            incarnation: 1,
-        };
-        tasks.push(tokio::spawn(run_gossip(Arc::clone(shared), plan, socket)));
-    }
-    sleep(Duration::from_millis(300)).await;
-    tasks
-}
-
 fn registered(
     entries: &BTreeMap<EndpointKey, EndpointEntry>,
     revision: u64,
--- a/tests/stores/mod.rs
+++ b/tests/stores/mod.rs
@@ -12,6 +12,8 @@
 use std::time::Instant;
 
 use smol_str::SmolStr;
+use tokio::net::UdpSocket;
+use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
 use verbenaturn::gateway::config::GatewayConfig;
@@ -25,6 +27,8 @@
 use verbenaturn::gateway::follow::StoreFault;
 use verbenaturn::gateway::follow::StoreRevision;
 use verbenaturn::gateway::follow::follow_section;
+use verbenaturn::gateway::gossip::GossipPlan;
+use verbenaturn::gateway::gossip::run_gossip;
 use verbenaturn::gateway::metrics::GatewayMetrics;
 use verbenaturn::gateway::routes::EndpointEntry;
 use verbenaturn::gateway::routes::EndpointKey;
@@ -186,3 +190,26 @@
     let rows = core.endpoints.rows().filter(|row| row.is_ready(now));
     rows.map(|row| row.entry.key.clone()).collect()
 }
+
+/// Starts gossip between the routers on loopback and returns its tasks. None of the routers serves
+/// its list to others.
+pub async fn exchanging(routers: &[Arc<SharedState>]) -> Vec<JoinHandle<()>> {
+    let mut tasks = Vec::new();
+    let mut port = 0;
+    let addresses: Vec<String> = (1..=routers.len())
+        .map(|number| format!("127.0.0.{number}"))
+        .collect();
+    for (shared, address) in routers.iter().zip(&addresses) {
+        let socket = UdpSocket::bind((address.as_str(), port)).await.unwrap();
+        let listen = socket.local_addr().unwrap();
+        port = listen.port();
+        let plan = GossipPlan {
+            listen,
+            seeds: addresses.iter().map(SmolStr::new).collect(),
+            incarnation: 1,
+        };
+        tasks.push(tokio::spawn(run_gossip(Arc::clone(shared), plan, socket)));
+    }
+    sleep(Duration::from_millis(300)).await;
+    tasks
+}
