After a kill of all routers a stream goes on at the version that follows from its call's id

Callers lost all streams when all routers were killed while two software versions served: 0 of 24 went on, though engines of their version were there, since no process was left that knew where they had begun, and the ids that callers bring back said nothing of it.

Cause: the version of a new stream was chosen freely. Told apart from: records that are told too late (none of the processes that knew lived on), and the store's history being read wrongly (it was complete and named both versions).

Now, while a service lists several versions, a new stream begins at the one that its number picks (hash of id and team, ranges in proportion to the listed slots, placement free within the version). After a kill of all the readers bound each version's slots by all lists of the store's history, and tell the others; a stream goes on if its number belongs to one version by all of these lists and those since. All others are refused as before: lists that moved mix nothing. A version whose endpoints all leave passes its streams on. The lists while a service starts from nothing (endpoints that started within a second, before any heartbeat) don't count as moves.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -153,6 +153,7 @@
         decided: DecisionFacts::default(),
         may_have_run: false,
         origin: StreamOrigin::None,
+        begins_at: None,
         tried_software: SoftwareVersion::default(),
         tried: Vec::new(),
         excluded: Vec::new(),
--- a/src/gateway/call_state.rs
+++ b/src/gateway/call_state.rs
@@ -105,6 +105,8 @@
     pub may_have_run: bool,
     /// Where the stream began.
     pub origin: StreamOrigin,
+    /// The software version at which a stream that has not begun is to begin, if it is not free.
+    pub begins_at: Option<SoftwareVersion>,
     /// The software version of the endpoint of the last attempt.
     pub tried_software: SoftwareVersion,
     /// Endpoints at which the call was tried, in order.
--- a/src/gateway/decide/core.rs
+++ b/src/gateway/decide/core.rs
@@ -41,8 +41,11 @@
 use super::shares::ShareTable;
 use super::shares::TeamFlow;
 use super::sizes::SizeTable;
+use super::stable_ranges::StableRanges;
 use super::stream_deposits::StreamDeposits;
+use super::stream_origins::StreamNumber;
 use super::stream_origins::StreamOrigins;
+use super::version_choice::VersionChoice;
 use super::version_history::VersionHistory;
 
 /// A call that asks to be admitted.
@@ -58,8 +61,8 @@
     pub team: Option<&'a TeamKey>,
     /// The prompt, if the service runs model engines.
     pub prompt: Option<&'a PromptShape>,
-    /// The software version that began the stream, if the call goes on with one: only endpoints of
-    /// this version may get it.
+    /// The software version that began the stream, if the call goes on with one, or at which it is to
+    /// begin: only endpoints of this version may get it.
     pub software: Option<&'a SoftwareVersion>,
     /// Endpoints that were already tried for this call.
     pub tried: &'a [EndpointKey],
@@ -88,7 +91,8 @@
 pub enum RefusalCause {
     /// No endpoint of the service takes work, or all that do were already tried for this call.
     NoEndpoint,
-    /// No endpoint has the software version that began the stream, though others take work.
+    /// No endpoint has the software version at which the stream began or is to begin, though others
+    /// take work.
     VersionGone,
     /// The caller has a part of the stream, and it is not known which software version began it.
     VersionUnknown,
@@ -171,6 +175,10 @@
     pub(super) teams_logged_at: Moment,
     /// Software versions of each service's endpoints.
     pub versions: VersionHistory,
+    /// The versions at which new streams begin.
+    choice: VersionChoice,
+    /// The versions at which streams began that nobody has a record of.
+    pub ranges: StableRanges,
     /// Where streams began.
     pub origins: StreamOrigins,
     /// Streams of other routers that this one tells of if they can't.
@@ -212,6 +220,8 @@
         Self {
             versions,
             origins: StreamOrigins::new(stream_memory),
+            choice: VersionChoice::default(),
+            ranges: StableRanges::default(),
             deposits: StreamDeposits::new(stream_memory),
             endpoints: EndpointTable::default(),
             shares: ShareTable::new(seconds(config.share_window_s)),
@@ -237,11 +247,28 @@
         let listed = entries.values();
         let listed = listed.map(|entry| (&entry.service, &entry.software));
         self.versions.record_list(now, listed);
+        self.choice.set_list(entries.values());
+        self.ranges.record_list(now, self.choice.ranges());
         for (former, sign) in self.endpoints.replace(now, entries) {
             self.quarantine.record_sign(now, &former, sign);
         }
     }
 
+    /// Returns the software version at which a new stream of a service begins; `None` if it may begin at
+    /// any.
+    #[must_use]
+    pub fn version_of_new(
+        &self,
+        now: Moment,
+        service: &ServiceKey,
+        stream: StreamNumber,
+    ) -> Option<SoftwareVersion> {
+        self.choice.version_of(service, stream, |software| {
+            let mut rows = self.endpoints.of_version(service, Some(software));
+            rows.any(|row| row.is_staying(now))
+        })
+    }
+
     /// Sets whether a heavily used link of this router's host or a long delay of its own tasks
     /// distorts the times that it measures.
     ///
--- a/src/gateway/decide/endpoints.rs
+++ b/src/gateway/decide/endpoints.rs
@@ -139,9 +139,21 @@
 
     /// Returns true if the endpoint may get new work according to the endpoint lists.
     fn is_listed_ready(&self, now: Moment) -> bool {
-        let is_over = self.used_until.is_some_and(|until| now >= until);
         let is_doubted = now < self.doubted_until;
-        self.is_registered_ready() && !is_over && !is_doubted && !self.is_reported_departed
+        self.is_registered_ready() && !self.has_departed(now) && !is_doubted
+    }
+
+    /// Returns true if its use is over, or it has left by another router's list.
+    fn has_departed(&self, now: Moment) -> bool {
+        let is_over = self.used_until.is_some_and(|until| now >= until);
+        is_over || self.is_reported_departed
+    }
+
+    /// Returns true if the endpoint takes work or may do so again: it has not left and neither its
+    /// entry nor itself says that it leaves.
+    #[must_use]
+    pub fn is_staying(&self, now: Moment) -> bool {
+        self.is_in_service() && !self.has_departed(now)
     }
 
     /// Applies the entry of the same process in a newer list.
--- a/src/gateway/decide/mod.rs
+++ b/src/gateway/decide/mod.rs
@@ -34,10 +34,12 @@
 pub mod record_refill;
 pub mod shares;
 pub mod sizes;
+pub mod stable_ranges;
 pub mod stream_deposits;
 pub mod stream_origins;
 pub mod surge;
 pub mod team_logs;
+pub mod version_choice;
 pub mod version_history;
 pub mod window;
 
--- a/src/gateway/decide/stream_origins.rs
+++ b/src/gateway/decide/stream_origins.rs
@@ -14,6 +14,9 @@
 //! larger fleet then tells the holders nothing; each router deposits its streams at others that tell
 //! the holders in its place if it stands still when a release begins ([`super::stream_deposits`]).
 //!
+//! After all routers were killed nobody has a record. A stream then goes on at the version that follows
+//! from its number, if the store's history shows that ([`super::stable_ranges`]).
+//!
 //! Streams that end are told no more. A record is kept for as long as a caller may resume a stream.
 //! New processes of routers are sent the records that they would hold ([`super::record_refill`]).
 
@@ -66,6 +69,8 @@
     Recorded(StreamStart),
     /// There is no record, and the service's endpoints had this version only.
     OnlyVersion(SoftwareVersion),
+    /// There is no record, and it follows from the stream's number ([`super::stable_ranges`]).
+    Computed(SoftwareVersion),
     /// Other routers may have a record, or know of another version.
     Ask,
     /// Nobody can know it.
--- a/src/gateway/digest.rs
+++ b/src/gateway/digest.rs
@@ -32,6 +32,7 @@
 use super::routes::TeamKey;
 use super::stream_messages::BegunStreams;
 use super::stream_messages::MixedEntry;
+use super::stream_messages::RangeEntry;
 
 /// Step in which pending prompt tokens are encoded, in tokens: about one millisecond of prefill.
 const PENDING_STEP: u32 = 64;
@@ -511,6 +512,9 @@
     /// [`super::decide::version_history`].
     #[prost(uint32, optional, tag = "28")]
     pub past_unknown_ms: Option<u32>,
+    /// Streams that began at known versions by their numbers, after all routers were killed.
+    #[prost(message, repeated, tag = "29")]
+    pub ranges: Vec<RangeEntry>,
 }
 
 impl RouterDigest {
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -47,6 +47,7 @@
 use super::readers::ReaderElection;
 use super::shared::SharedState;
 use super::stream_messages::BegunStreams;
+use super::stream_messages::RangeEntry;
 
 /// Number of routers up to which all of them receive a message in each round. In a larger fleet
 /// each router sends to a part of the others, so that its cost stays constant.
@@ -400,6 +401,9 @@
         let left = core.endpoints.departures.departures_to_report(now);
         let listed = reports_list.then(|| core.endpoints.listed_to_report());
         let announced_leaving = core.endpoints.leaving_to_report(now);
+        let mixed = core.versions.to_report(now);
+        let services = mixed.iter().map(|service| service.service);
+        let ranges = core.ranges.to_report(now, services);
         let measures_reliably = core.endpoints.is_health_reportable(now) && !core.is_disturbed();
         let loads = core.endpoints.rows();
         let loads = loads.filter_map(|row| load_entry(row, now, measures_reliably));
@@ -424,7 +428,8 @@
             sightings: passes_on.then(|| self.peers.sightings.to_pass_on(now)),
             listed: listed.unwrap_or_default(),
             begun: BegunStreams::group(begun),
-            mixed: origin_exchange::mixed_entries(&core.versions.to_report(now)),
+            mixed: origin_exchange::mixed_entries(&mixed),
+            ranges: RangeEntry::encode_all(&ranges),
             past_unknown_ms: core.versions.past_unknown_for(now).map(whole_ms),
             ..RouterDigest::default()
         }
--- a/src/gateway/origin_exchange.rs
+++ b/src/gateway/origin_exchange.rs
@@ -27,6 +27,7 @@
 use super::shared::SharedState;
 use super::stream_messages::BegunStreams;
 use super::stream_messages::MixedEntry;
+use super::stream_messages::RangeEntry;
 
 /// Routers that are told where a stream began, in a fleet in which not all are. One may be killed
 /// together with the router that began the stream.
@@ -200,10 +201,14 @@
         incarnation: digest.incarnation,
     };
     let mixed: Vec<_> = digest.mixed.iter().map(MixedEntry::decode).collect();
+    let ranges = RangeEntry::decode_all(&digest.ranges);
     let own_list = shared.endpoints_revision();
     {
         let mut core = shared.core();
         core.versions.apply_report(now, &mixed);
+        for told in ranges {
+            core.ranges.learn(now, told);
+        }
         if let Some(left) = digest.past_unknown_ms {
             let report = PastReport {
                 list: StoreRevision(digest.endpoints_revision),
--- a/src/gateway/past.rs
+++ b/src/gateway/past.rs
@@ -1,6 +1,7 @@
 //! Reads the store's history when this process has started and no older one tells what was listed
 //! before: finds the oldest revision that the store still has the changes after, with few calls.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,11 +15,19 @@
 use super::decide::past_versions::HistoryScope;
 use super::decide::past_versions::PastEvidence;
 use super::decide::past_versions::judge_history;
+use super::decide::past_versions::slot_bounds;
+use super::decide::stable_ranges::ServiceRanges;
+use super::decide::version_choice::SlotBounds;
+use super::decide::version_choice::stable_ranges;
+use super::decide::version_history::ServiceNumber;
 use super::endpoint_list::EndpointList;
 use super::follow::PastChange;
 use super::follow::StateStore;
 use super::follow::StoreFault;
 use super::follow::StoreRevision;
+use super::freshness;
+use super::routes::ServiceKey;
+use super::routes::SoftwareVersion;
 use super::shared::SharedState;
 
 /// Number of attempts to read the history; a store that fails more often is left alone.
@@ -116,7 +125,14 @@
                 "store: step=history revision={as_of} changes={count} past=known versions={names:?}"
             );
             let now = shared.clock.now();
-            shared.core().versions.record_past(now, versions);
+            let mut core = shared.core();
+            core.versions.record_past(now, versions);
+            if scope.covers_lists(list_lag(shared)) {
+                let listed = list.registered().values();
+                for past in past_ranges(shared, slot_bounds(listed, changes)) {
+                    core.ranges.learn(now, past);
+                }
+            }
         }
         PastEvidence::Incomplete(gap) => spdlog::info!(
             "store: step=history revision={as_of} changes={count} past=unknown cause=\"{gap}\""
@@ -124,6 +140,27 @@
     }
 }
 
+/// Returns the age that a list in use may have: the bound in which a change is in force at all routers.
+fn list_lag(shared: &SharedState) -> TimeSpan {
+    let bound = freshness::bound(&shared.config);
+    TimeSpan(u64::try_from(bound.as_micros()).unwrap_or(u64::MAX))
+}
+
+/// Returns which streams began at which versions by these bounds, as to be learned now.
+fn past_ranges(
+    shared: &SharedState,
+    bounds: BTreeMap<ServiceKey, BTreeMap<SoftwareVersion, SlotBounds>>,
+) -> impl Iterator<Item = ServiceRanges> {
+    let left = TimeSpan::from_millis(shared.config.stream_memory_ms);
+    bounds
+        .into_iter()
+        .map(move |(service, versions)| ServiceRanges {
+            service: ServiceNumber::of(&service),
+            ranges: stable_ranges(&versions),
+            left,
+        })
+}
+
 /// Returns the longest time that a stream lasts by the routes in force.
 async fn longest_stream(shared: &SharedState) -> TimeSpan {
     for _ in 0..MAX_ROUTE_CHECKS {
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -24,6 +24,7 @@
 use super::attempt::read_or_interrupt;
 use super::attempt::still_takes_work;
 use super::call_state::CallState;
+use super::call_state::StreamOrigin;
 use super::decide::Admission;
 use super::decide::AdmissionLimit;
 use super::decide::AdmissionRequest;
@@ -33,6 +34,9 @@
 use super::front::TrafficState;
 use super::http::WireStream;
 use super::protocol::CallProtocol;
+use super::resume::stream_number;
+use super::routes::Repeatability;
+use super::routes::RouteEntry;
 
 /// Pause between two searches for an endpoint that takes over from a silent one.
 const TAKEOVER_PAUSE: Duration = Duration::from_millis(200);
@@ -83,7 +87,7 @@
         shape: call.table.services.get(&call.service),
         team: call.team.as_ref(),
         prompt: call.facts.prompt.as_ref(),
-        software: call.origin.known(),
+        software: call.origin.known().or(call.begins_at.as_ref()),
         tried: &call.excluded,
         fingerprint: call.fingerprint,
         waited: micros(now.saturating_duration_since(call.arrived)),
@@ -92,6 +96,14 @@
     }
 }
 
+/// Returns true if the next attempt begins a stream that may be resumed.
+fn begins_stream(call: &CallState) -> bool {
+    let RouteEntry {
+        streams, repeats, ..
+    } = call.route;
+    streams && repeats == Repeatability::Resumable && call.origin == StreamOrigin::None
+}
+
 /// Places the next attempt. A begun answer waits for endpoints that have asked for a pause, and goes
 /// back to such as have refused it.
 ///
@@ -110,8 +122,14 @@
     };
     loop {
         let admission = {
+            let (now, mut core) = (shared.clock.now(), shared.core());
+            call.begins_at = if begins_stream(call) {
+                core.version_of_new(now, &call.service, stream_number(call))
+            } else {
+                None
+            };
             let ask = admission_request(call, limit);
-            shared.core().admit(shared.clock.now(), &ask, call.standing)
+            core.admit(now, &ask, call.standing)
         };
         let (cause, retry_after, expected_ms) = match admission {
             Admission::Send(ticket) => return Ok(ticket),
--- a/src/gateway/resume.rs
+++ b/src/gateway/resume.rs
@@ -8,6 +8,7 @@
 use super::call_state::CallState;
 use super::call_state::StreamOrigin;
 use super::decide::stream_origins::AskedAnswers;
+use super::decide::stream_origins::ListStatus;
 use super::decide::stream_origins::Location;
 use super::decide::stream_origins::StreamNumber;
 use super::decide::stream_origins::StreamOrigins;
@@ -43,10 +44,16 @@
         }
         (location, _) => (location, "here"),
     };
+    let location = match (location, stream) {
+        (Location::Ask | Location::Unknown, Some(stream)) => compute(traffic, call, stream),
+        (location, _) => location,
+    };
     let known_by = known_by(&location, source);
     call.origin = match location {
         Location::Recorded(start) => recorded_origin(call, start),
-        Location::OnlyVersion(software) => StreamOrigin::At(software),
+        Location::OnlyVersion(software) | Location::Computed(software) => {
+            StreamOrigin::At(software)
+        }
         Location::Ask | Location::Unknown => StreamOrigin::Unknown,
     };
     spdlog::info!(
@@ -64,10 +71,27 @@
         (Location::Recorded(_), "routers") => "routers",
         (Location::Recorded(_), _) => "record",
         (Location::OnlyVersion(_), _) => "only_version",
+        (Location::Computed(_), _) => "computed",
         (Location::Ask | Location::Unknown, _) => "nobody",
     }
 }
 
+/// Returns the version that follows from the stream's number. A route with several services says
+/// nothing of the service at which the stream began.
+fn compute<P: CallProtocol>(
+    traffic: &TrafficState<P>,
+    call: &CallState,
+    stream: StreamNumber,
+) -> Location {
+    let shared = &traffic.shared;
+    if call.route.split.len() != 1 || shared.list_status() != ListStatus::Latest {
+        return Location::Unknown;
+    }
+    let now = shared.clock.now();
+    let version = shared.core().ranges.version_of(now, &call.service, stream);
+    version.map_or(Location::Unknown, Location::Computed)
+}
+
 fn locate<P: CallProtocol>(
     traffic: &TrafficState<P>,
     call: &CallState,
--- a/src/gateway/stream_messages.rs
+++ b/src/gateway/stream_messages.rs
@@ -1,12 +1,17 @@
 //! Parts of gossip messages that tell where streams began and which services are mixed.
 
+use std::collections::BTreeMap;
+
 use prost::Message;
 use smol_str::SmolStr;
 
 use crate::units::TimeSpan;
 
+use super::decide::stable_ranges::ServiceRanges;
 use super::decide::stream_origins::StreamNumber;
 use super::decide::stream_origins::StreamStart;
+use super::decide::version_choice::PointRange;
+use super::decide::version_choice::VersionRanges;
 use super::decide::version_history::MixedService;
 use super::decide::version_history::ServiceNumber;
 use super::routes::SoftwareVersion;
@@ -90,3 +95,62 @@
         }
     }
 }
+
+/// Streams that began at one software version of a service by their numbers, see
+/// [`super::decide::stable_ranges`].
+#[derive(Clone, PartialEq, Message)]
+pub struct RangeEntry {
+    /// Service number.
+    #[prost(fixed32, tag = "1")]
+    service: u32,
+    /// Software version.
+    #[prost(string, tag = "2")]
+    software: String,
+    /// The first point.
+    #[prost(fixed32, tag = "3")]
+    first: u32,
+    /// The last point.
+    #[prost(fixed32, tag = "4")]
+    last: u32,
+    /// Time for which such streams may still be resumed, in ms.
+    #[prost(uint32, tag = "5")]
+    left_ms: u32,
+}
+
+impl RangeEntry {
+    /// Encodes the ranges of services.
+    #[must_use]
+    pub fn encode_all(services: &[ServiceRanges]) -> Vec<Self> {
+        let entries = services.iter().flat_map(|told| {
+            told.ranges.iter().map(|(software, range)| Self {
+                service: told.service.0,
+                software: software.0.to_string(),
+                first: range.first,
+                last: range.last,
+                left_ms: u32::try_from(told.left.as_millis()).unwrap_or(u32::MAX),
+            })
+        });
+        entries.collect()
+    }
+
+    /// Decodes the ranges of services.
+    #[must_use]
+    pub fn decode_all(entries: &[Self]) -> Vec<ServiceRanges> {
+        let mut services: BTreeMap<u32, ServiceRanges> = BTreeMap::new();
+        for entry in entries {
+            let Some(range) = PointRange::new(entry.first, entry.last) else {
+                continue;
+            };
+            let told = services
+                .entry(entry.service)
+                .or_insert_with(|| ServiceRanges {
+                    service: ServiceNumber(entry.service),
+                    ranges: VersionRanges::new(),
+                    left: TimeSpan::from_millis(u64::from(entry.left_ms)),
+                });
+            let software = SoftwareVersion(SmolStr::new(&entry.software));
+            told.ranges.insert(software, range);
+        }
+        services.into_values().collect()
+    }
+}
