A router that nobody answers has the store confirm its list before a stream goes on

Callers of streams that began at a new version got a rest of the old one: a router was cut off from the others and the store a moment before engines of the new version joined, and took up streams that had begun there through other routers.

Cause: a router that knows one version asks the others, and took the silence of all for the word that none has a record. Told apart from: a list that is late (with the store in reach the same plays mix nothing), and records that were not told (those who hold them were never reached).

Now, if no other router answers and there ever was one, the store is asked at once whether the list holds all changes; without its answer the stream is refused as one of unknown origin. The same holds for a version that is computed from the call's id. A new stream whose version has no endpoint that takes work now is refused with a Retry-After and a cause of its own, version_busy.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -456,6 +456,7 @@
         RefusalCause::OverShare => OwnStatus::TooManyRequests,
         RefusalCause::NoEndpoint
         | RefusalCause::VersionGone
+        | RefusalCause::VersionBusy
         | RefusalCause::VersionUnknown
         | RefusalCause::Paused
         | RefusalCause::Overload
@@ -474,6 +475,7 @@
             retry_after.as_duration() + least.mul_f64(rand::rng().random())
         }
         RefusalCause::NoEndpoint
+        | RefusalCause::VersionBusy
         | RefusalCause::VersionUnknown
         | RefusalCause::Overload
         | RefusalCause::OverShare
--- a/src/gateway/decide/core.rs
+++ b/src/gateway/decide/core.rs
@@ -91,9 +91,10 @@
 pub enum RefusalCause {
     /// No endpoint of the service takes work, or all that do were already tried for this call.
     NoEndpoint,
-    /// No endpoint has the software version at which the stream began or is to begin, though others
-    /// take work.
+    /// No endpoint has the software version that began the stream, though others take work.
     VersionGone,
+    /// No endpoint of the software version at which the stream is to begin takes work, though others do.
+    VersionBusy,
     /// The caller has a part of the stream, and it is not known which software version began it.
     VersionUnknown,
     /// As `NoEndpoint`, but at least one endpoint would take work if it had not asked for a pause.
@@ -117,6 +118,7 @@
         match self {
             Self::NoEndpoint => "no_endpoint",
             Self::VersionGone => "version_gone",
+            Self::VersionBusy => "version_busy",
             Self::VersionUnknown => "version_unknown",
             Self::Paused => "endpoints_paused",
             Self::Overload => "overload",
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -283,8 +283,18 @@
         let mut wait = longest;
         while self.shared.is_reader() {
             let limit = wait + WATCH_SLACK;
+            let follows_endpoints = self.section == StateSection::Endpoints;
+            let is_check = wait == Duration::ZERO;
             // A dead connection shows only by the missing answer.
-            let watch = timeout(limit, self.store.watch(self.section, after, wait)).await;
+            let watch = timeout(limit, self.store.watch(self.section, after, wait));
+            let watch = tokio::select! {
+                biased;
+                watch = watch => watch,
+                () = self.shared.list_check_requested(), if follows_endpoints && !is_check => {
+                    wait = Duration::ZERO;
+                    continue;
+                }
+            };
             let changes = match watch {
                 Ok(Ok(changes)) => changes,
                 Ok(Err(StoreFault::Compacted)) => {
@@ -304,8 +314,9 @@
             after = after.max(changes.as_of);
             let has_changes = !changes.changes.is_empty();
             self.apply(changes, after);
+            self.confirm_list();
             wait = longest;
-            if has_changes && self.section == StateSection::Endpoints {
+            if is_check || has_changes && follows_endpoints {
                 sleep(batch).await;
                 // The pause counts as a part of the next wait, whose length bounds how late a lost
                 // connection shows.
@@ -314,6 +325,13 @@
         }
     }
 
+    /// Tells calls that wait for it that the endpoint list is the store's of now.
+    fn confirm_list(&self) {
+        if self.section == StateSection::Endpoints {
+            self.shared.confirm_list();
+        }
+    }
+
     /// Applies the changes of a watch. A change of routes does not put the endpoints in force anew.
     fn apply(&mut self, changes: StateChanges, as_of: StoreRevision) {
         let now = self.shared.clock.now();
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -144,8 +144,6 @@
     sent_versions: StateVersions,
     /// Whether the last digest reported contact with the store.
     sent_in_touch: bool,
-    /// Whether any other router was ever heard.
-    has_met_others: bool,
     /// Records for routers' new processes.
     refill: RecordRefill,
 }
@@ -169,7 +167,6 @@
         first_list: FirstList::default(),
         sent_versions: StateVersions::default(),
         sent_in_touch: false,
-        has_met_others: false,
         refill: RecordRefill::default(),
     };
     let pause = Duration::from_millis(gossip.shared.config.gossip_ms.max(1));
@@ -286,10 +283,13 @@
     /// Determines whether another router may use a software version that this one's list lacks.
     fn update_list_status(&mut self, now: Moment) {
         let heard = self.peers.heard.values().map(|row| row.heard).max();
-        self.has_met_others |= heard.is_some();
+        if heard.is_some() {
+            self.shared.record_met_others();
+        }
         let silence = TimeSpan::from_millis(self.shared.config.gossip_ms * LIST_SILENCE_ROUNDS);
         let hears_others = heard.is_some_and(|at| now.since(at) < silence);
-        let is_informed = self.shared.is_in_touch() || hears_others || !self.has_met_others;
+        let is_informed =
+            self.shared.is_in_touch() || hears_others || !self.shared.has_met_others();
         let status = if is_informed && self.behind_since.is_none() {
             ListStatus::Latest
         } else {
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -139,6 +139,10 @@
                 expected_ms,
             } => (cause, retry_after, expected_ms),
         };
+        let cause = match cause {
+            RefusalCause::VersionGone if call.begins_at.is_some() => RefusalCause::VersionBusy,
+            cause => cause,
+        };
         let pause = pause_before_retry(call, cause, retry_after);
         let Some(pause) = pause.filter(|pause| Instant::now() + *pause <= resumption_end(call))
         else {
@@ -170,6 +174,7 @@
         RefusalCause::NoEndpoint if call.has_readmissible() => Some(REFUSAL_PAUSE),
         RefusalCause::NoEndpoint
         | RefusalCause::VersionGone
+        | RefusalCause::VersionBusy
         | RefusalCause::VersionUnknown
         | RefusalCause::Overload
         | RefusalCause::OverShare
--- a/src/gateway/resume.rs
+++ b/src/gateway/resume.rs
@@ -14,6 +14,8 @@
 use super::decide::stream_origins::StreamOrigins;
 use super::decide::stream_origins::StreamStart;
 use super::decide::version_history::ServiceNumber;
+use super::follow::WATCH_SLACK;
+use super::freshness;
 use super::front::TrafficState;
 use super::protocol::CallProtocol;
 
@@ -44,10 +46,6 @@
         }
         (location, _) => (location, "here"),
     };
-    let location = match (location, stream) {
-        (Location::Ask | Location::Unknown, Some(stream)) => compute(traffic, call, stream),
-        (location, _) => location,
-    };
     let known_by = known_by(&location, source);
     call.origin = match location {
         Location::Recorded(start) => recorded_origin(call, start),
@@ -109,18 +107,29 @@
     call: &CallState,
     stream: StreamNumber,
 ) -> Location {
-    let location = ask_once(traffic, call, stream).await;
+    let (location, _) = ask_once(traffic, call, stream).await;
     if location != Location::Unknown {
         return location;
     }
     // The caller may come back sooner than the router at which its stream began has told others.
     sleep(telling_time(traffic)).await;
-    ask_once(traffic, call, stream).await
+    let (location, is_answered) = ask_once(traffic, call, stream).await;
+    if location != Location::Unknown {
+        return location;
+    }
+    let location = compute(traffic, call, stream);
+    if location == Location::Unknown || is_answered || is_list_confirmed(traffic).await {
+        return location;
+    }
+    Location::Unknown
 }
 
 /// Asks the others before a stream without a record is taken for one of the only version that this
 /// router knows: one with a newer list may have begun it at another version. Asks once more after a
 /// round, in which a new list reaches all routers.
+///
+/// Guards against silence that is taken for the word that nobody has a record: a router that was cut off
+/// a moment ago doesn't know it yet. If nobody answers, the store has to.
 async fn confirm_only_version<P: CallProtocol>(
     traffic: &TrafficState<P>,
     call: &CallState,
@@ -129,34 +138,53 @@
     let lookups = &traffic.shared.lookups;
     let mut answers = lookups.ask(stream).await;
     // A router without others gets no answer.
-    if matches!(answers, AskedAnswers::NoRecord(1..)) {
+    if is_answer(&answers) {
         sleep(telling_time(traffic)).await;
         answers = lookups.ask(stream).await;
     }
     if let AskedAnswers::Recorded(start) = answers {
         return Location::Recorded(start);
     }
+    if !is_answer(&answers) && !is_list_confirmed(traffic).await {
+        return Location::Unknown;
+    }
     match locate(traffic, call, Some(stream)) {
         Location::Ask => locate_asked(traffic, call, stream).await,
         location => location,
     }
 }
 
+/// Returns true if another router has answered, and has no record.
+fn is_answer(answers: &AskedAnswers) -> bool {
+    matches!(answers, AskedAnswers::NoRecord(1..))
+}
+
+/// Returns true if the endpoint list is the store's of now, or there never was another router. A router
+/// that doesn't read the store begins to meanwhile if it hears nobody.
+async fn is_list_confirmed<P>(traffic: &TrafficState<P>) -> bool {
+    let shared = &traffic.shared;
+    let limit = freshness::watch_wait(&shared.config) + WATCH_SLACK;
+    !shared.has_met_others() || shared.check_list(limit).await
+}
+
 /// Returns the time until what a router tells in a gossip round has arrived.
 fn telling_time<P>(traffic: &TrafficState<P>) -> Duration {
     Duration::from_millis(traffic.shared.config.gossip_ms) + TELLING_TIME
 }
 
+/// Asks the others once. Returns what is known then, and whether any of them answered.
 async fn ask_once<P: CallProtocol>(
     traffic: &TrafficState<P>,
     call: &CallState,
     stream: StreamNumber,
-) -> Location {
+) -> (Location, bool) {
     let shared = &traffic.shared;
     let answers = shared.lookups.ask(stream).await;
+    let is_answered = is_answer(&answers);
     let now = shared.clock.now();
     let core = shared.core();
-    StreamOrigins::locate_asked(now, &core.versions, &call.service, answers)
+    let location = StreamOrigins::locate_asked(now, &core.versions, &call.service, answers);
+    (location, is_answered)
 }
 
 /// Returns the origin of a recorded stream and sets the call's service to the one at which it began.
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -9,9 +9,12 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use smol_str::SmolStr;
+use tokio::sync::Notify;
 use tokio::sync::watch;
+use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
 use crate::daemon::control::MonotonicClock;
@@ -129,6 +132,12 @@
     overloaded: AtomicBool,
     /// True if the endpoint list is as new as those of others, see [`ListStatus::Latest`].
     has_latest_list: AtomicBool,
+    /// Whether another router was ever heard.
+    has_met_others: AtomicBool,
+    /// Asks for an answer of the store on the endpoint list.
+    list_check: Notify,
+    /// Wakes those who wait for one.
+    list_confirmed: Notify,
 }
 
 impl SharedState {
@@ -155,6 +164,9 @@
             fetching: AtomicBool::new(false),
             overloaded: AtomicBool::new(false),
             has_latest_list: AtomicBool::new(false),
+            has_met_others: AtomicBool::new(false),
+            list_check: Notify::new(),
+            list_confirmed: Notify::new(),
         }
     }
 
@@ -413,6 +425,35 @@
         self.has_latest_list.store(is_latest, Ordering::Relaxed);
     }
 
+    /// Returns true if another router was ever heard.
+    #[must_use]
+    pub fn has_met_others(&self) -> bool {
+        self.has_met_others.load(Ordering::Relaxed)
+    }
+
+    /// Records that another router was heard.
+    pub fn record_met_others(&self) {
+        self.has_met_others.store(true, Ordering::Relaxed);
+    }
+
+    /// Records that the store has just answered, and the endpoint list holds all of its changes.
+    pub fn confirm_list(&self) {
+        self.list_confirmed.notify_waiters();
+    }
+
+    /// Has the store asked whether the endpoint list holds all changes. Returns false if it has not
+    /// answered within `limit`.
+    pub async fn check_list(&self, limit: Duration) -> bool {
+        let confirmed = self.list_confirmed.notified();
+        self.list_check.notify_one();
+        timeout(limit, confirmed).await.is_ok()
+    }
+
+    /// Waits until the store is to be asked.
+    pub async fn list_check_requested(&self) {
+        self.list_check.notified().await;
+    }
+
     /// Counts a call as in flight until the guard is dropped.
     pub fn begin_call(self: &Arc<Self>) -> CallGuard {
         self.in_flight.fetch_add(1, Ordering::Relaxed);
