--- a/src/gateway/past.rs
+++ b/src/gateway/past.rs
@@ -124,14 +124,16 @@
             spdlog::info!(
                 "store: step=history revision={as_of} changes={count} past=known versions={names:?}"
             );
+            let bounds = if scope.covers_lists(list_lag(shared)) {
+                slot_bounds(list.registered().values(), changes)
+            } else {
+                BTreeMap::new()
+            };
             let now = shared.clock.now();
             let mut core = shared.core();
             core.versions.record_past(now, versions);
-            if scope.covers_lists(list_lag(shared)) {
-                let listed = list.registered().values();
-                for past in past_ranges(shared, slot_bounds(listed, changes)) {
-                    core.ranges.learn(now, past);
-                }
+            for past in past_ranges(shared, bounds) {
+                core.ranges.learn(now, past);
             }
         }
         PastEvidence::Incomplete(gap) => spdlog::info!(
