--- a/src/gateway/resume.rs
+++ b/src/gateway/resume.rs
@@ -118,10 +118,14 @@
         return location;
     }
     let location = compute(traffic, call, stream);
-    if location == Location::Unknown || is_answered || is_list_confirmed(traffic).await {
+    if location == Location::Unknown || is_answered {
         return location;
     }
-    Location::Unknown
+    if !is_list_confirmed(traffic).await {
+        return Location::Unknown;
+    }
+    // The store's answer may have changed the list.
+    compute(traffic, call, stream)
 }
 
 /// Asks the others before a stream without a record is taken for one of the only version that this
